--- /dev/null
+++ b/src/bin/comfreyd/main.rs
@@ -0,0 +1,3 @@
+//! The comfreyhead daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/connection/mod.rs
@@ -0,0 +1,1 @@
+//! What lives as long as a connection.
--- /dev/null
+++ b/src/process/distribution/mod.rs
@@ -0,0 +1,1 @@
+//! How configuration versions reach every process.
--- /dev/null
+++ b/src/process/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Which targets and peers are present, leaving or gone.
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,9 @@
+//! What lives as long as the process.
+
+pub mod distribution;
+pub mod membership;
+pub mod orders;
+pub mod platform;
+pub mod routing;
+pub mod step_window;
+pub mod timestamp;
--- /dev/null
+++ b/src/process/platform/mod.rs
@@ -0,0 +1,1 @@
+//! Adapters for the platform: log service, VM list, weight store, targets.
--- /dev/null
+++ b/src/version/config/mod.rs
@@ -0,0 +1,1 @@
+//! The configuration stream: records, the fold over them and its content.
