--- /dev/null
+++ b/src/process/platform/model_engine.rs
@@ -0,0 +1,203 @@
+//! A model engine, as its agent drives it: an OpenAI-style HTTP API with numbered events.
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures::{Stream, StreamExt};
+use http::Request;
+use http_body_util::{BodyDataStream, Full};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::prelude::*;
+
+use super::header_value;
+use super::http_client::{HttpClient, HttpFailure, bad_request, json_request};
+
+/// The longest time for a control call of the engine.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The data of the event that ends a stream.
+const END_OF_STREAM: &str = "[DONE]";
+
+/// The load that an engine reports. It lags.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// Grows with each report.
+    pub sequence: u64,
+    /// Requests in the running batch.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Tokens generated a second.
+    pub tokens_per_second: f64,
+    /// The time of one step, in milliseconds.
+    pub step_ms: f64,
+}
+
+/// A change of an engine's prefix cache. Some are missing, all are late.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Grows with each event.
+    pub sequence: u64,
+    /// `stored` or `removed`.
+    pub kind: String,
+    /// The hash of the block, in hex.
+    pub block: String,
+}
+
+/// A run of cache events.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CachePage {
+    /// The events.
+    pub events: Vec<CacheEvent>,
+    /// Where the next read begins.
+    pub next: u64,
+}
+
+/// The expert map that an engine runs on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineMap {
+    /// The fencing number of the leader that ordered it.
+    pub fencing_number: u64,
+    /// The step window from which it holds.
+    pub window: u64,
+    /// The number of the map.
+    pub map: u64,
+}
+
+/// An event of an engine's answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EngineEvent {
+    /// A chunk of the answer.
+    Chunk(String),
+    /// The end of the answer.
+    End,
+    /// The stream broke before its end.
+    Broken(String),
+}
+
+/// A client of one model engine.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    client: HttpClient,
+    base_url: Arc<str>,
+}
+
+/// One request to an engine.
+#[derive(Clone, Debug)]
+pub struct EngineCall<'a> {
+    /// The path of the API, such as `/v1/completions`.
+    pub path: &'a str,
+    /// The id of the request.
+    pub request: RequestId,
+    /// The priority, 0 the most urgent.
+    pub priority: u32,
+    /// The body, with `stream` set.
+    pub body: &'a Value,
+    /// The longest time until the head of the answer.
+    pub timeout: Duration,
+}
+
+impl EngineClient {
+    /// Makes a client of the engine at `base_url`.
+    pub fn new(base_url: &str) -> Self {
+        Self {
+            client: HttpClient::http1(),
+            base_url: Arc::from(base_url.trim_end_matches('/')),
+        }
+    }
+
+    /// Starts a request and returns its events.
+    ///
+    /// # Errors
+    /// The engine did not accept the request.
+    pub async fn start(
+        &self,
+        call: &EngineCall<'_>,
+    ) -> Result<impl Stream<Item = EngineEvent> + Send + use<>, HttpFailure> {
+        let url = format!("{}{}", self.base_url, call.path);
+        let mut request = json_request(&url, call.body)?;
+        let headers = request.headers_mut();
+        headers.insert("x-request-id", header_value(&call.request.to_string())?);
+        headers.insert("x-priority", header_value(&call.priority.to_string())?);
+        self.events(request, call.timeout).await
+    }
+
+    /// Resumes the answer of a request at event `from`.
+    ///
+    /// # Errors
+    /// The engine does not know the request or did not answer.
+    pub async fn resume(
+        &self,
+        request: RequestId,
+        from: u64,
+        timeout: Duration,
+    ) -> Result<impl Stream<Item = EngineEvent> + Send + use<>, HttpFailure> {
+        let url = format!("{}/v1/requests/{request}/events?from={from}", self.base_url);
+        let request = Request::get(url)
+            .body(Full::default())
+            .map_err(bad_request)?;
+        self.events(request, timeout).await
+    }
+
+    /// Cancels a request.
+    ///
+    /// # Errors
+    /// The engine did not answer.
+    pub async fn cancel(&self, request: RequestId) -> Result<(), HttpFailure> {
+        let url = format!("{}/v1/requests/{request}/cancel", self.base_url);
+        let request = json_request(&url, &Value::Null)?;
+        self.client.send(request, CONTROL_TIMEOUT).await.map(|_| ())
+    }
+
+    /// Reads the load.
+    ///
+    /// # Errors
+    /// The engine did not answer.
+    pub async fn load(&self) -> Result<EngineLoad, HttpFailure> {
+        self.client
+            .get(&format!("{}/load", self.base_url), CONTROL_TIMEOUT)
+            .await
+    }
+
+    /// Reads the cache events from `from` on.
+    ///
+    /// # Errors
+    /// The engine did not answer.
+    pub async fn cache_events(&self, from: u64) -> Result<CachePage, HttpFailure> {
+        let url = format!("{}/cache-events?from={from}", self.base_url);
+        self.client.get(&url, CONTROL_TIMEOUT).await
+    }
+
+    /// Orders the engine to run on a map from a step window on.
+    ///
+    /// # Errors
+    /// The engine refused, or did not answer.
+    pub async fn set_map(&self, map: EngineMap) -> Result<(), HttpFailure> {
+        let request = json_request(&format!("{}/expert-map", self.base_url), &map)?;
+        self.client.send(request, CONTROL_TIMEOUT).await.map(|_| ())
+    }
+
+    /// Reads the map that the engine runs on.
+    ///
+    /// # Errors
+    /// The engine did not answer.
+    pub async fn map(&self) -> Result<EngineMap, HttpFailure> {
+        self.client
+            .get(&format!("{}/expert-map", self.base_url), CONTROL_TIMEOUT)
+            .await
+    }
+
+    async fn events(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<impl Stream<Item = EngineEvent> + Send + use<>, HttpFailure> {
+        let response = self.client.send(request, timeout).await?;
+        let events = BodyDataStream::new(response.into_body()).eventsource();
+        Ok(events.map(|event| match event {
+            Ok(event) if event.data == END_OF_STREAM => EngineEvent::End,
+            Ok(event) => EngineEvent::Chunk(event.data),
+            Err(err) => EngineEvent::Broken(err.to_string()),
+        }))
+    }
+}
--- /dev/null
+++ b/src/process/platform/plain_service.rs
@@ -0,0 +1,94 @@
+//! A plain service beside the model engines, as its agent calls it.
+
+use http::Request;
+use http_body_util::Full;
+use quick_error::quick_error;
+use serde_json::Value;
+
+use crate::prelude::*;
+
+use super::http_client::{HttpClient, HttpFailure, json_request};
+
+quick_error! {
+    /// Why a call has no answer.
+    #[derive(Debug, Clone)]
+    pub enum CallFailure {
+        /// The service has not seen the call.
+        NotSent(reason: String) {
+            display("{}", reason)
+        }
+        /// The service said no.
+        Refused(status: u16, body: Value) {
+            display("the service answered {}: {}", status, body)
+        }
+        /// The service may have run the call.
+        Unknown(reason: String) {
+            display("{}", reason)
+        }
+    }
+}
+
+/// A client of one plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceClient {
+    client: HttpClient,
+    base_url: Arc<str>,
+}
+
+/// One call, as the service sees it.
+#[derive(Clone, Debug)]
+pub struct ServiceCall<'a> {
+    /// The name of the call.
+    pub call: &'a str,
+    /// The id of the request.
+    pub request: RequestId,
+    /// The idempotency key, empty where the caller sent none.
+    pub key: &'a str,
+    /// The body.
+    pub body: &'a Value,
+    /// The longest time for the answer.
+    pub timeout: Duration,
+}
+
+impl ServiceClient {
+    /// Makes a client of the service at `base_url`.
+    pub fn new(base_url: &str) -> Self {
+        Self {
+            client: HttpClient::http1(),
+            base_url: Arc::from(base_url.trim_end_matches('/')),
+        }
+    }
+
+    /// Makes the call once.
+    ///
+    /// # Errors
+    /// Says whether the service may have run the call.
+    pub async fn run(&self, call: &ServiceCall<'_>) -> Result<Value, CallFailure> {
+        let request = self
+            .request(call)
+            .map_err(|err| CallFailure::NotSent(err.to_string()))?;
+        match self.client.json(request, call.timeout).await {
+            Ok(answer) => Ok(answer),
+            Err(HttpFailure::NotSent(reason)) => Err(CallFailure::NotSent(reason)),
+            Err(HttpFailure::Status(status, body)) if status.is_client_error() => {
+                let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+                Err(CallFailure::Refused(status.as_u16(), body))
+            }
+            Err(err) => Err(CallFailure::Unknown(err.to_string())),
+        }
+    }
+
+    fn request(&self, call: &ServiceCall<'_>) -> Result<Request<Full<bytes::Bytes>>, HttpFailure> {
+        let url = format!("{}/calls/{}", self.base_url, call.call);
+        let mut request = json_request(&url, call.body)?;
+        let headers = request.headers_mut();
+        headers.insert(
+            "x-request-id",
+            super::header_value(&call.request.to_string())?,
+        );
+        if !call.key.is_empty() {
+            headers.insert("idempotency-key", super::header_value(call.key)?);
+        }
+        Ok(request)
+    }
+}
