--- /dev/null
+++ b/src/process/metrics.rs
@@ -0,0 +1,129 @@
+//! The counters and histograms that `/metrics` shows.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::prelude::*;
+
+/// Upper bounds of the time histograms, in seconds.
+const TIME_BUCKETS_S: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.038, 0.075, 0.15, 0.3, 0.75, 1.5, 3.0, 10.0, 60.0,
+];
+
+/// The metrics of one process.
+#[derive(Clone, Debug)]
+pub struct ProcessMetrics {
+    registry: Registry,
+    /// Requests by outcome.
+    pub requests: IntCounterVec,
+    /// Refusals by reason.
+    pub refusals: IntCounterVec,
+    /// Retries.
+    pub retries: IntCounter,
+    /// Requests in progress.
+    pub in_flight: IntGauge,
+    /// Seconds until the first event of an answer.
+    pub first_event_s: Histogram,
+    /// Seconds until the end of an answer.
+    pub whole_answer_s: Histogram,
+    /// The number of the configuration version in force.
+    pub version: IntGauge,
+    /// Control messages sent or answered.
+    pub control_messages: IntCounter,
+    /// Appends to the log service by result.
+    pub appends: IntCounterVec,
+}
+
+impl ProcessMetrics {
+    /// Makes the metrics and registers them.
+    ///
+    /// # Errors
+    /// A name is registered twice.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let requests = counters(
+            "comfreyhead_requests_total",
+            "Requests by outcome",
+            "outcome",
+        )?;
+        let refusals = counters("comfreyhead_refusals_total", "Refusals by reason", "reason")?;
+        let appends = counters(
+            "comfreyhead_log_appends_total",
+            "Appends by result",
+            "result",
+        )?;
+        let retries = IntCounter::new("comfreyhead_retries_total", "Retries").map_err(named)?;
+        let control_messages =
+            IntCounter::new("comfreyhead_control_messages_total", "Control messages")
+                .map_err(named)?;
+        let in_flight = IntGauge::new("comfreyhead_requests_in_flight", "Requests in progress")
+            .map_err(named)?;
+        let version = IntGauge::new(
+            "comfreyhead_config_version",
+            "Configuration version in force",
+        )
+        .map_err(named)?;
+        let first_event_s = times("comfreyhead_first_event_seconds", "Time to the first event")?;
+        let whole_answer_s = times(
+            "comfreyhead_whole_answer_seconds",
+            "Time to the whole answer",
+        )?;
+        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+            Box::new(requests.clone()),
+            Box::new(refusals.clone()),
+            Box::new(appends.clone()),
+            Box::new(retries.clone()),
+            Box::new(control_messages.clone()),
+            Box::new(in_flight.clone()),
+            Box::new(version.clone()),
+            Box::new(first_event_s.clone()),
+            Box::new(whole_answer_s.clone()),
+        ];
+        for collector in collectors {
+            registry.register(collector).map_err(named)?;
+        }
+        Ok(Self {
+            registry,
+            requests,
+            refusals,
+            retries,
+            in_flight,
+            first_event_s,
+            whole_answer_s,
+            version,
+            control_messages,
+            appends,
+        })
+    }
+
+    /// Counts one request that ended with `outcome`.
+    pub fn count_outcome(&self, outcome: RequestOutcome) {
+        self.requests
+            .with_label_values(&[outcome.to_string().as_str()])
+            .inc();
+    }
+
+    /// Renders the metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        encoded
+            .map(|()| String::from_utf8_lossy(&text).into_owned())
+            .unwrap_or_default()
+    }
+}
+
+fn counters(name: &str, help: &str, label: &str) -> Result<IntCounterVec> {
+    IntCounterVec::new(Opts::new(name, help), &[label]).map_err(named)
+}
+
+fn times(name: &str, help: &str) -> Result<Histogram> {
+    let opts = HistogramOpts::new(name, help).buckets(TIME_BUCKETS_S.to_vec());
+    Histogram::with_opts(opts).map_err(named)
+}
+
+fn named(err: prometheus::Error) -> Error {
+    Error::Invalid(format!("metrics: {err}"))
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,7 +1,9 @@
 //! What lives as long as the process.
 
 pub mod distribution;
+pub mod logger;
 pub mod membership;
+pub mod metrics;
 pub mod orders;
 pub mod platform;
 pub mod routing;
