--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -124,6 +124,6 @@
     Histogram::with_opts(opts).map_err(named)
 }
 
-fn named(err: prometheus::Error) -> Error {
+fn named(err: impl std::fmt::Display) -> Error {
     Error::Invalid(format!("metrics: {err}"))
 }
