Add the records of the configuration stream and their fold

A record is accepted only against the current version, so of operators who race on one base one wins. The state depends on the accepted records alone, so a process that gets them from a peer agrees with one that reads the log. A format above what the stream allows is skipped by all software alike until an upgrade record allows it; software that does not know that format then holds its version instead of guessing.

--- /dev/null
+++ b/src/version/config/fold.rs
@@ -0,0 +1,419 @@
+//! The deterministic fold over the configuration stream.
+
+use std::collections::VecDeque;
+
+use serde_json::Value;
+
+use crate::prelude::*;
+
+use super::{
+    AcceptedRecord, AuthorName, BatchName, ConfigChange, ConfigContent, ConfigPath, ConfigRecord,
+    ConfigRejection, ConfigSnapshot, ConfigVersion, EntryStanding, FIRST_FORMAT, FoldOutcome,
+    HistoryEntry, NEWEST_FORMAT, NonceOutcome, RecordFault, RecordNonce, SkipReason, VersionDigest,
+    VersionHistory, validate,
+};
+
+/// The most rejections that are kept for operators whose answer was lost.
+const REJECTIONS_KEPT: usize = 256;
+
+/// The fold over the configuration stream.
+///
+/// Its state depends on the accepted records only, so a process that reads the log and one
+/// that gets the accepted records from a peer agree. Offsets of the stream have no gaps; the
+/// fold waits for a snapshot when it meets one.
+#[derive(Clone, Debug)]
+pub struct ConfigFold {
+    state: ConfigSnapshot,
+    /// The next offset to fold; none while the fold waits for a snapshot.
+    next: Option<LogOffset>,
+    rejections: VecDeque<(RecordNonce, ConfigRejection)>,
+    newest_format: u32,
+}
+
+impl Default for ConfigFold {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ConfigFold {
+    /// Returns the fold of a stream that is read from its first record, at offset 0.
+    pub fn new() -> Self {
+        Self::with_newest_format(NEWEST_FORMAT)
+    }
+
+    /// Returns the fold of software that understands formats up to `newest_format`.
+    pub fn with_newest_format(newest_format: u32) -> Self {
+        let state = ConfigSnapshot {
+            version: Arc::default(),
+            resume_at: LogOffset(0),
+            format: FIRST_FORMAT,
+            history: VersionHistory::default(),
+        };
+        Self {
+            state,
+            next: Some(LogOffset(0)),
+            rejections: VecDeque::new(),
+            newest_format,
+        }
+    }
+
+    /// Returns the current version.
+    pub fn current(&self) -> &Arc<ConfigVersion> {
+        &self.state.version
+    }
+
+    /// Returns the versions that can still be recalled or passed on.
+    pub fn history(&self) -> &VersionHistory {
+        &self.state.history
+    }
+
+    /// Returns the offset to read next; none while a snapshot is needed, which may be anywhere.
+    pub fn next_offset(&self) -> Option<LogOffset> {
+        self.next
+    }
+
+    /// Goes back to the offset after the current version's record, after a gap; returns it.
+    pub fn rewind(&mut self) -> LogOffset {
+        self.next = Some(self.state.resume_at);
+        self.state.resume_at
+    }
+
+    /// Returns the whole state, for a peer or for a snapshot record.
+    pub fn snapshot(&self) -> &ConfigSnapshot {
+        &self.state
+    }
+
+    /// Returns the record that repeats the state.
+    pub fn snapshot_record(&self) -> ConfigRecord {
+        ConfigRecord::Snapshot {
+            state: Box::new(self.state.clone()),
+        }
+    }
+
+    /// Returns what became of the record with `nonce`, as far as the fold has read.
+    pub fn outcome_of(&self, nonce: &RecordNonce) -> NonceOutcome {
+        if let Some(number) = self.state.history.find(nonce) {
+            return NonceOutcome::Accepted(number);
+        }
+        let rejection = self.rejections.iter().find(|(known, _)| known == nonce);
+        match rejection {
+            Some((_, rejection)) => NonceOutcome::Rejected(rejection.clone()),
+            None => NonceOutcome::NotSeen,
+        }
+    }
+
+    /// Folds the record at `offset`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a snapshot gives the current version another content.
+    pub fn apply(&mut self, offset: LogOffset, value: &Value) -> FoldOutcome {
+        if self.newest_format < self.state.format {
+            return FoldOutcome::Held {
+                format: self.state.format,
+            };
+        }
+        if self.next.is_some_and(|next| offset < next) {
+            return FoldOutcome::Skipped(SkipReason::Repeated);
+        }
+        if self.next != Some(offset) {
+            self.next = None;
+        }
+        let outcome = match ConfigRecord::decode(value, self.state.format) {
+            Ok(ConfigRecord::Snapshot { state }) => return self.apply_snapshot(offset, *state),
+            Ok(_) if self.next.is_none() => FoldOutcome::Skipped(SkipReason::AwaitingSnapshot),
+            Ok(record) => self.judge(offset, record),
+            Err(RecordFault::Corrupt(reason)) => FoldOutcome::Skipped(SkipReason::Corrupt(reason)),
+            Err(RecordFault::Format(format)) => FoldOutcome::Skipped(SkipReason::Format(format)),
+        };
+        self.advance(offset);
+        outcome
+    }
+
+    /// Takes over the whole state of a peer when it is ahead; returns whether it was.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the peer gives the current version another content.
+    pub fn install(&mut self, state: ConfigSnapshot) -> bool {
+        self.assert_one_content(state.version.number, &state.version.digest);
+        if state.version.number <= self.state.version.number {
+            return false;
+        }
+        self.next = match self.next {
+            Some(next) => Some(next.max(state.resume_at)),
+            None => Some(state.resume_at),
+        };
+        self.state = state;
+        true
+    }
+
+    /// Applies a record that a peer says was accepted; returns whether it made a version here.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the record makes another content than the peer's.
+    pub fn replay(&mut self, accepted: &AcceptedRecord) -> bool {
+        let next = self.state.version.number.next();
+        if accepted.number < next {
+            self.assert_known(accepted);
+            return false;
+        }
+        if next < accepted.number || self.newest_format < self.state.format {
+            return false;
+        }
+        let outcome = self.judge(accepted.offset, accepted.record.clone());
+        assert!(
+            matches!(outcome, FoldOutcome::Accepted(_)),
+            "accepted record is accepted everywhere: {outcome}"
+        );
+        self.assert_one_content(accepted.number, &accepted.digest);
+        if self.next.is_none_or(|next| next <= accepted.offset) {
+            self.next = Some(accepted.offset.next());
+        }
+        true
+    }
+
+    fn advance(&mut self, offset: LogOffset) {
+        if self.next.is_some() {
+            self.next = Some(offset.next());
+        }
+    }
+
+    fn apply_snapshot(&mut self, offset: LogOffset, state: ConfigSnapshot) -> FoldOutcome {
+        if !state.is_whole() {
+            self.advance(offset);
+            let reason = "snapshot whose content has another digest".to_owned();
+            return FoldOutcome::Skipped(SkipReason::Corrupt(reason));
+        }
+        self.assert_one_content(state.version.number, &state.version.digest);
+        let resume_at = state.resume_at;
+        let ahead = self.state.version.number < state.version.number;
+        let same = self.state.version.number == state.version.number;
+        if ahead || (same && self.next.is_none()) {
+            self.state = state;
+            self.next = Some(resume_at);
+            return FoldOutcome::Loaded { resume_at };
+        }
+        self.advance(offset);
+        FoldOutcome::Skipped(SkipReason::StaleSnapshot)
+    }
+
+    fn judge(&mut self, offset: LogOffset, record: ConfigRecord) -> FoldOutcome {
+        let judged = match &record {
+            ConfigRecord::Patch {
+                batch,
+                author,
+                changes,
+                ..
+            } => self
+                .check_base(&record)
+                .and_then(|()| self.check_batch(batch, author))
+                .and_then(|()| self.patched(changes)),
+            ConfigRecord::Recall { batch, .. } => {
+                self.check_base(&record).and_then(|()| self.recalled(batch))
+            }
+            ConfigRecord::Upgrade { to, .. } => {
+                self.check_base(&record).and_then(|()| self.upgraded(*to))
+            }
+            ConfigRecord::Snapshot { .. } => {
+                return FoldOutcome::Skipped(SkipReason::StaleSnapshot);
+            }
+        };
+        match judged {
+            Ok(draft) => FoldOutcome::Accepted(self.accept(offset, record, draft)),
+            Err(rejection) => self.reject(&record, rejection),
+        }
+    }
+
+    fn reject(&mut self, record: &ConfigRecord, rejection: ConfigRejection) -> FoldOutcome {
+        if let Some(nonce) = record.nonce() {
+            if self.rejections.len() == REJECTIONS_KEPT {
+                self.rejections.pop_front();
+            }
+            self.rejections
+                .push_back((nonce.clone(), rejection.clone()));
+        }
+        FoldOutcome::Rejected(rejection)
+    }
+
+    fn check_base(&self, record: &ConfigRecord) -> Result<(), ConfigRejection> {
+        let current = self.state.version.number;
+        let base = record.base().unwrap_or(current);
+        if base == current {
+            return Ok(());
+        }
+        if current < base {
+            return Err(ConfigRejection::BaseAhead { base, current });
+        }
+        let changed = self.state.history.since(base);
+        Err(ConfigRejection::Conflict {
+            base,
+            current,
+            changed: changed.map(HistoryEntry::summary).collect(),
+        })
+    }
+
+    fn check_batch(&self, batch: &BatchName, author: &AuthorName) -> Result<(), ConfigRejection> {
+        let Some(entry) = self.state.history.of_batch(batch).last() else {
+            return Ok(());
+        };
+        let batch = batch.clone();
+        if let EntryStanding::Recalled(by) = entry.standing {
+            return Err(ConfigRejection::BatchRecalled { batch, by });
+        }
+        match entry.accepted.record.author() {
+            Some(owner) if owner != author => Err(ConfigRejection::BatchTaken {
+                batch,
+                author: owner.clone(),
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    fn patched(&self, changes: &[ConfigChange]) -> Result<VersionDraft, ConfigRejection> {
+        if changes.is_empty() {
+            return Err(ConfigRejection::Empty);
+        }
+        let draft = self.draft(changes)?;
+        let faults = validate(&draft.content);
+        if faults.is_empty() {
+            Ok(draft)
+        } else {
+            Err(ConfigRejection::Invalid { faults })
+        }
+    }
+
+    fn recalled(&self, batch: &BatchName) -> Result<VersionDraft, ConfigRejection> {
+        let history = &self.state.history;
+        let entries: Vec<&HistoryEntry> = history.of_batch(batch).collect();
+        let unknown = || ConfigRejection::BatchUnknown {
+            batch: batch.clone(),
+            oldest: history.oldest().unwrap_or_default(),
+        };
+        let first = entries.first().ok_or_else(unknown)?;
+        match first.standing {
+            EntryStanding::Standing => {}
+            EntryStanding::Partial => return Err(unknown()),
+            EntryStanding::Recalled(by) => {
+                let batch = batch.clone();
+                return Err(ConfigRejection::BatchRecalled { batch, by });
+            }
+        }
+        let first = first.accepted.number;
+        let paths: Vec<ConfigPath> = entries.iter().flat_map(|entry| entry.paths()).collect();
+        self.check_later(first, batch, &paths)?;
+        let undo = entries
+            .iter()
+            .rev()
+            .flat_map(|entry| entry.undo.iter().rev());
+        let draft = self.draft(&undo.cloned().collect::<Vec<_>>())?;
+        let faults = validate(&draft.content);
+        if faults.is_empty() {
+            return Ok(draft);
+        }
+        let faulty: Vec<ConfigPath> = faults.iter().map(|fault| fault.path.clone()).collect();
+        self.check_later(first, batch, &faulty)?;
+        Err(ConfigRejection::Invalid { faults })
+    }
+
+    fn check_later(
+        &self,
+        first: VersionNumber,
+        batch: &BatchName,
+        paths: &[ConfigPath],
+    ) -> Result<(), ConfigRejection> {
+        let later = self.state.history.later_patches(first, batch, paths);
+        if later.is_empty() {
+            return Ok(());
+        }
+        let batch = batch.clone();
+        Err(ConfigRejection::Depended { batch, later })
+    }
+
+    fn upgraded(&self, to: u32) -> Result<VersionDraft, ConfigRejection> {
+        let present = self.state.format;
+        if to != present + 1 {
+            return Err(ConfigRejection::FormatOrder { present, to });
+        }
+        self.draft(&[])
+    }
+
+    /// Applies `changes` to a copy of the content, without a check of the result.
+    fn draft(&self, changes: &[ConfigChange]) -> Result<VersionDraft, ConfigRejection> {
+        let mut content = self.state.version.content.clone();
+        let mut undo = Vec::with_capacity(changes.len());
+        for change in changes {
+            let inverse = change.apply(&mut content);
+            undo.push(inverse.map_err(|path| ConfigRejection::Absent { path })?);
+        }
+        Ok(VersionDraft { content, undo })
+    }
+
+    fn accept(
+        &mut self,
+        offset: LogOffset,
+        record: ConfigRecord,
+        draft: VersionDraft,
+    ) -> Arc<ConfigVersion> {
+        let number = self.state.version.number.next();
+        let digest = VersionDigest::of(&draft.content);
+        match &record {
+            ConfigRecord::Recall { batch, .. } => {
+                let standing = EntryStanding::Recalled(number);
+                self.state.history.mark_batch(batch, standing);
+            }
+            ConfigRecord::Upgrade { to, .. } => self.state.format = *to,
+            _ => {}
+        }
+        self.state.version = Arc::new(ConfigVersion {
+            number,
+            digest: digest.clone(),
+            content: draft.content,
+            batch: record.batch().cloned(),
+            author: record.author().cloned(),
+        });
+        let accepted = AcceptedRecord {
+            offset,
+            number,
+            digest,
+            record,
+        };
+        self.state.history.push(HistoryEntry {
+            accepted: Arc::new(accepted),
+            undo: Arc::new(draft.undo),
+            standing: EntryStanding::Standing,
+        });
+        self.state.resume_at = offset.next();
+        self.state.version.clone()
+    }
+
+    fn assert_one_content(&self, number: VersionNumber, digest: &VersionDigest) {
+        if number == self.state.version.number {
+            assert_eq!(
+                &self.state.version.digest, digest,
+                "one content per version number: version {number}"
+            );
+        }
+    }
+
+    fn assert_known(&self, accepted: &AcceptedRecord) {
+        let entries = self.state.history.entries();
+        let known = entries
+            .rev()
+            .find(|entry| entry.accepted.number == accepted.number);
+        if let Some(known) = known {
+            assert_eq!(
+                known.accepted.digest, accepted.digest,
+                "one content per version number: version {}",
+                accepted.number
+            );
+        }
+    }
+}
+
+struct VersionDraft {
+    content: ConfigContent,
+    undo: Vec<ConfigChange>,
+}
--- /dev/null
+++ b/src/version/config/record.rs
@@ -0,0 +1,154 @@
+//! The records of the configuration stream.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::prelude::*;
+
+use super::{AuthorName, BatchName, ConfigChange, ConfigSnapshot, RecordNonce};
+
+/// The format of records that every process understands.
+pub const FIRST_FORMAT: u32 = 1;
+
+/// The newest format of records that this software understands.
+pub const NEWEST_FORMAT: u32 = 1;
+
+/// The field of an encoded record that holds its format.
+const FORMAT_FIELD: &str = "format";
+
+/// A record of the configuration stream; encoded with the format beside its fields.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum ConfigRecord {
+    /// Changes the current version.
+    Patch {
+        /// The version that the author saw.
+        base: VersionNumber,
+        /// The batch that the patch belongs to.
+        batch: BatchName,
+        /// The operator.
+        author: AuthorName,
+        /// The changes, applied in this order.
+        changes: Vec<ConfigChange>,
+        /// Identifies the record.
+        nonce: RecordNonce,
+    },
+    /// Publishes a later version without the changes of a batch.
+    Recall {
+        /// The version that the author saw.
+        base: VersionNumber,
+        /// The batch to recall.
+        batch: BatchName,
+        /// The operator.
+        author: AuthorName,
+        /// Identifies the record.
+        nonce: RecordNonce,
+    },
+    /// Allows records of the next format, once every process understands it.
+    Upgrade {
+        /// The version that the author saw.
+        base: VersionNumber,
+        /// The format to allow.
+        to: u32,
+        /// The operator.
+        author: AuthorName,
+        /// Identifies the record.
+        nonce: RecordNonce,
+    },
+    /// Repeats the state of the fold, so that older records may go.
+    Snapshot {
+        /// The state of the fold.
+        state: Box<ConfigSnapshot>,
+    },
+}
+
+/// Why a record of the stream cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RecordFault {
+    /// The record has no format or does not match it.
+    Corrupt(String),
+    /// The record has a format that the stream does not allow yet.
+    Format(u32),
+}
+
+impl ConfigRecord {
+    /// Encodes the record in the first format.
+    ///
+    /// # Panics
+    ///
+    /// Never: a record holds string keys and finite numbers only.
+    pub fn encode(&self) -> Value {
+        self.encode_as(FIRST_FORMAT)
+    }
+
+    /// Encodes the record in `format`.
+    ///
+    /// # Panics
+    ///
+    /// Never: a record holds string keys and finite numbers only.
+    pub fn encode_as(&self, format: u32) -> Value {
+        let mut value = serde_json::to_value(self).expect("record encodes");
+        value[FORMAT_FIELD] = Value::from(format);
+        value
+    }
+
+    /// Decodes a record; formats above `allowed` are refused.
+    pub fn decode(value: &Value, allowed: u32) -> Result<Self, RecordFault> {
+        let format = read_format(value)?;
+        if allowed < format {
+            return Err(RecordFault::Format(format));
+        }
+        let mut fields = value.clone();
+        if let Some(object) = fields.as_object_mut() {
+            object.remove(FORMAT_FIELD);
+        }
+        serde_json::from_value(fields).map_err(|err| RecordFault::Corrupt(err.to_string()))
+    }
+
+    /// Returns the record's nonce; snapshots have none.
+    pub fn nonce(&self) -> Option<&RecordNonce> {
+        match self {
+            Self::Patch { nonce, .. }
+            | Self::Recall { nonce, .. }
+            | Self::Upgrade { nonce, .. } => Some(nonce),
+            Self::Snapshot { .. } => None,
+        }
+    }
+
+    /// Returns the operator who sent the record; snapshots have none.
+    pub fn author(&self) -> Option<&AuthorName> {
+        match self {
+            Self::Patch { author, .. }
+            | Self::Recall { author, .. }
+            | Self::Upgrade { author, .. } => Some(author),
+            Self::Snapshot { .. } => None,
+        }
+    }
+
+    /// Returns the batch that the record changes or recalls.
+    pub fn batch(&self) -> Option<&BatchName> {
+        match self {
+            Self::Patch { batch, .. } | Self::Recall { batch, .. } => Some(batch),
+            Self::Upgrade { .. } | Self::Snapshot { .. } => None,
+        }
+    }
+
+    /// Returns the version that the author saw; snapshots have none.
+    pub fn base(&self) -> Option<VersionNumber> {
+        match self {
+            Self::Patch { base, .. } | Self::Recall { base, .. } | Self::Upgrade { base, .. } => {
+                Some(*base)
+            }
+            Self::Snapshot { .. } => None,
+        }
+    }
+}
+
+fn read_format(value: &Value) -> Result<u32, RecordFault> {
+    let format = value.get(FORMAT_FIELD).and_then(Value::as_u64);
+    match format.and_then(|format| u32::try_from(format).ok()) {
+        Some(format) if FIRST_FORMAT <= format => Ok(format),
+        _ => Err(RecordFault::Corrupt("no format number".to_owned())),
+    }
+}
