--- /dev/null
+++ b/standins/src/engine_http.rs
@@ -0,0 +1,192 @@
+//! The HTTP interface of a model engine.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Method, Request, Response, StatusCode, header};
+use serde_json::{Value, json};
+
+use crate::engine::{AnswerState, EngineAnswer, EngineShared, ExpertMapOrder};
+use crate::server::{
+    AnswerResult, DroppedAnswer, error_answer, header_text, json_answer, query_number, read_json,
+};
+
+/// The priority of a request that names none.
+const DEFAULT_PRIORITY: u32 = 2;
+
+/// Answers one request.
+pub(crate) async fn handle_request(
+    shared: Arc<EngineShared>,
+    request: Request<Incoming>,
+) -> AnswerResult {
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method(), parts.as_slice()) {
+        (&Method::POST, ["v1", "chat", "completions"]) => complete(shared, request, true).await,
+        (&Method::POST, ["v1", "completions"]) => complete(shared, request, false).await,
+        (&Method::GET, ["v1", "requests", id, "events"]) => {
+            let from = query_number(&request, "from", 0);
+            resume_stream(shared, id, from)
+        }
+        (&Method::POST, ["v1", "requests", id, "cancel"]) => cancel_request(&shared, id),
+        (&Method::GET, ["load"]) => {
+            let report = shared.state.lock().load.visible();
+            json_answer(StatusCode::OK, &report)
+        }
+        (&Method::GET, ["cache-events"]) => {
+            let from = query_number(&request, "from", 0);
+            let (events, next) = shared.state.lock().cache.visible(from);
+            json_answer(StatusCode::OK, &json!({"events": events, "next": next}))
+        }
+        (&Method::POST, ["expert-map"]) => order_map(&shared, request).await,
+        (&Method::GET, ["expert-map"]) => {
+            let map = shared.state.lock().map.clone();
+            json_answer(StatusCode::OK, &map)
+        }
+        _ => error_answer(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+async fn complete(
+    shared: Arc<EngineShared>,
+    request: Request<Incoming>,
+    is_chat: bool,
+) -> AnswerResult {
+    let id = header_text(&request, "x-request-id");
+    let priority = header_text(&request, "x-priority").and_then(|text| text.parse().ok());
+    let body: Value = match read_json(request.into_body()).await {
+        Ok(body) => body,
+        Err(reason) => return error_answer(StatusCode::BAD_REQUEST, &reason),
+    };
+    let id = shared.submit(id, priority.unwrap_or(DEFAULT_PRIORITY), is_chat, &body);
+    if body["stream"] == true {
+        return resume_stream(shared, &id, 0);
+    }
+    whole_answer(shared, &id).await
+}
+
+async fn whole_answer(shared: Arc<EngineShared>, id: &str) -> AnswerResult {
+    let mut steps = shared.steps.subscribe();
+    loop {
+        steps.mark_unchanged();
+        let answer = shared.state.lock().answers.get(id).cloned();
+        match answer {
+            None => return Err(DroppedAnswer),
+            Some(answer) if answer.state == AnswerState::Finished => {
+                return json_answer(StatusCode::OK, &answer.shape.whole(&answer.tokens));
+            }
+            Some(answer) if answer.state == AnswerState::Cancelled => {
+                return error_answer(StatusCode::CONFLICT, "the request was cancelled");
+            }
+            Some(_) => {}
+        }
+        steps.changed().await.map_err(|_| DroppedAnswer)?;
+    }
+}
+
+fn resume_stream(shared: Arc<EngineShared>, id: &str, from: u64) -> AnswerResult {
+    if !shared.state.lock().answers.contains_key(id) {
+        return error_answer(StatusCode::NOT_FOUND, "no such request");
+    }
+    let reader = StreamReader {
+        id: id.to_owned(),
+        next: from as usize,
+        is_done: false,
+        shared,
+    };
+    let frames = stream::unfold(reader, read_events);
+    let mut response = Response::new(StreamBody::new(frames).boxed());
+    let event_stream = header::HeaderValue::from_static("text/event-stream");
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, event_stream);
+    Ok(response)
+}
+
+/// Reads the events of one answer as they appear.
+struct StreamReader {
+    id: String,
+    next: usize,
+    is_done: bool,
+    shared: Arc<EngineShared>,
+}
+
+type EventFrame = Result<Frame<Bytes>, Infallible>;
+
+async fn read_events(mut reader: StreamReader) -> Option<(EventFrame, StreamReader)> {
+    if reader.is_done {
+        return None;
+    }
+    let mut steps = reader.shared.steps.subscribe();
+    loop {
+        steps.mark_unchanged();
+        let answer = reader.shared.state.lock().answers.get(&reader.id).cloned();
+        let Some(answer) = answer else {
+            // The engine crashed: the stream must not look finished before its connection drops.
+            return std::future::pending().await;
+        };
+        let text = reader.take_events(&answer);
+        if !text.is_empty() {
+            return Some((Ok(Frame::data(Bytes::from(text))), reader));
+        }
+        steps.changed().await.ok()?;
+    }
+}
+
+impl StreamReader {
+    /// Returns the events that the reader has not seen, as the text of the stream.
+    fn take_events(&mut self, answer: &EngineAnswer) -> String {
+        let mut text = String::new();
+        while self.next < answer.n_tokens {
+            let chunk = answer.shape.token_chunk(&answer.tokens[self.next]);
+            text.push_str(&format!("id: {}\ndata: {chunk}\n\n", self.next));
+            self.next += 1;
+        }
+        let finish_reason = match answer.state {
+            AnswerState::Finished => answer.shape.finish_reason,
+            AnswerState::Cancelled => "cancelled",
+            AnswerState::Waiting | AnswerState::Running => return text,
+        };
+        if self.next <= answer.n_tokens {
+            let chunk = answer.shape.last_chunk(finish_reason);
+            text.push_str(&format!("id: {}\ndata: {chunk}\n\n", answer.n_tokens));
+        }
+        text.push_str("data: [DONE]\n\n");
+        self.is_done = true;
+        text
+    }
+}
+
+fn cancel_request(shared: &EngineShared, id: &str) -> AnswerResult {
+    let Some(before) = shared.cancel(id) else {
+        return error_answer(StatusCode::NOT_FOUND, "no such request");
+    };
+    let has_started = before != AnswerState::Waiting;
+    let state = if before == AnswerState::Finished {
+        "finished"
+    } else {
+        "cancelled"
+    };
+    json_answer(
+        StatusCode::OK,
+        &json!({"id": id, "state": state, "started": has_started}),
+    )
+}
+
+async fn order_map(shared: &EngineShared, request: Request<Incoming>) -> AnswerResult {
+    let order: ExpertMapOrder = match read_json(request.into_body()).await {
+        Ok(order) => order,
+        Err(reason) => return error_answer(StatusCode::BAD_REQUEST, &reason),
+    };
+    let mut state = shared.state.lock();
+    if state.options.checks_fencing && order.fencing_number < state.map.fencing_number {
+        return error_answer(StatusCode::CONFLICT, "old fencing number");
+    }
+    state.map = order.clone();
+    state.map_orders.push(order);
+    json_answer(StatusCode::OK, &state.map)
+}
