Add expert maps, smoothed popularity and the placement planner

A plan searches each layer for changes that lower the slowest rank's time and shares the round's loads among the layers by gain per load. Not measured yet.

--- /dev/null
+++ b/src/version/expert_map/layer_search.rs
@@ -0,0 +1,354 @@
+//! Searches one layer for changes that lower its slowest rank's time.
+
+use crate::prelude::*;
+
+use super::map::ExpertMap;
+use super::map_shape::{ExpertId, MapShape};
+
+/// The power of the smooth stand-in for the maximum of the rank times.
+const POTENTIAL_POWER: i32 = 12;
+
+/// The least lowering of the potential that a change is made for.
+const LEAST_DROP: f64 = 1e-4;
+
+/// The slowest rank's time over the ideal at which a layer counts as balanced.
+const BALANCED_RATIO: f64 = 1.005;
+
+/// What one layer is searched from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LayerInput<'a> {
+    pub(super) shape: MapShape,
+    pub(super) slots: &'a [ExpertId],
+    pub(super) rates: &'a [f32],
+    pub(super) speeds: &'a [f64],
+}
+
+/// The changes that a search makes, in order, and the layer's balance after each.
+#[derive(Clone, Debug)]
+pub(super) struct LayerTrail {
+    /// The time of each rank if all loads were spread perfectly.
+    pub(super) ideal_time: f64,
+    initial: Vec<ExpertId>,
+    changes: Vec<LayerChange>,
+    points: Vec<TrailPoint>,
+}
+
+/// The balance of a layer after some changes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TrailPoint {
+    pub(super) n_changes: usize,
+    /// The experts loaded so far.
+    pub(super) loads: usize,
+    /// The slowest rank's time over the ideal.
+    pub(super) ratio: f64,
+}
+
+impl TrailPoint {
+    /// Returns the lowering of the ratio per load on the way to a later point.
+    pub(super) fn gain_per_load_to(&self, later: Self) -> f64 {
+        (self.ratio - later.ratio) / (later.loads - self.loads).max(1) as f64
+    }
+}
+
+impl LayerTrail {
+    /// Searches greedily until no change helps.
+    pub(super) fn search(input: &LayerInput<'_>) -> Self {
+        let mut state = LayerState::new(input);
+        let mut changes = Vec::new();
+        let mut points = vec![state.point(0, 0)];
+        let mut loads = 0;
+        let most_changes = input.slots.len();
+        while BALANCED_RATIO < state.ratio() && changes.len() < most_changes {
+            let Some(change) = state.best_change() else {
+                break;
+            };
+            state.apply(change);
+            loads += change.loads();
+            changes.push(change);
+            points.push(state.point(changes.len(), loads));
+        }
+        Self {
+            ideal_time: state.ideal,
+            initial: input.slots.to_vec(),
+            changes,
+            points,
+        }
+    }
+
+    /// Returns the point before any change.
+    pub(super) fn start(&self) -> TrailPoint {
+        self.points[0]
+    }
+
+    /// Returns the later point with the most gain per load, if any gains.
+    pub(super) fn best_point_after(&self, from: TrailPoint) -> Option<TrailPoint> {
+        self.points[from.n_changes + 1..]
+            .iter()
+            .copied()
+            .filter(|point| point.ratio < from.ratio)
+            .max_by(|a, b| {
+                from.gain_per_load_to(*a)
+                    .total_cmp(&from.gain_per_load_to(*b))
+            })
+    }
+
+    /// Returns the layer's slots after the first changes.
+    pub(super) fn slots_after(&self, n_changes: usize) -> Vec<ExpertId> {
+        let mut slots = self.initial.clone();
+        for change in &self.changes[..n_changes] {
+            change.apply_to(&mut slots);
+        }
+        slots
+    }
+}
+
+/// One change of a layer's slots.
+#[derive(Clone, Copy, Debug)]
+enum LayerChange {
+    /// A slot takes a replica of another expert.
+    Replace { slot: usize, expert: ExpertId },
+    /// Two slots exchange their experts.
+    Swap { slot: usize, other: usize },
+}
+
+impl LayerChange {
+    fn loads(self) -> usize {
+        match self {
+            Self::Replace { .. } => 1,
+            Self::Swap { .. } => 2,
+        }
+    }
+
+    fn apply_to(self, slots: &mut [ExpertId]) {
+        match self {
+            Self::Replace { slot, expert } => slots[slot] = expert,
+            Self::Swap { slot, other } => slots.swap(slot, other),
+        }
+    }
+}
+
+/// A layer while it is searched.
+struct LayerState<'a> {
+    input: &'a LayerInput<'a>,
+    slots: Vec<ExpertId>,
+    holders: Vec<SmallVec<[u16; 8]>>,
+    times: Vec<f64>,
+    ideal: f64,
+}
+
+/// The lowering of the potential by a change, per load.
+#[derive(Clone, Copy)]
+struct RatedChange {
+    change: LayerChange,
+    drop_per_load: f64,
+}
+
+/// The changed load of a few ranks.
+type LoadDeltas = SmallVec<[(usize, f64); 16]>;
+
+impl<'a> LayerState<'a> {
+    fn new(input: &'a LayerInput<'a>) -> Self {
+        let total: f64 = input.rates.iter().copied().map(f64::from).sum();
+        let speed: f64 = input.speeds.iter().sum();
+        let mut state = Self {
+            input,
+            slots: input.slots.to_vec(),
+            holders: Vec::new(),
+            times: Vec::new(),
+            ideal: (total / speed).max(f64::MIN_POSITIVE),
+        };
+        state.recount();
+        state
+    }
+
+    fn recount(&mut self) {
+        self.holders = vec![SmallVec::new(); self.input.rates.len()];
+        for (slot, &expert) in self.slots.iter().enumerate() {
+            if expert != ExpertMap::EMPTY_SLOT {
+                let rank = self.rank_of(slot) as u16;
+                self.holders[usize::from(expert)].push(rank);
+            }
+        }
+        let mut times = vec![0.0; usize::from(self.input.shape.ranks)];
+        for (slot, &expert) in self.slots.iter().enumerate() {
+            let rank = self.rank_of(slot);
+            times[rank] += self.share(expert, 0) / self.input.speeds[rank];
+        }
+        self.times = times;
+    }
+
+    fn point(&self, n_changes: usize, loads: usize) -> TrailPoint {
+        TrailPoint {
+            n_changes,
+            loads,
+            ratio: self.ratio(),
+        }
+    }
+
+    fn ratio(&self) -> f64 {
+        self.times.iter().copied().fold(0.0, f64::max) / self.ideal
+    }
+
+    fn apply(&mut self, change: LayerChange) {
+        change.apply_to(&mut self.slots);
+        self.recount();
+    }
+
+    fn rank_of(&self, slot: usize) -> usize {
+        slot / usize::from(self.input.shape.slots_per_rank)
+    }
+
+    fn slots_of(&self, rank: usize) -> std::ops::Range<usize> {
+        let len = usize::from(self.input.shape.slots_per_rank);
+        rank * len..(rank + 1) * len
+    }
+
+    /// Returns the load of each replica of an expert after `added` more replicas.
+    fn share(&self, expert: ExpertId, added: isize) -> f64 {
+        if expert == ExpertMap::EMPTY_SLOT {
+            return 0.0;
+        }
+        let expert = usize::from(expert);
+        let replicas = self.holders[expert].len().saturating_add_signed(added);
+        f64::from(self.input.rates[expert]) / replicas as f64
+    }
+
+    fn holds(&self, rank: usize, expert: ExpertId) -> bool {
+        self.slots[self.slots_of(rank)].contains(&expert)
+    }
+
+    /// Returns whether a slot can be given away without losing its expert.
+    fn spare(&self, slot: usize) -> bool {
+        let expert = self.slots[slot];
+        expert == ExpertMap::EMPTY_SLOT || 1 < self.holders[usize::from(expert)].len()
+    }
+
+    fn best_change(&self) -> Option<LayerChange> {
+        let hottest =
+            (0..self.times.len()).max_by(|&a, &b| self.times[a].total_cmp(&self.times[b]))?;
+        let mut best: Option<RatedChange> = None;
+        let mut consider = |change: LayerChange| {
+            let drop_per_load = self.drop_of(change) / change.loads() as f64;
+            if LEAST_DROP < drop_per_load && best.is_none_or(|b| b.drop_per_load < drop_per_load) {
+                best = Some(RatedChange {
+                    change,
+                    drop_per_load,
+                });
+            }
+        };
+        self.replicas_elsewhere(hottest, &mut consider);
+        self.replacements_at(hottest, &mut consider);
+        self.swaps_with(hottest, &mut consider);
+        best.map(|rated| rated.change)
+    }
+
+    /// Considers one more replica of each of a rank's experts, in any spare slot elsewhere.
+    fn replicas_elsewhere(&self, hottest: usize, consider: &mut impl FnMut(LayerChange)) {
+        for slot in (0..self.slots.len()).filter(|&slot| self.spare(slot)) {
+            let rank = self.rank_of(slot);
+            for expert in self.experts_at(hottest) {
+                if rank != hottest && !self.holds(rank, expert) {
+                    consider(LayerChange::Replace { slot, expert });
+                }
+            }
+        }
+    }
+
+    /// Considers another expert in place of each spare replica on a rank.
+    fn replacements_at(&self, hottest: usize, consider: &mut impl FnMut(LayerChange)) {
+        for slot in self.slots_of(hottest).filter(|&slot| self.spare(slot)) {
+            for expert in 0..self.input.shape.experts {
+                if !self.holds(hottest, expert) {
+                    consider(LayerChange::Replace { slot, expert });
+                }
+            }
+        }
+    }
+
+    /// Considers an exchange of each of a rank's experts with each expert elsewhere.
+    fn swaps_with(&self, hottest: usize, consider: &mut impl FnMut(LayerChange)) {
+        for slot in self.slots_of(hottest) {
+            for other in 0..self.slots.len() {
+                if self.may_swap(slot, other) {
+                    consider(LayerChange::Swap { slot, other });
+                }
+            }
+        }
+    }
+
+    fn may_swap(&self, slot: usize, other: usize) -> bool {
+        let (expert, other_expert) = (self.slots[slot], self.slots[other]);
+        let (rank, other_rank) = (self.rank_of(slot), self.rank_of(other));
+        expert != ExpertMap::EMPTY_SLOT
+            && other_expert != ExpertMap::EMPTY_SLOT
+            && rank != other_rank
+            && !self.holds(other_rank, expert)
+            && !self.holds(rank, other_expert)
+    }
+
+    fn experts_at(&self, rank: usize) -> impl Iterator<Item = ExpertId> + '_ {
+        let slots = &self.slots[self.slots_of(rank)];
+        slots
+            .iter()
+            .copied()
+            .filter(|&expert| expert != ExpertMap::EMPTY_SLOT)
+    }
+
+    fn drop_of(&self, change: LayerChange) -> f64 {
+        let deltas = match change {
+            LayerChange::Replace { slot, expert } => self.replace_deltas(slot, expert),
+            LayerChange::Swap { slot, other } => self.swap_deltas(slot, other),
+        };
+        deltas
+            .iter()
+            .map(|&(rank, delta)| self.potential_drop(rank, delta))
+            .sum()
+    }
+
+    fn potential_drop(&self, rank: usize, delta: f64) -> f64 {
+        let before = self.times[rank] / self.ideal;
+        let after = before + delta / self.input.speeds[rank] / self.ideal;
+        before.powi(POTENTIAL_POWER) - after.powi(POTENTIAL_POWER)
+    }
+
+    fn replace_deltas(&self, slot: usize, expert: ExpertId) -> LoadDeltas {
+        let rank = self.rank_of(slot);
+        let old = self.slots[slot];
+        let mut deltas = LoadDeltas::new();
+        add_delta(
+            &mut deltas,
+            rank,
+            self.share(expert, 1) - self.share(old, 0),
+        );
+        let lighter = self.share(expert, 1) - self.share(expert, 0);
+        for &holder in &self.holders[usize::from(expert)] {
+            add_delta(&mut deltas, usize::from(holder), lighter);
+        }
+        if old == ExpertMap::EMPTY_SLOT {
+            return deltas;
+        }
+        let heavier = self.share(old, -1) - self.share(old, 0);
+        for &holder in self.holders[usize::from(old)]
+            .iter()
+            .filter(|&&h| usize::from(h) != rank)
+        {
+            add_delta(&mut deltas, usize::from(holder), heavier);
+        }
+        deltas
+    }
+
+    fn swap_deltas(&self, slot: usize, other: usize) -> LoadDeltas {
+        let delta = self.share(self.slots[other], 0) - self.share(self.slots[slot], 0);
+        let mut deltas = LoadDeltas::new();
+        add_delta(&mut deltas, self.rank_of(slot), delta);
+        add_delta(&mut deltas, self.rank_of(other), -delta);
+        deltas
+    }
+}
+
+fn add_delta(deltas: &mut LoadDeltas, rank: usize, delta: f64) {
+    match deltas.iter_mut().find(|(known, _)| *known == rank) {
+        Some((_, sum)) => *sum += delta,
+        None => deltas.push((rank, delta)),
+    }
+}
--- /dev/null
+++ b/src/version/expert_map/map_shape.rs
@@ -0,0 +1,61 @@
+//! The size of an expert map.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// The place of a rank in its group.
+pub type RankId = u16;
+
+/// The place of an expert in its layer.
+pub type ExpertId = u16;
+
+/// The size of an expert map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MapShape {
+    /// The ranks of the group.
+    pub ranks: u16,
+    /// The experts of a layer.
+    pub experts: u16,
+    /// The mixture-of-experts layers.
+    pub layers: u16,
+    /// The experts that a rank can hold in one layer, replicas included.
+    pub slots_per_rank: u16,
+}
+
+impl MapShape {
+    /// The most ranks of a group.
+    pub const MAX_RANKS: u16 = 64;
+    /// The most experts of a layer.
+    pub const MAX_EXPERTS: u16 = 256;
+    /// The most layers of a model.
+    pub const MAX_LAYERS: u16 = 60;
+
+    /// Returns an error where the size is out of bounds or the experts do not fit.
+    pub fn validate(self) -> Result<()> {
+        let within = (1..=Self::MAX_RANKS).contains(&self.ranks)
+            && (1..=Self::MAX_EXPERTS).contains(&self.experts)
+            && (1..=Self::MAX_LAYERS).contains(&self.layers)
+            && (1..=self.experts).contains(&self.slots_per_rank);
+        if !within {
+            return Err(Error::Invalid(format!(
+                "expert map out of bounds: {self:?}"
+            )));
+        }
+        if self.slots_per_layer() < usize::from(self.experts) {
+            let reason = format!("{} experts do not fit into {self:?}", self.experts);
+            return Err(Error::Invalid(reason));
+        }
+        Ok(())
+    }
+
+    /// Returns the slots of one layer, over all ranks.
+    pub fn slots_per_layer(self) -> usize {
+        usize::from(self.ranks) * usize::from(self.slots_per_rank)
+    }
+
+    /// Returns the slots of one rank, over all layers.
+    pub fn slots_of_rank(self) -> usize {
+        usize::from(self.layers) * usize::from(self.slots_per_rank)
+    }
+}
--- a/src/version/expert_map/mod.rs
+++ b/src/version/expert_map/mod.rs
@@ -1,1 +1,24 @@
-//! Expert maps: which rank holds which expert, and how a map is planned.
+//! Expert maps: which rank holds which expert, and how the next map is planned.
+
+mod expert_loads;
+mod expert_move;
+mod layer_search;
+mod load_report;
+mod map;
+mod map_number;
+mod map_shape;
+mod placement_plan;
+mod plan;
+mod popularity_table;
+mod resolve;
+
+pub use expert_loads::ExpertLoads;
+pub use expert_move::ExpertMove;
+pub use load_report::{LoadReport, LoadSample};
+pub use map::ExpertMap;
+pub use map_number::MapNumber;
+pub use map_shape::{ExpertId, MapShape, RankId};
+pub use placement_plan::{PlacementPlan, PlanReason};
+pub use plan::{PlanInput, plan};
+pub use popularity_table::PopularityTable;
+pub use resolve::resolve;
