Add the pure decisions for requests: routing, limits, admission, answers

The first version of the types that the shell calls. Target table, account limiter, fair queue, retry budget, crash suspects and agent admission in process::routing; numbered events, answer buffer and assembler and the request tracker in request. No tests and no measurement yet.

--- /dev/null
+++ b/src/process/routing/agent_admission.rs
@@ -0,0 +1,571 @@
+//! What an agent lets run at its target.
+
+use std::collections::{HashMap, VecDeque};
+
+use derive_more::Display;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::request::work_id::WorkId;
+
+use super::concurrency_limit::ConcurrencyLimit;
+use super::fair_queue::{FairQueue, QueuePush, QueuedWork};
+use super::load_report::LoadReport;
+use super::route_decision::RefusalReason;
+use super::service_time::ServiceTime;
+
+/// The most work that an agent keeps waiting, as a multiple of its slots.
+const WAITING_PER_SLOT: usize = 2;
+/// The most ended work that an agent remembers.
+const MAX_ENDED: usize = 32_768;
+/// How long an agent remembers ended work at least, unless there is too much of it.
+const ENDED_LIFE: Duration = Duration::from_secs(600);
+/// The shortest time after which a refused caller may come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Work that an entry VM offers to an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct WorkOffer {
+    /// The attempt.
+    pub work: WorkId,
+    /// The incarnation of the agent that the entry knows.
+    pub incarnation: ProcessIncarnation,
+    /// The entry VM that offers it.
+    pub entry: EntryName,
+    /// When that entry took the request in, by its own clock, never compared with another's.
+    pub accepted_at: Timestamp,
+    /// The time that is left for the answer, in milliseconds.
+    pub remaining_ms: u64,
+    /// The client account.
+    pub account: AccountName,
+    /// The account's share under contention.
+    pub weight: u32,
+    /// The lane.
+    pub lane: WorkLane,
+    /// The estimated cost, in tokens or calls.
+    pub cost: u64,
+    /// Whether it may run beside other work.
+    pub sharing: WorkSharing,
+}
+
+/// The cancellation of work, with all that the offer said of its origin.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct WorkCancel {
+    /// The attempt.
+    pub work: WorkId,
+    /// The incarnation of the agent to which it was offered.
+    pub incarnation: ProcessIncarnation,
+    /// The entry VM that offered it.
+    pub entry: EntryName,
+    /// When that entry took the request in, by its own clock.
+    pub accepted_at: Timestamp,
+}
+
+/// Whether work may run beside other work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum WorkSharing {
+    /// It may.
+    Shared,
+    /// It is suspected of crashing targets and runs alone.
+    Alone,
+}
+
+/// What becomes of offered work.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum AdmissionDecision {
+    /// It starts now.
+    #[display("start")]
+    Start,
+    /// It waits; a later action starts or refuses it.
+    #[display("wait")]
+    Wait,
+    /// It does not start and will not, should a copy arrive.
+    #[display("refused reason={reason} retry_after_ms={}", retry_after.as_millis())]
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+    /// The agent has this work, or had it: a copy of the message arrived.
+    #[display("duplicate")]
+    Duplicate,
+}
+
+/// What an agent does about work that waited.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum AdmissionAction {
+    /// Start it.
+    #[display("start work={_0}")]
+    Start(WorkId),
+    /// Refuse it: it did not start.
+    #[display("refuse work={work} reason={reason}")]
+    Refuse {
+        /// The work.
+        work: WorkId,
+        /// Why.
+        reason: RefusalReason,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+/// What an agent answers to a cancellation.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum CancelAnswer {
+    /// It never started and never will: a proof of "not run".
+    #[display("never-started")]
+    NeverStarted,
+    /// It runs; work that may be repeated is told to stop, an order goes on.
+    #[display("running")]
+    Running,
+    /// It ended.
+    #[display("finished")]
+    Finished,
+    /// The agent no longer knows.
+    #[display("forgotten")]
+    Forgotten,
+}
+
+/// The admission of work at an agent, which alone gives work to its target.
+#[derive(Debug)]
+pub struct AgentAdmission {
+    incarnation: ProcessIncarnation,
+    slots: u32,
+    limit: ConcurrencyLimit,
+    draining: DrainState,
+    running: HashMap<WorkId, RunningWork>,
+    waiting: FairQueue<WorkOffer>,
+    /// A suspect that waits until the target is empty.
+    waiting_alone: Option<WaitingAlone>,
+    ended: HashMap<WorkId, WorkEnd>,
+    /// The ended work in the order in which it is forgotten.
+    ended_order: VecDeque<EndedWork>,
+    /// For each entry, by its own clock: work accepted at or before this may be forgotten.
+    forgotten_until: HashMap<EntryName, Timestamp>,
+    service_time: ServiceTime,
+    report_sequence: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DrainState {
+    Serving,
+    Draining,
+}
+
+#[derive(Clone, Debug)]
+struct RunningWork {
+    since: Timestamp,
+    origin: WorkOrigin,
+    cost: u64,
+    sharing: WorkSharing,
+}
+
+/// Which entry VM took a request in, and when by its own clock.
+#[derive(Clone, Debug)]
+struct WorkOrigin {
+    entry: EntryName,
+    accepted_at: Timestamp,
+}
+
+#[derive(Debug)]
+struct WaitingAlone {
+    offer: WorkOffer,
+    deadline: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WorkEnd {
+    /// It never started; the tombstone keeps it from doing so.
+    NeverStarted,
+    Finished,
+}
+
+#[derive(Clone, Debug)]
+struct EndedWork {
+    work: WorkId,
+    origin: WorkOrigin,
+    ended_at: Timestamp,
+}
+
+impl AgentAdmission {
+    /// Makes the admission of one life of an agent.
+    pub fn new(incarnation: ProcessIncarnation, slots: u32) -> Self {
+        let slots = slots.max(1);
+        Self {
+            incarnation,
+            slots,
+            limit: ConcurrencyLimit::new(slots),
+            draining: DrainState::Serving,
+            running: HashMap::new(),
+            waiting: FairQueue::new(slots as usize * WAITING_PER_SLOT),
+            waiting_alone: None,
+            ended: HashMap::new(),
+            ended_order: VecDeque::new(),
+            forgotten_until: HashMap::new(),
+            service_time: ServiceTime::default(),
+            report_sequence: 0,
+        }
+    }
+
+    /// Decides about offered work. Work pushed out of a full queue is returned as actions.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        offer: WorkOffer,
+    ) -> (AdmissionDecision, SmallVec<[AdmissionAction; 2]>) {
+        if offer.incarnation != self.incarnation {
+            let decision = refused(RefusalReason::StaleIncarnation, Duration::ZERO);
+            return (decision, SmallVec::new());
+        }
+        if let Some(decision) = self.known(&offer.work) {
+            return (decision, SmallVec::new());
+        }
+        if self.is_forgotten(&offer.origin()) {
+            let decision = refused(RefusalReason::Tombstone, Duration::ZERO);
+            return (decision, SmallVec::new());
+        }
+        if let Some((reason, retry_after)) = self.reason_to_refuse(&offer) {
+            return (
+                self.refuse(now, &offer, reason, retry_after),
+                SmallVec::new(),
+            );
+        }
+        if offer.sharing == WorkSharing::Alone {
+            return (self.admit_alone(now, offer), SmallVec::new());
+        }
+        if self.has_room() && self.waiting.is_empty() {
+            self.start(now, &offer);
+            return (AdmissionDecision::Start, SmallVec::new());
+        }
+        self.enqueue(now, offer)
+    }
+
+    /// Notes the end of running work, and starts or refuses what waited.
+    pub fn finished(&mut self, now: Timestamp, work: WorkId) -> SmallVec<[AdmissionAction; 2]> {
+        let Some(ended) = self.running.remove(&work) else {
+            return SmallVec::new();
+        };
+        self.service_time
+            .observe(now.since(ended.since), ended.cost);
+        self.end(now, work, ended.origin, WorkEnd::Finished);
+        self.advance(now)
+    }
+
+    /// Cancels work; what has not started never will, also where the offer arrives later.
+    pub fn cancel(&mut self, now: Timestamp, cancel: &WorkCancel) -> CancelAnswer {
+        if cancel.incarnation != self.incarnation {
+            return CancelAnswer::Forgotten;
+        }
+        let work = cancel.work;
+        if self.running.contains_key(&work) {
+            return CancelAnswer::Running;
+        }
+        match self.ended.get(&work) {
+            Some(WorkEnd::Finished) => return CancelAnswer::Finished,
+            Some(WorkEnd::NeverStarted) => return CancelAnswer::NeverStarted,
+            None => {}
+        }
+        let origin = WorkOrigin {
+            entry: cancel.entry.clone(),
+            accepted_at: cancel.accepted_at,
+        };
+        if !self.take_waiting(work) && self.is_forgotten(&origin) {
+            return CancelAnswer::Forgotten;
+        }
+        self.end(now, work, origin, WorkEnd::NeverStarted);
+        CancelAnswer::NeverStarted
+    }
+
+    /// Refuses what waited past its deadline, and starts what may start.
+    pub fn advance(&mut self, now: Timestamp) -> SmallVec<[AdmissionAction; 2]> {
+        let mut actions = SmallVec::new();
+        for expired in self.waiting.take_expired(now) {
+            actions.push(self.refuse_waiting(now, &expired.item, RefusalReason::Deadline));
+        }
+        if let Some(alone) = &self.waiting_alone
+            && alone.deadline <= now
+        {
+            let offer = alone.offer.clone();
+            self.waiting_alone = None;
+            actions.push(self.refuse_waiting(now, &offer, RefusalReason::Deadline));
+        }
+        if self.running.is_empty()
+            && let Some(alone) = self.waiting_alone.take()
+        {
+            self.start(now, &alone.offer);
+            actions.push(AdmissionAction::Start(alone.offer.work));
+        }
+        while self.has_room() {
+            let Some(next) = self.waiting.pop() else {
+                break;
+            };
+            self.start(now, &next.item);
+            actions.push(AdmissionAction::Start(next.item.work));
+        }
+        actions
+    }
+
+    /// Stops taking new work; what runs or waits goes on.
+    pub fn drain(&mut self) {
+        self.draining = DrainState::Draining;
+    }
+
+    /// Returns whether the agent drains and holds no work, so that it may exit.
+    pub fn is_drained(&self) -> bool {
+        self.draining == DrainState::Draining
+            && self.running.is_empty()
+            && self.waiting.is_empty()
+            && self.waiting_alone.is_none()
+    }
+
+    /// Takes in the target's step time against its goal, and adapts the limit.
+    pub fn observe_step_time(&mut self, step_time: Duration, goal: Duration) {
+        self.limit
+            .observe(step_time, goal, self.running.len() as u32);
+    }
+
+    /// Makes the next load report.
+    pub fn next_report(&mut self, tokens_per_second: u32, step_time: Duration) -> LoadReport {
+        self.report_sequence += 1;
+        let n_alone = usize::from(self.waiting_alone.is_some());
+        LoadReport {
+            incarnation: self.incarnation,
+            sequence: self.report_sequence,
+            running: self.running.len() as u32,
+            waiting: (self.waiting.len() + n_alone) as u32,
+            limit: self.limit.get(),
+            tokens_per_second,
+            step_time_us: step_time.as_micros() as u32,
+            service_time: self.service_time,
+        }
+    }
+
+    /// Returns the number of the last load report, for answers to entries.
+    pub fn report_sequence(&self) -> u64 {
+        self.report_sequence
+    }
+
+    /// Returns the incarnation.
+    pub fn incarnation(&self) -> ProcessIncarnation {
+        self.incarnation
+    }
+
+    /// Returns the work that runs.
+    pub fn running(&self) -> impl Iterator<Item = WorkId> {
+        self.running.keys().copied()
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn n_waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn known(&self, work: &WorkId) -> Option<AdmissionDecision> {
+        let is_held = self.running.contains_key(work) || self.is_waiting(work);
+        match self.ended.get(work) {
+            Some(WorkEnd::NeverStarted) => Some(refused(RefusalReason::Tombstone, Duration::ZERO)),
+            Some(WorkEnd::Finished) => Some(AdmissionDecision::Duplicate),
+            None if is_held => Some(AdmissionDecision::Duplicate),
+            None => None,
+        }
+    }
+
+    fn is_waiting(&self, work: &WorkId) -> bool {
+        let is_alone = self
+            .waiting_alone
+            .as_ref()
+            .is_some_and(|alone| alone.offer.work == *work);
+        is_alone || self.waiting.iter().any(|queued| queued.item.work == *work)
+    }
+
+    fn reason_to_refuse(&self, offer: &WorkOffer) -> Option<(RefusalReason, Duration)> {
+        if self.draining == DrainState::Draining {
+            return Some((RefusalReason::Draining, Duration::ZERO));
+        }
+        let remaining = Duration::from_millis(offer.remaining_ms);
+        if remaining.is_zero() {
+            return Some((RefusalReason::Deadline, MIN_RETRY_AFTER));
+        }
+        let needed = self.expected_wait(offer.lane) + self.service_time.of_cost(offer.cost);
+        if remaining < needed {
+            let retry_after = (needed - remaining).max(MIN_RETRY_AFTER);
+            return Some((RefusalReason::Deadline, retry_after));
+        }
+        None
+    }
+
+    /// The expected time until a new request of `lane` starts.
+    fn expected_wait(&self, lane: WorkLane) -> Duration {
+        if self.has_room() && self.waiting.is_empty() {
+            return Duration::ZERO;
+        }
+        let n_ahead = self.waiting.n_ahead(lane) as f32 + 1.0;
+        self.service_time.of_wait(n_ahead, self.limit.get() as f32)
+    }
+
+    fn has_room(&self) -> bool {
+        let n_running = self.running.len() as u32;
+        let runs_alone = || {
+            self.running
+                .values()
+                .any(|running| running.sharing == WorkSharing::Alone)
+        };
+        self.waiting_alone.is_none() && n_running < self.limit.get() && !runs_alone()
+    }
+
+    fn admit_alone(&mut self, now: Timestamp, offer: WorkOffer) -> AdmissionDecision {
+        if self.waiting_alone.is_some() {
+            return self.refuse(now, &offer, RefusalReason::Overloaded, MIN_RETRY_AFTER);
+        }
+        if self.running.is_empty() {
+            self.start(now, &offer);
+            return AdmissionDecision::Start;
+        }
+        let deadline = now + Duration::from_millis(offer.remaining_ms);
+        self.waiting_alone = Some(WaitingAlone { offer, deadline });
+        AdmissionDecision::Wait
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Timestamp,
+        offer: WorkOffer,
+    ) -> (AdmissionDecision, SmallVec<[AdmissionAction; 2]>) {
+        let queued = QueuedWork {
+            account: offer.account.clone(),
+            lane: offer.lane,
+            weight: offer.weight,
+            cost: offer.cost,
+            deadline: now + Duration::from_millis(offer.remaining_ms),
+            item: offer,
+        };
+        match self.waiting.push(queued) {
+            QueuePush::Queued => (AdmissionDecision::Wait, SmallVec::new()),
+            QueuePush::Displaced(displaced) => {
+                let action = self.refuse_waiting(now, &displaced.item, RefusalReason::Overloaded);
+                (AdmissionDecision::Wait, SmallVec::from_iter([action]))
+            }
+            QueuePush::Refused(queued) => {
+                let retry_after = self.expected_wait(queued.lane).max(MIN_RETRY_AFTER);
+                let reason = RefusalReason::Overloaded;
+                let decision = self.refuse(now, &queued.item, reason, retry_after);
+                (decision, SmallVec::new())
+            }
+        }
+    }
+
+    fn take_waiting(&mut self, work: WorkId) -> bool {
+        let is_alone = self
+            .waiting_alone
+            .as_ref()
+            .is_some_and(|alone| alone.offer.work == work);
+        if is_alone {
+            self.waiting_alone = None;
+            return true;
+        }
+        let taken = self.waiting.take_if(|queued| queued.item.work == work);
+        !taken.is_empty()
+    }
+
+    fn start(&mut self, now: Timestamp, offer: &WorkOffer) {
+        assert!(
+            !self.ended.contains_key(&offer.work),
+            "work that was refused, cancelled or finished does not start"
+        );
+        let running = RunningWork {
+            since: now,
+            origin: offer.origin(),
+            cost: offer.cost,
+            sharing: offer.sharing,
+        };
+        let earlier = self.running.insert(offer.work, running);
+        assert!(earlier.is_none(), "work starts once");
+        assert!(
+            self.running.len() as u32 <= self.slots,
+            "at most as much runs as the target has slots"
+        );
+    }
+
+    fn refuse(
+        &mut self,
+        now: Timestamp,
+        offer: &WorkOffer,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) -> AdmissionDecision {
+        self.end(now, offer.work, offer.origin(), WorkEnd::NeverStarted);
+        refused(reason, retry_after)
+    }
+
+    fn refuse_waiting(
+        &mut self,
+        now: Timestamp,
+        offer: &WorkOffer,
+        reason: RefusalReason,
+    ) -> AdmissionAction {
+        self.end(now, offer.work, offer.origin(), WorkEnd::NeverStarted);
+        AdmissionAction::Refuse {
+            work: offer.work,
+            reason,
+            retry_after: self.expected_wait(offer.lane).max(MIN_RETRY_AFTER),
+        }
+    }
+
+    /// Remembers how work ended, and forgets the oldest within the bounds.
+    fn end(&mut self, now: Timestamp, work: WorkId, origin: WorkOrigin, end: WorkEnd) {
+        assert!(
+            !self.running.contains_key(&work),
+            "work that runs has not ended"
+        );
+        let earlier = self.ended.insert(work, end);
+        assert!(earlier.is_none(), "work ends once");
+        self.ended_order.push_back(EndedWork {
+            work,
+            origin,
+            ended_at: now,
+        });
+        while let Some(oldest) = self.ended_order.front() {
+            let is_old = ENDED_LIFE <= now.since(oldest.ended_at);
+            if !is_old && self.ended_order.len() <= MAX_ENDED {
+                break;
+            }
+            let Some(oldest) = self.ended_order.pop_front() else {
+                break;
+            };
+            self.ended.remove(&oldest.work);
+            self.forget_until(oldest.origin);
+        }
+    }
+
+    fn forget_until(&mut self, origin: WorkOrigin) {
+        let until = self.forgotten_until.entry(origin.entry).or_default();
+        *until = origin.accepted_at.max(*until);
+    }
+
+    /// Whether what became of work of this age is not known any longer.
+    fn is_forgotten(&self, origin: &WorkOrigin) -> bool {
+        self.forgotten_until
+            .get(&origin.entry)
+            .is_some_and(|&until| origin.accepted_at <= until)
+    }
+}
+
+impl WorkOffer {
+    fn origin(&self) -> WorkOrigin {
+        WorkOrigin {
+            entry: self.entry.clone(),
+            accepted_at: self.accepted_at,
+        }
+    }
+}
+
+fn refused(reason: RefusalReason, retry_after: Duration) -> AdmissionDecision {
+    AdmissionDecision::Refused {
+        reason,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/src/process/routing/crash_suspects.rs
@@ -0,0 +1,249 @@
+//! Requests that may crash the targets that run them.
+
+use std::collections::{BTreeSet, HashMap};
+
+use derive_more::Display;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::prelude::*;
+
+/// How long a crash counts against the requests that were in flight.
+const SUSPICION_LIFE: Duration = Duration::from_secs(600);
+/// How long a request that crashed targets alone is refused.
+const REFUSAL_LIFE: Duration = Duration::from_secs(1_800);
+/// The crashes with others in flight after which a request runs alone.
+const SHARED_CRASHES: usize = 2;
+/// The targets that a request must crash alone to be refused.
+const ALONE_CRASHES: usize = 2;
+/// The most suspects kept.
+const MAX_SUSPECTS: usize = 4_096;
+/// The most crashes kept for one suspect.
+const MAX_CRASHES: usize = 8;
+
+/// The digest of a request's body, so that the same request sent again is known again.
+#[derive(
+    Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(transparent)]
+pub struct RequestDigest(String);
+
+impl RequestDigest {
+    /// Computes the digest of a client account's request body.
+    pub fn new(account: &AccountName, body: &[u8]) -> Self {
+        let mut bytes = account.as_str().as_bytes().to_vec();
+        bytes.push(0);
+        bytes.extend_from_slice(body);
+        Self(format!("{:032x}", xxh3_128(&bytes)))
+    }
+}
+
+/// One crash of a target.
+#[derive(
+    Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+#[display("{target}@{incarnation}")]
+pub struct TargetCrash {
+    /// The target.
+    pub target: TargetName,
+    /// The incarnation that ended: one crash counts once, whoever reports it.
+    pub incarnation: ProcessIncarnation,
+}
+
+/// What is held against one request, as told inside the data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct SuspectReport {
+    /// The request.
+    pub digest: RequestDigest,
+    /// The crashes with other requests in flight.
+    pub shared: Vec<TargetCrash>,
+    /// The crashes with this request alone in flight.
+    pub alone: Vec<TargetCrash>,
+    /// How long this is still held against it, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// How a request may run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum SuspectDecision {
+    /// It runs as any other.
+    #[display("clear")]
+    Clear,
+    /// It runs with nothing else in flight at its target.
+    #[display("run-alone")]
+    RunAlone,
+    /// It is refused.
+    #[display("refused retry_after_ms={}", retry_after.as_millis())]
+    Refused {
+        /// When the refusal lapses.
+        retry_after: Duration,
+    },
+}
+
+/// The requests that were in flight when targets crashed.
+///
+/// A request that shared crashes runs alone; one that crashed two targets alone is refused.
+/// One that ends without a crash is cleared, so that innocents are never refused.
+/// Its place in the lock order is last.
+#[derive(Debug, Default)]
+pub struct CrashSuspects {
+    suspects: HashMap<RequestDigest, CrashSuspect>,
+}
+
+#[derive(Debug)]
+struct CrashSuspect {
+    shared: BTreeSet<TargetCrash>,
+    alone: BTreeSet<TargetCrash>,
+    until: Timestamp,
+}
+
+impl CrashSuspects {
+    /// Makes an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes a crash of a target with the requests that were in flight there.
+    pub fn crashed(&mut self, now: Timestamp, crash: &TargetCrash, in_flight: &[RequestDigest]) {
+        self.drop_expired(now);
+        let is_alone = in_flight.len() == 1;
+        for digest in in_flight {
+            let suspect = self.suspect(now, digest);
+            let crashes = match is_alone {
+                true => &mut suspect.alone,
+                false => &mut suspect.shared,
+            };
+            insert_bounded(crashes, crash);
+            suspect.extend_life(now);
+        }
+        self.drop_surplus();
+    }
+
+    /// Notes that a request ended without a crash: nothing is held against it any longer.
+    ///
+    /// A request that is refused already stays so until that lapses.
+    pub fn finished(&mut self, digest: &RequestDigest) {
+        if let Some(suspect) = self.suspects.get(digest)
+            && !suspect.is_refused()
+        {
+            self.suspects.remove(digest);
+        }
+    }
+
+    /// Decides how a request may run.
+    pub fn check(&self, now: Timestamp, digest: &RequestDigest) -> SuspectDecision {
+        let Some(suspect) = self.suspects.get(digest) else {
+            return SuspectDecision::Clear;
+        };
+        if suspect.until <= now {
+            return SuspectDecision::Clear;
+        }
+        if suspect.is_refused() {
+            let retry_after = suspect.until.since(now);
+            return SuspectDecision::Refused { retry_after };
+        }
+        if suspect.alone.is_empty() && suspect.shared.len() < SHARED_CRASHES {
+            return SuspectDecision::Clear;
+        }
+        SuspectDecision::RunAlone
+    }
+
+    /// Returns what is held against requests, for the other processes of the data centre.
+    pub fn reports(&self, now: Timestamp) -> Vec<SuspectReport> {
+        self.suspects
+            .iter()
+            .filter(|(_, suspect)| now < suspect.until)
+            .map(|(digest, suspect)| SuspectReport {
+                digest: digest.clone(),
+                shared: suspect.shared.iter().cloned().collect(),
+                alone: suspect.alone.iter().cloned().collect(),
+                remaining_ms: suspect.until.since(now).as_millis() as u64,
+            })
+            .collect()
+    }
+
+    /// Takes in what another process holds against a request; it may come twice or late.
+    pub fn observe_report(&mut self, now: Timestamp, report: &SuspectReport) {
+        self.drop_expired(now);
+        let suspect = self.suspect(now, &report.digest);
+        for crash in &report.shared {
+            insert_bounded(&mut suspect.shared, crash);
+        }
+        for crash in &report.alone {
+            insert_bounded(&mut suspect.alone, crash);
+        }
+        let remaining = Duration::from_millis(report.remaining_ms).min(suspect.life());
+        suspect.until = suspect.until.max(now + remaining);
+        self.drop_surplus();
+    }
+
+    /// Returns the number of requests against which something is held.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns whether nothing is held against any request.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    fn suspect(&mut self, now: Timestamp, digest: &RequestDigest) -> &mut CrashSuspect {
+        self.suspects
+            .entry(digest.clone())
+            .or_insert_with(|| CrashSuspect {
+                shared: BTreeSet::new(),
+                alone: BTreeSet::new(),
+                until: now,
+            })
+    }
+
+    fn drop_expired(&mut self, now: Timestamp) {
+        self.suspects.retain(|_, suspect| now < suspect.until);
+    }
+
+    /// Keeps the table bounded: the least suspected and soonest to lapse go first.
+    fn drop_surplus(&mut self) {
+        if self.suspects.len() <= MAX_SUSPECTS {
+            return;
+        }
+        let n_surplus = self.suspects.len() - MAX_SUSPECTS;
+        let mut ranked: Vec<_> = self
+            .suspects
+            .iter()
+            .map(|(digest, suspect)| (suspect.weight(), suspect.until, digest.clone()))
+            .collect();
+        ranked.sort();
+        for (_, _, digest) in ranked.into_iter().take(n_surplus) {
+            self.suspects.remove(&digest);
+        }
+    }
+}
+
+impl CrashSuspect {
+    fn is_refused(&self) -> bool {
+        let targets: BTreeSet<_> = self.alone.iter().map(|crash| &crash.target).collect();
+        ALONE_CRASHES <= targets.len()
+    }
+
+    fn life(&self) -> Duration {
+        match self.is_refused() {
+            true => REFUSAL_LIFE,
+            false => SUSPICION_LIFE,
+        }
+    }
+
+    fn extend_life(&mut self, now: Timestamp) {
+        self.until = self.until.max(now + self.life());
+    }
+
+    fn weight(&self) -> (usize, usize) {
+        (self.alone.len(), self.shared.len())
+    }
+}
+
+fn insert_bounded(crashes: &mut BTreeSet<TargetCrash>, crash: &TargetCrash) {
+    if crashes.len() < MAX_CRASHES {
+        crashes.insert(crash.clone());
+    }
+}
--- /dev/null
+++ b/src/process/routing/service_time.rs
@@ -0,0 +1,46 @@
+//! How long requests hold a slot.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// The weight of a new sample in the moving means.
+const SAMPLE_WEIGHT: f32 = 0.02;
+
+/// Moving means of the time that requests hold a slot, and of their estimated cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct ServiceTime {
+    /// The mean time, in seconds; zero before the first sample.
+    pub mean_s: f32,
+    /// The mean estimated cost, in tokens or calls.
+    pub mean_cost: f32,
+}
+
+impl ServiceTime {
+    /// Takes in the time that a request of the estimated `cost` held a slot.
+    pub fn observe(&mut self, time: Duration, cost: u64) {
+        let time_s = time.as_secs_f32();
+        let cost = cost.max(1) as f32;
+        if self.mean_s == 0.0 {
+            self.mean_s = time_s;
+            self.mean_cost = cost;
+            return;
+        }
+        self.mean_s += SAMPLE_WEIGHT * (time_s - self.mean_s);
+        self.mean_cost += SAMPLE_WEIGHT * (cost - self.mean_cost);
+    }
+
+    /// Returns the expected time for a request of `cost`.
+    pub fn of_cost(&self, cost: u64) -> Duration {
+        if self.mean_cost <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f32(self.mean_s * cost as f32 / self.mean_cost)
+    }
+
+    /// Returns the expected wait behind `n_ahead` requests where `limit` run at a time.
+    pub fn of_wait(&self, n_ahead: f32, limit: f32) -> Duration {
+        Duration::from_secs_f32(self.mean_s * n_ahead / limit)
+    }
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,5 +1,20 @@
 //! What lives as long as a request.
 
+mod answer_assembler;
+mod answer_buffer;
+mod answer_digest;
 pub mod outcome;
 pub mod request_id;
+mod request_tracker;
+mod tracker_event;
+mod work_event;
+pub mod work_id;
 pub mod work_lane;
+
+pub use answer_assembler::{AnswerAssembler, AssemblyStep, BrokenAnswer};
+pub use answer_buffer::{AnswerBuffer, ResumeRefusal};
+pub use answer_digest::{AnswerDigest, ResumePoint};
+pub use request_tracker::RequestTracker;
+pub use tracker_event::{EndReason, RequestEnd, TrackerAction, TrackerEvent};
+pub use work_event::{AnswerEnd, EventBody, TargetFailure, WorkEvent};
+pub use work_id::WorkId;
--- /dev/null
+++ b/src/request/request_tracker.rs
@@ -0,0 +1,514 @@
+//! One request at its entry VM, from its acceptance to its outcome.
+
+use rand::Rng;
+
+use crate::prelude::*;
+use crate::process::routing::{
+    CancelAnswer, RefusalReason, RetryBudget, RetryDecision, RetryQuery, RouteRefusal, TryFailure,
+    WorkRepetition,
+};
+
+use super::answer_assembler::{AnswerAssembler, AssemblyStep};
+use super::answer_digest::ResumePoint;
+use super::tracker_event::{EndReason, RequestEnd, TrackerAction, TrackerEvent};
+use super::work_event::WorkEvent;
+use super::work_id::WorkId;
+
+/// The most resumes of an attempt without an event in between.
+const MAX_IDLE_RESUMES: u32 = 3;
+/// The shortest time after which a caller may come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The actions for one event.
+pub type TrackerActions = SmallVec<[TrackerAction; 4]>;
+
+/// The state of one request at its entry VM.
+///
+/// A request ends in exactly one outcome, at once when nothing more is tried. `NotRun` is
+/// only given where every attempt is proved not to have started.
+#[derive(Debug)]
+pub struct RequestTracker {
+    request: RequestId,
+    repetition: WorkRepetition,
+    deadline: Timestamp,
+    attempts: SmallVec<[TrackedAttempt; 3]>,
+    assembler: AnswerAssembler,
+    phase: TrackerPhase,
+    outcome: Option<RequestOutcome>,
+}
+
+#[derive(Debug)]
+struct TrackedAttempt {
+    target: TargetName,
+    state: AttemptState,
+    n_idle_resumes: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AttemptState {
+    /// It was sent; it may run.
+    InFlight,
+    /// It is proved that it never started and never will.
+    NotStarted,
+    /// It may have run; nothing more is expected of it.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TrackerPhase {
+    Routing,
+    Waiting,
+    InFlight,
+    /// A second target is chosen while the first still works.
+    RoutingHedge,
+    /// The caller is gone; the answers to cancellations are awaited.
+    Cancelling,
+    Ended,
+}
+
+impl RequestTracker {
+    /// Starts a request; its first action is to choose a target.
+    pub fn new(
+        request: RequestId,
+        repetition: WorkRepetition,
+        deadline: Timestamp,
+    ) -> (Self, TrackerActions) {
+        let tracker = Self {
+            request,
+            repetition,
+            deadline,
+            attempts: SmallVec::new(),
+            assembler: AnswerAssembler::new(ResumePoint::default()),
+            phase: TrackerPhase::Routing,
+            outcome: None,
+        };
+        let actions = SmallVec::from_iter([tracker.route()]);
+        (tracker, actions)
+    }
+
+    /// Returns the outcome, once there is one.
+    pub fn outcome(&self) -> Option<RequestOutcome> {
+        self.outcome
+    }
+
+    /// Returns the point up to which the answer was delivered.
+    pub fn resume_point(&self) -> ResumePoint {
+        self.assembler.resume_point()
+    }
+
+    /// Returns the request.
+    pub fn request(&self) -> RequestId {
+        self.request
+    }
+
+    /// Takes in what happened. After the end nothing leads to an action any longer.
+    pub fn on_event(
+        &mut self,
+        now: Timestamp,
+        event: TrackerEvent,
+        budget: &mut RetryBudget,
+        rng: &mut impl Rng,
+    ) -> TrackerActions {
+        let mut actions = TrackerActions::new();
+        if self.phase == TrackerPhase::Ended {
+            return actions;
+        }
+        let failure = self.take_in(event, budget, &mut actions);
+        if let Some(failure) = failure
+            && self.awaits_nothing(&mut actions)
+        {
+            let query = RetryQuery {
+                n_tries: self.attempts.len() as u32,
+                failure: failure.proof(),
+                repetition: self.repetition,
+                deadline: self.deadline,
+            };
+            let decision = budget.decide(now, &query, rng);
+            self.after_failure(failure, decision, &mut actions);
+        }
+        actions
+    }
+
+    fn take_in(
+        &mut self,
+        event: TrackerEvent,
+        budget: &mut RetryBudget,
+        actions: &mut TrackerActions,
+    ) -> Option<AttemptFailure> {
+        match event {
+            TrackerEvent::Routed {
+                target,
+                incarnation,
+            } => self.on_routed(target, incarnation, actions),
+            TrackerEvent::RouteRefused(refusal) => self.on_route_refused(&refusal, actions),
+            TrackerEvent::Refused {
+                attempt,
+                reason,
+                retry_after,
+            } => {
+                let refusal = RouteRefusal {
+                    reason,
+                    retry_after,
+                };
+                let is_new = self.settle(attempt, AttemptState::NotStarted);
+                return is_new.then_some(AttemptFailure::NotStarted(refusal));
+            }
+            TrackerEvent::Received(event) => return self.on_received(event, actions),
+            TrackerEvent::ConnectionLost { attempt } => {
+                return self.on_connection_lost(attempt, actions);
+            }
+            TrackerEvent::TargetLost { attempt } => {
+                let is_new = self.settle(attempt, AttemptState::Lost);
+                return is_new.then_some(AttemptFailure::Lost);
+            }
+            TrackerEvent::CancelAnswered { attempt, answer } => {
+                return self.on_cancel_answered(attempt, answer);
+            }
+            TrackerEvent::RetryDue => self.on_retry_due(actions),
+            TrackerEvent::HedgeDue => self.on_hedge_due(budget, actions),
+            TrackerEvent::DeadlineNear => self.on_deadline_near(actions),
+            TrackerEvent::DeadlinePassed => self.on_deadline_passed(actions),
+            TrackerEvent::CallerGone => self.on_caller_gone(actions),
+        }
+        None
+    }
+
+    fn on_routed(
+        &mut self,
+        target: TargetName,
+        incarnation: ProcessIncarnation,
+        actions: &mut TrackerActions,
+    ) {
+        let is_asked = matches!(
+            self.phase,
+            TrackerPhase::Routing | TrackerPhase::RoutingHedge
+        );
+        if !is_asked {
+            return;
+        }
+        assert!(
+            self.repetition == WorkRepetition::Repeatable || self.is_proved_not_run(),
+            "work that may run at most once has at most one attempt that may run"
+        );
+        self.attempts.push(TrackedAttempt {
+            target: target.clone(),
+            state: AttemptState::InFlight,
+            n_idle_resumes: 0,
+        });
+        self.phase = TrackerPhase::InFlight;
+        actions.push(TrackerAction::Dispatch {
+            work: self.work(self.attempts.len() as u32),
+            target,
+            incarnation,
+            from: self.assembler.resume_point(),
+        });
+    }
+
+    fn on_route_refused(&mut self, refusal: &RouteRefusal, actions: &mut TrackerActions) {
+        match self.phase {
+            TrackerPhase::RoutingHedge if 0 < self.n_in_flight() => {
+                self.phase = TrackerPhase::InFlight;
+            }
+            TrackerPhase::Routing | TrackerPhase::RoutingHedge => {
+                let reason = EndReason::Refused(refusal.reason);
+                self.end_unanswered(reason, refusal.retry_after, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_received(
+        &mut self,
+        event: WorkEvent,
+        actions: &mut TrackerActions,
+    ) -> Option<AttemptFailure> {
+        let attempt = event.attempt;
+        if !self.is_in_flight(attempt) {
+            return None;
+        }
+        self.attempts[attempt as usize - 1].n_idle_resumes = 0;
+        self.cancel_others(attempt, actions);
+        self.assembler.bind(attempt);
+        for step in self.assembler.accept(event) {
+            match step {
+                AssemblyStep::Deliver(event) => actions.push(TrackerAction::Deliver(event)),
+                AssemblyStep::Whole(end) => {
+                    let reason = EndReason::Whole(end);
+                    self.end(RequestOutcome::Answered, reason, Duration::ZERO, actions);
+                }
+                AssemblyStep::Failed(failure) => {
+                    let reason = EndReason::TargetFailed(failure);
+                    self.end(RequestOutcome::Failed, reason, Duration::ZERO, actions);
+                }
+                AssemblyStep::Missing(_) => {
+                    return self.on_connection_lost(attempt, actions);
+                }
+                AssemblyStep::Broken(broken) => {
+                    self.settle(attempt, AttemptState::Lost);
+                    let reason = EndReason::Broken(broken);
+                    self.end_unanswered(reason, MIN_RETRY_AFTER, actions);
+                }
+            }
+        }
+        None
+    }
+
+    /// Resumes an attempt, or counts it as lost after too many resumes in vain.
+    fn on_connection_lost(
+        &mut self,
+        attempt: u32,
+        actions: &mut TrackerActions,
+    ) -> Option<AttemptFailure> {
+        if !self.is_in_flight(attempt) {
+            return None;
+        }
+        let tracked = &mut self.attempts[attempt as usize - 1];
+        if MAX_IDLE_RESUMES <= tracked.n_idle_resumes {
+            tracked.state = AttemptState::Lost;
+            return Some(AttemptFailure::Lost);
+        }
+        tracked.n_idle_resumes += 1;
+        let target = tracked.target.clone();
+        self.assembler.resumed();
+        actions.push(TrackerAction::Resume {
+            work: self.work(attempt),
+            target,
+            from: self.assembler.resume_point(),
+        });
+        None
+    }
+
+    fn on_cancel_answered(&mut self, attempt: u32, answer: CancelAnswer) -> Option<AttemptFailure> {
+        let state = match answer {
+            CancelAnswer::NeverStarted => AttemptState::NotStarted,
+            CancelAnswer::Finished | CancelAnswer::Forgotten => AttemptState::Lost,
+            CancelAnswer::Running if self.phase == TrackerPhase::Cancelling => AttemptState::Lost,
+            CancelAnswer::Running => return None,
+        };
+        if !self.settle(attempt, state) {
+            return None;
+        }
+        if state == AttemptState::Lost {
+            return Some(AttemptFailure::Lost);
+        }
+        Some(AttemptFailure::NotStarted(RouteRefusal {
+            reason: RefusalReason::Tombstone,
+            retry_after: MIN_RETRY_AFTER,
+        }))
+    }
+
+    fn on_retry_due(&mut self, actions: &mut TrackerActions) {
+        if self.phase == TrackerPhase::Waiting {
+            self.phase = TrackerPhase::Routing;
+            actions.push(self.route());
+        }
+    }
+
+    fn on_hedge_due(&mut self, budget: &mut RetryBudget, actions: &mut TrackerActions) {
+        let may_hedge = self.phase == TrackerPhase::InFlight
+            && self.repetition == WorkRepetition::Repeatable
+            && self.n_in_flight() == 1
+            && self.assembler.resume_point().index == 0;
+        if may_hedge && budget.take_hedge() {
+            self.phase = TrackerPhase::RoutingHedge;
+            actions.push(self.route());
+        }
+    }
+
+    fn on_deadline_near(&mut self, actions: &mut TrackerActions) {
+        let is_silent = self.assembler.resume_point().index == 0;
+        if self.phase == TrackerPhase::InFlight && is_silent {
+            self.cancel_all(actions);
+        }
+    }
+
+    fn on_deadline_passed(&mut self, actions: &mut TrackerActions) {
+        self.cancel_all(actions);
+        self.end_unanswered(EndReason::DeadlinePassed, MIN_RETRY_AFTER, actions);
+    }
+
+    /// Cancels the work of a caller that went away; an order is left to run to its end.
+    fn on_caller_gone(&mut self, actions: &mut TrackerActions) {
+        if self.repetition == WorkRepetition::AtMostOnce && 0 < self.n_in_flight() {
+            return;
+        }
+        if self.n_in_flight() == 0 {
+            self.end_unanswered(EndReason::CallerGone, Duration::ZERO, actions);
+            return;
+        }
+        if self.phase != TrackerPhase::Cancelling {
+            self.phase = TrackerPhase::Cancelling;
+            self.cancel_all(actions);
+        }
+    }
+
+    /// Returns whether no other attempt is under way; ends a request whose caller is gone.
+    fn awaits_nothing(&mut self, actions: &mut TrackerActions) -> bool {
+        let is_awaited = self.phase == TrackerPhase::Ended
+            || self.phase == TrackerPhase::RoutingHedge
+            || 0 < self.n_in_flight();
+        if is_awaited {
+            return false;
+        }
+        if self.phase == TrackerPhase::Cancelling {
+            self.end_unanswered(EndReason::CallerGone, Duration::ZERO, actions);
+            return false;
+        }
+        true
+    }
+
+    /// Tries again, or ends at once.
+    fn after_failure(
+        &mut self,
+        failure: AttemptFailure,
+        decision: RetryDecision,
+        actions: &mut TrackerActions,
+    ) {
+        match decision {
+            RetryDecision::Retry { delay } => {
+                self.phase = TrackerPhase::Waiting;
+                actions.push(TrackerAction::RetryLater { delay });
+            }
+            RetryDecision::GiveUp { .. } | RetryDecision::MayHaveRun => {
+                let (reason, retry_after) = failure.end();
+                self.end_unanswered(reason, retry_after, actions);
+            }
+        }
+    }
+
+    /// Ends without an answer: `NotRun` where that is proved, else `Unknown`.
+    fn end_unanswered(
+        &mut self,
+        reason: EndReason,
+        retry_after: Duration,
+        actions: &mut TrackerActions,
+    ) {
+        let outcome = match self.is_proved_not_run() {
+            true => RequestOutcome::NotRun,
+            false => RequestOutcome::Unknown,
+        };
+        self.end(outcome, reason, retry_after, actions);
+    }
+
+    fn end(
+        &mut self,
+        outcome: RequestOutcome,
+        reason: EndReason,
+        retry_after: Duration,
+        actions: &mut TrackerActions,
+    ) {
+        assert!(
+            self.outcome.is_none(),
+            "a request ends in exactly one outcome"
+        );
+        assert!(
+            outcome != RequestOutcome::NotRun || self.is_proved_not_run(),
+            "a request is not-run only where no attempt can have started"
+        );
+        self.outcome = Some(outcome);
+        self.phase = TrackerPhase::Ended;
+        actions.push(TrackerAction::End(RequestEnd {
+            outcome,
+            reason,
+            retry_after,
+        }));
+    }
+
+    fn is_proved_not_run(&self) -> bool {
+        self.attempts
+            .iter()
+            .all(|attempt| attempt.state == AttemptState::NotStarted)
+    }
+
+    fn is_in_flight(&self, attempt: u32) -> bool {
+        self.state_of(attempt) == Some(AttemptState::InFlight)
+    }
+
+    fn state_of(&self, attempt: u32) -> Option<AttemptState> {
+        let attempt_idx = (attempt as usize).checked_sub(1)?;
+        self.attempts.get(attempt_idx).map(|attempt| attempt.state)
+    }
+
+    fn n_in_flight(&self) -> usize {
+        self.attempts
+            .iter()
+            .filter(|attempt| attempt.state == AttemptState::InFlight)
+            .count()
+    }
+
+    /// Settles an attempt in flight; returns false for any other.
+    fn settle(&mut self, attempt: u32, state: AttemptState) -> bool {
+        if !self.is_in_flight(attempt) {
+            return false;
+        }
+        self.attempts[attempt as usize - 1].state = state;
+        true
+    }
+
+    /// Cancels the attempts beside the one that answers first.
+    fn cancel_others(&mut self, winner: u32, actions: &mut TrackerActions) {
+        for attempt in 1..=self.attempts.len() as u32 {
+            if attempt != winner && self.is_in_flight(attempt) {
+                actions.push(self.cancel(attempt));
+                self.settle(attempt, AttemptState::Lost);
+            }
+        }
+        if self.phase == TrackerPhase::RoutingHedge {
+            self.phase = TrackerPhase::InFlight;
+        }
+    }
+
+    fn cancel_all(&self, actions: &mut TrackerActions) {
+        for attempt in 1..=self.attempts.len() as u32 {
+            if self.is_in_flight(attempt) {
+                actions.push(self.cancel(attempt));
+            }
+        }
+    }
+
+    fn cancel(&self, attempt: u32) -> TrackerAction {
+        TrackerAction::Cancel {
+            work: self.work(attempt),
+            target: self.attempts[attempt as usize - 1].target.clone(),
+        }
+    }
+
+    fn route(&self) -> TrackerAction {
+        TrackerAction::Route {
+            tried: self
+                .attempts
+                .iter()
+                .map(|attempt| attempt.target.clone())
+                .collect(),
+        }
+    }
+
+    fn work(&self, attempt: u32) -> WorkId {
+        WorkId {
+            request: self.request,
+            attempt,
+        }
+    }
+}
+
+/// How an attempt failed.
+enum AttemptFailure {
+    NotStarted(RouteRefusal),
+    Lost,
+}
+
+impl AttemptFailure {
+    fn proof(&self) -> TryFailure {
+        match self {
+            Self::NotStarted(_) => TryFailure::NotStarted,
+            Self::Lost => TryFailure::MayHaveRun,
+        }
+    }
+
+    fn end(self) -> (EndReason, Duration) {
+        match self {
+            Self::NotStarted(refusal) => (EndReason::Refused(refusal.reason), refusal.retry_after),
+            Self::Lost => (EndReason::TargetLost, MIN_RETRY_AFTER),
+        }
+    }
+}
