--- /dev/null
+++ b/src/process/orders/fold.rs
@@ -0,0 +1,376 @@
+//! The fold of one shard's records into the state of its keys.
+
+use std::collections::{BTreeSet, HashMap};
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::prelude::*;
+
+use super::digest::BodyDigest;
+use super::key::OrderKey;
+use super::record::{
+    AttemptId, OrderChange, OrderClaim, OrderRecord, OrderSettlement, RECORD_FORMAT,
+};
+use super::reply::{OrderReply, ReplyReason};
+use super::settings::OrderWindow;
+
+/// The most open claims that are kept beyond the window.
+const MAX_OLD_OPEN_CLAIMS: usize = 1_024;
+
+/// The state of a shard's keys after all its records up to an offset.
+///
+/// Whether a record counts is decided by the log service's time of the record, never by a local
+/// clock, so that all readers agree.
+#[derive(Clone, Debug)]
+pub struct ShardFold {
+    window: OrderWindow,
+    next: LogOffset,
+    covered_since: Option<Timestamp>,
+    log_time: Timestamp,
+    entries: HashMap<OrderKey, KeyEntry>,
+    by_time: BTreeSet<(Timestamp, OrderKey)>,
+    old_open: BTreeSet<(Timestamp, OrderKey)>,
+    n_unreadable: u64,
+}
+
+#[derive(Clone, Debug)]
+struct KeyEntry {
+    offset: LogOffset,
+    at: Timestamp,
+    attempt: AttemptId,
+    decision: KeyDecision,
+    settlement: Option<OrderSettlement>,
+}
+
+#[derive(Clone, Debug)]
+enum KeyDecision {
+    Claim(OrderClaim),
+    Void,
+    Foreign,
+}
+
+/// The state of a key.
+#[derive(Clone, Debug, PartialEq)]
+pub enum KeyState {
+    /// The fold does not reach far enough back to tell.
+    NotCovered,
+    /// No record of the key counts so far.
+    Free,
+    /// The key is past its window and no record of it is known here.
+    Expired,
+    /// A claim stands first and isn't settled.
+    Claimed(OpenClaim),
+    /// A void stands first.
+    Voided,
+    /// A claim stands first and is settled.
+    Settled {
+        /// The digest of the claimed call and body.
+        digest: BodyDigest,
+        /// How it ended.
+        settlement: OrderSettlement,
+    },
+    /// A record in a newer format stands first.
+    Foreign,
+}
+
+/// A claim without a settlement that says how it ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OpenClaim {
+    /// The key.
+    pub key: OrderKey,
+    /// The attempt that claimed it.
+    pub attempt: AttemptId,
+    /// The offset of the claim.
+    pub offset: LogOffset,
+    /// The log service's time of the claim.
+    pub at: Timestamp,
+    /// The claim.
+    pub claim: OrderClaim,
+}
+
+/// What a record did to its key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RecordEffect {
+    /// It stands first and decided the key.
+    Decided(OrderKey),
+    /// It settled the key's claim.
+    Settled(OrderKey),
+    /// Another record stands first, or the settlement is of another attempt.
+    Later(OrderKey),
+    /// Its time lies outside the key's window.
+    OutsideWindow(OrderKey),
+    /// It was folded before.
+    Repeated,
+    /// It is no record of an order.
+    Unreadable,
+}
+
+impl ShardFold {
+    /// Creates a fold that starts at an offset of the stream.
+    pub fn starting_at(window: OrderWindow, first: LogOffset) -> Self {
+        let covered_since = (first <= LogOffset(1)).then_some(Timestamp(0));
+        Self {
+            window,
+            next: first.max(LogOffset(1)),
+            covered_since,
+            log_time: Timestamp(0),
+            entries: HashMap::new(),
+            by_time: BTreeSet::new(),
+            old_open: BTreeSet::new(),
+            n_unreadable: 0,
+        }
+    }
+
+    /// Creates a fold at the end of a stream whose records were all dropped by retention.
+    ///
+    /// Half of the retention is left for the difference between the local clock and the log's.
+    pub fn after_retention(window: OrderWindow, tail: LogOffset, now: Timestamp) -> Self {
+        let mut fold = Self::starting_at(window, tail);
+        let dropped_before = now - window.retention / 2;
+        fold.covered_since.get_or_insert(dropped_before);
+        fold
+    }
+
+    /// Returns the offset of the next record to fold.
+    pub fn next_offset(&self) -> LogOffset {
+        self.next
+    }
+
+    /// Returns the highest time of a folded record.
+    pub fn log_time(&self) -> Timestamp {
+        self.log_time
+    }
+
+    /// Returns the number of keys in memory.
+    pub fn n_keys(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns the number of records that could not be read.
+    pub fn n_unreadable(&self) -> u64 {
+        self.n_unreadable
+    }
+
+    /// Folds the record at an offset. Gaps are allowed and end the coverage of older keys.
+    pub fn apply(&mut self, offset: LogOffset, at: Timestamp, value: &Value) -> RecordEffect {
+        if offset < self.next {
+            return RecordEffect::Repeated;
+        }
+        self.cover(offset, at);
+        self.next = offset.next();
+        self.log_time = self.log_time.max(at);
+        let effect = self.apply_value(offset, at, value);
+        self.forget_expired();
+        effect
+    }
+
+    fn cover(&mut self, offset: LogOffset, at: Timestamp) {
+        let gap = self.next < offset;
+        if gap || self.covered_since.is_none() {
+            // A record before this one has a time of at most `at + regression`.
+            self.covered_since = Some(at + self.window.regression);
+        }
+    }
+
+    fn apply_value(&mut self, offset: LogOffset, at: Timestamp, value: &Value) -> RecordEffect {
+        let Ok(head) = RecordHead::deserialize(value) else {
+            self.n_unreadable += 1;
+            return RecordEffect::Unreadable;
+        };
+        let Ok(record) = OrderRecord::deserialize(value) else {
+            return self.apply_foreign(offset, at, head);
+        };
+        if RECORD_FORMAT < record.format {
+            return self.apply_foreign(offset, at, head);
+        }
+        match record.change {
+            OrderChange::Claim(claim) => {
+                let entry = KeyEntry::new(offset, at, record.attempt, KeyDecision::Claim(claim));
+                self.decide(record.key, entry)
+            }
+            OrderChange::Void(_) => {
+                let entry = KeyEntry::new(offset, at, record.attempt, KeyDecision::Void);
+                self.decide(record.key, entry)
+            }
+            OrderChange::Settle(settlement) => self.settle(record.key, record.attempt, settlement),
+        }
+    }
+
+    /// Closes the key of a record in a newer format: what it says may be a claim.
+    fn apply_foreign(
+        &mut self,
+        offset: LogOffset,
+        at: Timestamp,
+        head: RecordHead,
+    ) -> RecordEffect {
+        self.n_unreadable += 1;
+        let entry = KeyEntry::new(offset, at, head.attempt, KeyDecision::Foreign);
+        self.decide(head.key, entry)
+    }
+
+    fn decide(&mut self, key: OrderKey, entry: KeyEntry) -> RecordEffect {
+        let time = key.time();
+        let too_early = entry.at + self.window.skew < time;
+        let too_late = time + self.window.validity < entry.at;
+        if too_early || too_late {
+            return RecordEffect::OutsideWindow(key);
+        }
+        if self.entries.contains_key(&key) {
+            return RecordEffect::Later(key);
+        }
+        self.by_time.insert((time, key.clone()));
+        self.entries.insert(key.clone(), entry);
+        RecordEffect::Decided(key)
+    }
+
+    fn settle(
+        &mut self,
+        key: OrderKey,
+        attempt: AttemptId,
+        settlement: OrderSettlement,
+    ) -> RecordEffect {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return RecordEffect::Later(key);
+        };
+        let claimed = matches!(entry.decision, KeyDecision::Claim(_)) && entry.attempt == attempt;
+        let before = entry.settlement.as_ref().map(OrderSettlement::rank);
+        if !claimed || before.is_some_and(|rank| settlement.rank() <= rank) {
+            return RecordEffect::Later(key);
+        }
+        entry.settlement = Some(settlement);
+        if !entry.is_open() {
+            self.old_open.remove(&(key.time(), key.clone()));
+        }
+        RecordEffect::Settled(key)
+    }
+
+    /// Returns whether every record that can count for a key has been folded, up to the last one.
+    pub fn covers(&self, key: &OrderKey) -> bool {
+        let first_counting = key.time() - self.window.skew;
+        self.covered_since
+            .is_some_and(|since| since == Timestamp(0) || since < first_counting)
+    }
+
+    /// Returns the state of a key.
+    pub fn state_of(&self, key: &OrderKey) -> KeyState {
+        if !self.covers(key) {
+            return KeyState::NotCovered;
+        }
+        let Some(entry) = self.entries.get(key) else {
+            let expires = key.time() + self.window.validity;
+            return if expires < self.log_time {
+                KeyState::Expired
+            } else {
+                KeyState::Free
+            };
+        };
+        match (&entry.decision, &entry.settlement) {
+            (KeyDecision::Void, _) => KeyState::Voided,
+            (KeyDecision::Foreign, _) => KeyState::Foreign,
+            (KeyDecision::Claim(claim), Some(settlement)) => KeyState::Settled {
+                digest: claim.digest,
+                settlement: settlement.clone(),
+            },
+            (KeyDecision::Claim(claim), None) => KeyState::Claimed(entry.open_claim(key, claim)),
+        }
+    }
+
+    /// Returns the claims whose outcome is not known, oldest first.
+    pub fn open_claims(&self) -> Vec<OpenClaim> {
+        let mut claims: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.is_open())
+            .filter_map(|(key, entry)| match &entry.decision {
+                KeyDecision::Claim(claim) => Some(entry.open_claim(key, claim)),
+                KeyDecision::Void | KeyDecision::Foreign => None,
+            })
+            .collect();
+        claims.sort_by_key(|claim| claim.offset);
+        claims
+    }
+
+    /// Forgets the keys whose time lies before a time, but for a bounded number of open claims.
+    pub fn forget_before(&mut self, time: Timestamp) {
+        while let Some((key_time, _)) = self.by_time.first() {
+            if time <= *key_time {
+                break;
+            }
+            let Some((key_time, key)) = self.by_time.pop_first() else {
+                break;
+            };
+            if self.entries.get(&key).is_some_and(KeyEntry::is_open) {
+                self.old_open.insert((key_time, key));
+            } else {
+                self.entries.remove(&key);
+            }
+        }
+        while MAX_OLD_OPEN_CLAIMS < self.old_open.len() {
+            if let Some((_, key)) = self.old_open.pop_first() {
+                self.entries.remove(&key);
+            }
+        }
+    }
+
+    fn forget_expired(&mut self) {
+        let kept = self.window.validity + self.window.regression;
+        self.forget_before(self.log_time - kept);
+    }
+}
+
+impl KeyState {
+    /// Returns what a try with a digest is told of a decided key; `None` while that is open.
+    pub fn reply_to(&self, tried: BodyDigest, retry_after: Duration) -> Option<OrderReply> {
+        match self {
+            Self::NotCovered | Self::Free => None,
+            Self::Expired => Some(OrderReply::unknown(ReplyReason::KeyExpired, retry_after)),
+            Self::Foreign => Some(OrderReply::unknown(ReplyReason::NewerFormat, retry_after)),
+            Self::Voided => Some(OrderReply::voided()),
+            Self::Claimed(open) if open.claim.digest != tried => Some(OrderReply::mismatch()),
+            Self::Claimed(_) => None,
+            Self::Settled { digest, settlement } => {
+                let not_run = settlement.outcome == RequestOutcome::NotRun;
+                if *digest == tried || not_run {
+                    return Some(OrderReply::settled(settlement));
+                }
+                Some(OrderReply::mismatch())
+            }
+        }
+    }
+}
+
+impl KeyEntry {
+    fn new(offset: LogOffset, at: Timestamp, attempt: AttemptId, decision: KeyDecision) -> Self {
+        Self {
+            offset,
+            at,
+            attempt,
+            decision,
+            settlement: None,
+        }
+    }
+
+    fn is_open(&self) -> bool {
+        let claimed = matches!(self.decision, KeyDecision::Claim(_));
+        let outcome = self.settlement.as_ref().map(|settlement| settlement.rank());
+        claimed && outcome.is_none_or(|rank| rank == 0)
+    }
+
+    fn open_claim(&self, key: &OrderKey, claim: &OrderClaim) -> OpenClaim {
+        OpenClaim {
+            key: key.clone(),
+            attempt: self.attempt,
+            offset: self.offset,
+            at: self.at,
+            claim: claim.clone(),
+        }
+    }
+}
+
+/// The part of a record that every format has.
+#[derive(Deserialize)]
+struct RecordHead {
+    key: OrderKey,
+    attempt: AttemptId,
+}
