--- /dev/null
+++ b/src/process/step_window/group_leader.rs
@@ -0,0 +1,597 @@
+//! The machine of a group's leader.
+
+use std::cmp::Ordering;
+
+use crate::prelude::*;
+use crate::version::expert_map::{ExpertMap, MapId, MapNumber, RankId};
+
+use super::leader_event::{LeaderAction, LeaderEvent};
+use super::load_schedule::{LoadRate, LoadSchedule};
+use super::rank_set::RankSet;
+use super::step_message::{RefuseReason, StepMessage, incarnations_digest};
+use super::window_map::{WindowMap, WindowNumber};
+
+/// The actions of one event of a leader.
+pub type LeaderActions = SmallVec<[LeaderAction; 4]>;
+
+/// What a leader's machine has to know of its group.
+#[derive(Clone, Debug)]
+pub struct LeaderSettings {
+    /// The ranks of the group.
+    pub ranks: u16,
+    /// The offset of the leader's `Lead` record.
+    pub fencing: FencingNumber,
+    /// The size of one expert of one layer, in bytes.
+    pub expert_bytes: u64,
+    /// The group's share of the weight store, in bytes a second.
+    pub bytes_per_second: u64,
+    /// The time after which an unanswered message is sent again.
+    pub resend_after: Duration,
+    /// The time that a window is expected to take.
+    pub window_length: Duration,
+}
+
+/// The machine of a group's leader.
+///
+/// It asks every rank first, then has every rank accept each window before it grants it.
+#[derive(Clone, Debug)]
+pub struct GroupLeader {
+    settings: LeaderSettings,
+    phase: LeaderPhase,
+    ranks: Vec<RankView>,
+    /// The newest window that may have been granted to any rank.
+    newest: Option<WindowMap>,
+    /// The window that is being prepared; its map never changes under one fencing number.
+    proposed: Option<WindowMap>,
+    prepared: RankSet,
+    current: Option<Arc<ExpertMap>>,
+    staged: Option<LoadSchedule>,
+    resend_at: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaderPhase {
+    Asking,
+    Leading,
+    StoodDown,
+}
+
+/// What the leader knows of a rank.
+#[derive(Clone, Debug, Default)]
+struct RankView {
+    answered: bool,
+    incarnation: ProcessIncarnation,
+    granted: Option<WindowMap>,
+    running: Option<WindowNumber>,
+    loaded: SmallVec<[MapId; 2]>,
+    highest_map: MapNumber,
+}
+
+impl GroupLeader {
+    /// Creates the machine of a leader whose `Lead` record was read back from the log.
+    pub fn new(settings: LeaderSettings) -> Self {
+        let ranks = vec![RankView::default(); usize::from(settings.ranks)];
+        Self {
+            settings,
+            phase: LeaderPhase::Asking,
+            ranks,
+            newest: None,
+            proposed: None,
+            prepared: RankSet::default(),
+            current: None,
+            staged: None,
+            resend_at: Timestamp::default(),
+        }
+    }
+
+    /// Reacts to an event.
+    pub fn on_event(&mut self, now: Timestamp, event: LeaderEvent) -> LeaderActions {
+        let mut actions = LeaderActions::new();
+        if self.phase == LeaderPhase::StoodDown {
+            return actions;
+        }
+        match event {
+            LeaderEvent::Start => self.ask_missing(now, &mut actions),
+            LeaderEvent::Message(message) => self.on_message(now, message, &mut actions),
+            LeaderEvent::SwitchMap(map) => self.on_switch_map(now, map, &mut actions),
+            LeaderEvent::MapFound(map) => self.on_map_found(now, map, &mut actions),
+            LeaderEvent::StopLoad => self.on_stop_load(&mut actions),
+            LeaderEvent::LaterLead(fencing) => self.on_later_lead(fencing, &mut actions),
+            LeaderEvent::Tick => self.on_tick(now, &mut actions),
+        }
+        if self.phase == LeaderPhase::Leading {
+            self.send_due_loads(now, &mut actions);
+            self.propose_next(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Returns whether all ranks have answered.
+    pub fn is_leading(&self) -> bool {
+        self.phase == LeaderPhase::Leading
+    }
+
+    /// Returns the fencing number of the leader.
+    pub fn fencing(&self) -> FencingNumber {
+        self.settings.fencing
+    }
+
+    /// Returns the newest granted window.
+    pub fn newest(&self) -> Option<WindowMap> {
+        self.newest
+    }
+
+    /// Returns the map in use, if the leader has its content.
+    pub fn current(&self) -> Option<&Arc<ExpertMap>> {
+        self.current.as_ref()
+    }
+
+    /// Returns the lowest number that a new map may have.
+    pub fn next_map_number(&self) -> MapNumber {
+        let of_ranks = self.ranks.iter().map(|view| view.highest_map);
+        let of_staged = self.staged.iter().map(|staged| staged.map.number());
+        let of_current = self.current.iter().map(|map| map.number());
+        let highest = of_ranks.chain(of_staged).chain(of_current).max();
+        highest.unwrap_or_default().next()
+    }
+
+    /// Returns the ranks that the group waits for.
+    pub fn waiting_for(&self) -> RankSet {
+        let all = RankSet::all(self.settings.ranks);
+        if self.phase != LeaderPhase::Leading {
+            return self.ranks_where(|view| !view.answered);
+        }
+        if self.proposed.is_some() {
+            return all.without(self.prepared);
+        }
+        let ungranted = self.ranks_where(|view| view.granted != self.newest);
+        if !ungranted.is_empty() {
+            return ungranted;
+        }
+        self.ranks_where(|view| view.running < self.newest.map(|newest| newest.window))
+    }
+
+    fn ranks_where(&self, condition: impl Fn(&RankView) -> bool) -> RankSet {
+        let mut set = RankSet::default();
+        for (rank, view) in self.ranks.iter().enumerate() {
+            if condition(view) {
+                set.insert(rank as RankId);
+            }
+        }
+        set
+    }
+
+    fn ask_missing(&mut self, now: Timestamp, actions: &mut LeaderActions) {
+        let fencing = self.settings.fencing;
+        for rank in self.ranks_where(|view| !view.answered).iter() {
+            actions.push(LeaderAction::Send(rank, StepMessage::Ask { fencing }));
+        }
+        self.resend_at = now + self.settings.resend_after;
+    }
+
+    /// Asks all ranks again, since one of them may have lost its promise.
+    fn ask_again(&mut self, now: Timestamp, actions: &mut LeaderActions) {
+        if self.phase == LeaderPhase::Asking {
+            return;
+        }
+        self.phase = LeaderPhase::Asking;
+        self.prepared = RankSet::default();
+        for view in &mut self.ranks {
+            view.answered = false;
+        }
+        self.ask_missing(now, actions);
+    }
+
+    fn on_message(&mut self, now: Timestamp, message: StepMessage, actions: &mut LeaderActions) {
+        match message {
+            StepMessage::Answer {
+                fencing,
+                rank,
+                incarnation,
+                granted,
+                running,
+                loaded,
+                highest_map,
+            } if self.is_mine(fencing, rank) => {
+                let answered = true;
+                let view = RankView {
+                    answered,
+                    incarnation,
+                    granted,
+                    running,
+                    loaded,
+                    highest_map,
+                };
+                self.on_answer(now, rank, view, actions);
+            }
+            StepMessage::Prepared {
+                fencing,
+                rank,
+                incarnation,
+                window,
+            } if self.is_mine(fencing, rank) => {
+                match incarnation.cmp(&self.ranks[usize::from(rank)].incarnation) {
+                    Ordering::Less => {}
+                    Ordering::Equal => self.on_prepared(now, rank, window, actions),
+                    Ordering::Greater => self.ask_again(now, actions),
+                }
+            }
+            StepMessage::Progress {
+                fencing,
+                rank,
+                granted,
+                running,
+            } if self.is_mine(fencing, rank) => {
+                self.on_progress(now, rank, granted, running);
+            }
+            StepMessage::Loaded { fencing, rank, map } if self.is_mine(fencing, rank) => {
+                self.on_loaded(rank, map, actions);
+            }
+            StepMessage::Refused {
+                fencing,
+                rank,
+                reason,
+            } if self.is_mine(fencing, rank) => {
+                self.on_refused(now, rank, reason, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn is_mine(&self, fencing: FencingNumber, rank: RankId) -> bool {
+        fencing == self.settings.fencing && rank < self.settings.ranks
+    }
+
+    fn on_answer(
+        &mut self,
+        now: Timestamp,
+        rank: RankId,
+        view: RankView,
+        actions: &mut LeaderActions,
+    ) {
+        let known = &mut self.ranks[usize::from(rank)];
+        if view.incarnation < known.incarnation {
+            return;
+        }
+        if view.incarnation == known.incarnation && view.running < known.running {
+            // A late copy of an earlier answer.
+            return;
+        }
+        let restarted = known.incarnation < view.incarnation && known.answered;
+        *known = view;
+        if restarted {
+            return self.ask_again(now, actions);
+        }
+        let all_answered = self.ranks.iter().all(|view| view.answered);
+        if self.phase == LeaderPhase::Asking && all_answered {
+            self.start_leading(now, actions);
+        }
+    }
+
+    fn start_leading(&mut self, now: Timestamp, actions: &mut LeaderActions) {
+        self.phase = LeaderPhase::Leading;
+        let granted = self.ranks.iter().filter_map(|view| view.granted);
+        let reported = granted.max_by_key(|granted| granted.window);
+        for granted in self.ranks.iter().filter_map(|view| view.granted) {
+            for other in [reported, self.newest].into_iter().flatten() {
+                assert!(
+                    other.window != granted.window || other.map == granted.map,
+                    "one_map_per_window: {granted}, but {other}"
+                );
+            }
+        }
+        let window_of = |window: Option<WindowMap>| window.map(|window| window.window);
+        if window_of(self.newest) < window_of(reported) {
+            self.newest = reported;
+        }
+        self.drop_granted_proposal();
+        actions.push(LeaderAction::Leading(self.newest));
+        self.recheck_loaded(now);
+        if let (None, Some(newest)) = (&self.current, self.newest) {
+            actions.push(LeaderAction::FindMap(newest.map));
+        }
+        if self.proposed.is_none() && self.newest_is_incomplete() {
+            self.proposed = self.newest;
+        }
+        if let Some(window) = self.proposed {
+            self.propose(now, window, actions);
+        }
+    }
+
+    /// Returns whether a rank still lacks the newest window, which is then granted again.
+    fn newest_is_incomplete(&self) -> bool {
+        self.newest.is_some() && self.ranks.iter().any(|view| view.granted != self.newest)
+    }
+
+    fn drop_granted_proposal(&mut self) {
+        let newest = self.newest.map(|newest| newest.window);
+        self.proposed = self
+            .proposed
+            .filter(|proposed| newest < Some(proposed.window));
+    }
+
+    fn recheck_loaded(&mut self, now: Timestamp) {
+        let Some(staged) = &mut self.staged else {
+            return;
+        };
+        let id = staged.map.id();
+        for (rank, view) in self.ranks.iter().enumerate() {
+            if !view.loaded.contains(&id) {
+                staged.repeat(now, rank as RankId);
+            }
+        }
+    }
+
+    /// Prepares the next window once all ranks run the newest one.
+    fn propose_next(&mut self, now: Timestamp, actions: &mut LeaderActions) {
+        let newest = self.newest.map(|newest| newest.window);
+        let all_run = self.ranks.iter().all(|view| view.running == newest);
+        if self.proposed.is_some() || !all_run {
+            return;
+        }
+        let ready = self
+            .staged
+            .as_ref()
+            .filter(|staged| self.is_loaded(staged.map.id()));
+        let map = match (ready, self.newest) {
+            (Some(staged), _) => staged.map.id(),
+            (None, Some(newest)) => newest.map,
+            (None, None) => return,
+        };
+        let window = newest.unwrap_or_default().next();
+        self.propose(now, WindowMap { window, map }, actions);
+    }
+
+    fn is_loaded(&self, map: MapId) -> bool {
+        self.ranks.iter().all(|view| view.loaded.contains(&map))
+    }
+
+    fn propose(&mut self, now: Timestamp, window: WindowMap, actions: &mut LeaderActions) {
+        self.proposed = Some(window);
+        self.prepared = RankSet::default();
+        self.send_prepares(now, window, actions);
+    }
+
+    fn send_prepares(&mut self, now: Timestamp, window: WindowMap, actions: &mut LeaderActions) {
+        let fencing = self.settings.fencing;
+        for rank in RankSet::all(self.settings.ranks)
+            .without(self.prepared)
+            .iter()
+        {
+            let message = StepMessage::Prepare { fencing, window };
+            actions.push(LeaderAction::Send(rank, message));
+        }
+        self.resend_at = now + self.settings.resend_after;
+    }
+
+    fn on_prepared(
+        &mut self,
+        now: Timestamp,
+        rank: RankId,
+        window: WindowNumber,
+        actions: &mut LeaderActions,
+    ) {
+        let Some(proposed) = self.proposed.filter(|proposed| proposed.window == window) else {
+            return;
+        };
+        if self.phase != LeaderPhase::Leading {
+            return;
+        }
+        self.prepared.insert(rank);
+        if self.prepared == RankSet::all(self.settings.ranks) {
+            self.grant(now, proposed, actions);
+        }
+    }
+
+    fn on_progress(
+        &mut self,
+        now: Timestamp,
+        rank: RankId,
+        granted: WindowMap,
+        running: Option<WindowNumber>,
+    ) {
+        let newest = self.newest;
+        let view = &mut self.ranks[usize::from(rank)];
+        view.running = view.running.max(running);
+        if newest != Some(granted) || view.granted == newest {
+            return;
+        }
+        view.granted = newest;
+        if self.ranks.iter().all(|view| view.granted == newest) {
+            // The window starts when the one before it is over.
+            self.resend_at = now + self.settings.window_length * 2;
+        }
+    }
+
+    fn grant(&mut self, now: Timestamp, window: WindowMap, actions: &mut LeaderActions) {
+        let switched = self.newest.is_none_or(|newest| newest.map != window.map);
+        self.proposed = None;
+        self.newest = Some(window);
+        let all = RankSet::all(self.settings.ranks);
+        self.send_grants(now, window, all, actions);
+        actions.push(LeaderAction::Granted(window));
+        let of_window = |staged: &LoadSchedule| staged.map.id() == window.map;
+        if self.staged.as_ref().is_some_and(of_window) {
+            self.current = self.staged.take().map(|staged| staged.map);
+        }
+        if switched {
+            actions.push(LeaderAction::Switched(window));
+        }
+    }
+
+    fn send_grants(
+        &mut self,
+        now: Timestamp,
+        window: WindowMap,
+        ranks: RankSet,
+        actions: &mut LeaderActions,
+    ) {
+        let known: Vec<ProcessIncarnation> =
+            self.ranks.iter().map(|view| view.incarnation).collect();
+        let incarnations = incarnations_digest(&known);
+        let fencing = self.settings.fencing;
+        for rank in ranks.iter() {
+            let message = StepMessage::Grant {
+                fencing,
+                window,
+                incarnations,
+            };
+            actions.push(LeaderAction::Send(rank, message));
+        }
+        self.resend_at = now + self.settings.resend_after;
+    }
+
+    fn on_refused(
+        &mut self,
+        now: Timestamp,
+        rank: RankId,
+        reason: RefuseReason,
+        actions: &mut LeaderActions,
+    ) {
+        actions.push(LeaderAction::RankRefused(rank, reason));
+        match reason {
+            RefuseReason::Fenced(floor) => self.on_later_lead(floor, actions),
+            RefuseReason::Rejoining
+            | RefuseReason::NotAsked
+            | RefuseReason::OtherIncarnations
+            | RefuseReason::WindowMismatch => self.ask_again(now, actions),
+            RefuseReason::MapMissing => self.on_map_missing(now, rank, actions),
+        }
+    }
+
+    /// Has a rank load the map of the proposed window again.
+    fn on_map_missing(&mut self, now: Timestamp, rank: RankId, actions: &mut LeaderActions) {
+        let Some(id) = self.proposed.map(|proposed| proposed.map) else {
+            return;
+        };
+        let loaded = &mut self.ranks[usize::from(rank)].loaded;
+        loaded.retain(|known| *known != id);
+        if let Some(staged) = self.staged.as_mut().filter(|staged| staged.map.id() == id) {
+            return staged.repeat(now, rank);
+        }
+        match self.current.clone().filter(|map| map.id() == id) {
+            Some(map) => self.send_load(now, rank, map, actions),
+            None => actions.push(LeaderAction::FindMap(id)),
+        }
+    }
+
+    fn send_load(
+        &mut self,
+        now: Timestamp,
+        rank: RankId,
+        map: Arc<ExpertMap>,
+        actions: &mut LeaderActions,
+    ) {
+        let fencing = self.settings.fencing;
+        let bytes_per_second = self.settings.bytes_per_second;
+        let message = StepMessage::Load {
+            fencing,
+            map,
+            bytes_per_second,
+        };
+        actions.push(LeaderAction::Send(rank, message));
+        self.resend_at = now + self.settings.resend_after;
+    }
+
+    fn on_switch_map(&mut self, now: Timestamp, map: Arc<ExpertMap>, actions: &mut LeaderActions) {
+        let fits = map.shape().ranks == self.settings.ranks && map.validate().is_ok();
+        let taken = self.staged.is_some() || map.number() < self.next_map_number();
+        if self.phase != LeaderPhase::Leading || !fits || taken {
+            return actions.push(LeaderAction::MapRefused(map.id()));
+        }
+        let rate = LoadRate {
+            expert_bytes: self.settings.expert_bytes,
+            bytes_per_second: self.settings.bytes_per_second,
+            resend_after: self.settings.resend_after,
+        };
+        self.staged = Some(LoadSchedule::new(now, map, self.current.as_deref(), rate));
+    }
+
+    fn on_map_found(&mut self, now: Timestamp, map: Arc<ExpertMap>, actions: &mut LeaderActions) {
+        let wanted = self.newest.or(self.proposed).map(|window| window.map);
+        if wanted != Some(map.id()) {
+            return;
+        }
+        for rank in self
+            .ranks_where(|view| !view.loaded.contains(&map.id()))
+            .iter()
+        {
+            self.send_load(now, rank, map.clone(), actions);
+        }
+        self.current = Some(map);
+    }
+
+    fn send_due_loads(&mut self, now: Timestamp, actions: &mut LeaderActions) {
+        let Some(id) = self.staged.as_ref().map(|staged| staged.map.id()) else {
+            return;
+        };
+        let missing = self.ranks_where(|view| !view.loaded.contains(&id));
+        let Some(staged) = &mut self.staged else {
+            return;
+        };
+        let due = staged.due(now, missing);
+        let map = staged.map.clone();
+        for rank in due.iter() {
+            self.send_load(now, rank, map.clone(), actions);
+        }
+    }
+
+    fn on_loaded(&mut self, rank: RankId, map: MapId, actions: &mut LeaderActions) {
+        let loaded = &mut self.ranks[usize::from(rank)].loaded;
+        if loaded.contains(&map) {
+            return;
+        }
+        loaded.push(map);
+        let is_staged = self
+            .staged
+            .as_ref()
+            .is_some_and(|staged| staged.map.id() == map);
+        if is_staged && self.is_loaded(map) {
+            actions.push(LeaderAction::MapReady(map));
+        }
+    }
+
+    /// Stops the load of the next map, unless a window on it is being prepared already.
+    fn on_stop_load(&mut self, actions: &mut LeaderActions) {
+        let Some(id) = self.staged.as_ref().map(|staged| staged.map.id()) else {
+            return;
+        };
+        if self.proposed.is_some_and(|proposed| proposed.map == id) {
+            return;
+        }
+        let fencing = self.settings.fencing;
+        for rank in RankSet::all(self.settings.ranks).iter() {
+            let message = StepMessage::Abandon { fencing, map: id };
+            actions.push(LeaderAction::Send(rank, message));
+        }
+        for view in &mut self.ranks {
+            view.loaded.retain(|known| *known != id);
+            view.highest_map = view.highest_map.max(id.number);
+        }
+        self.staged = None;
+    }
+
+    fn on_later_lead(&mut self, fencing: FencingNumber, actions: &mut LeaderActions) {
+        if self.settings.fencing < fencing {
+            self.phase = LeaderPhase::StoodDown;
+            actions.push(LeaderAction::StandDown(fencing));
+        }
+    }
+
+    fn on_tick(&mut self, now: Timestamp, actions: &mut LeaderActions) {
+        if now < self.resend_at {
+            return;
+        }
+        let waiting = self.waiting_for();
+        if waiting.is_empty() {
+            return;
+        }
+        actions.push(LeaderAction::Waiting(waiting));
+        match (self.phase, self.proposed, self.newest) {
+            (LeaderPhase::Asking, _, _) => self.ask_missing(now, actions),
+            (_, Some(window), _) => self.send_prepares(now, window, actions),
+            (_, None, Some(window)) => self.send_grants(now, window, waiting, actions),
+            _ => {}
+        }
+    }
+}
--- a/src/process/step_window/mod.rs
+++ b/src/process/step_window/mod.rs
@@ -1,1 +1,22 @@
-//! Step windows: all ranks of a group run a step on one expert map.
+//! Step windows: all ranks of a group run a window of steps on one expert map.
+//!
+//! A leader, known by the log offset of its `Lead` record, grants a window on a map only after
+//! every rank has accepted both. See `docs/design/expert-maps.md`.
+
+mod group_leader;
+mod leader_event;
+mod load_schedule;
+mod rank_event;
+mod rank_guard;
+mod rank_set;
+mod rejoin;
+mod step_message;
+mod window_map;
+
+pub use group_leader::{GroupLeader, LeaderSettings};
+pub use leader_event::{LeaderAction, LeaderEvent};
+pub use rank_event::{RankAction, RankEvent, TargetState};
+pub use rank_guard::{RankGuard, RankSettings, TargetFencing};
+pub use rank_set::RankSet;
+pub use step_message::{RefuseReason, RejoinPromise, StepMessage, incarnations_digest};
+pub use window_map::{WindowMap, WindowNumber};
--- a/src/version/expert_map/map.rs
+++ b/src/version/expert_map/map.rs
@@ -6,7 +6,7 @@
 
 use super::expert_loads::ExpertLoads;
 use super::expert_move::ExpertMove;
-use super::map_number::MapNumber;
+use super::map_number::{MapId, MapNumber};
 use super::map_shape::{ExpertId, MapShape, RankId};
 
 /// Which rank holds which expert, replicas included.
@@ -81,6 +81,20 @@
         self.number
     }
 
+    /// Returns the number with a hash of the placement.
+    pub fn id(&self) -> MapId {
+        let bytes: Vec<u8> = self
+            .slots
+            .iter()
+            .flat_map(|expert| expert.to_le_bytes())
+            .collect();
+        let digest = xxhash_rust::xxh3::xxh3_64(&bytes);
+        MapId {
+            number: self.number,
+            digest,
+        }
+    }
+
     /// Returns the same placement under another number, for the way back to an earlier map.
     pub fn renumbered(&self, number: MapNumber) -> Self {
         Self {
--- a/src/version/expert_map/map_number.rs
+++ b/src/version/expert_map/map_number.rs
@@ -29,3 +29,15 @@
         Self(self.0 + 1)
     }
 }
+
+/// An expert map by its number and its content, so that two maps of one number are told apart.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{number}/{digest:016x}")]
+pub struct MapId {
+    /// The number of the map.
+    pub number: MapNumber,
+    /// A hash of the placement.
+    pub digest: u64,
+}
--- a/src/version/expert_map/mod.rs
+++ b/src/version/expert_map/mod.rs
@@ -16,7 +16,7 @@
 pub use expert_move::ExpertMove;
 pub use load_report::{LoadReport, LoadSample};
 pub use map::ExpertMap;
-pub use map_number::MapNumber;
+pub use map_number::{MapId, MapNumber};
 pub use map_shape::{ExpertId, MapShape, RankId};
 pub use placement_plan::{PlacementPlan, PlanReason};
 pub use plan::{PlanInput, plan};
--- a/src/version/expert_map/resolve.rs
+++ b/src/version/expert_map/resolve.rs
@@ -35,10 +35,9 @@
     // The first replicas of all experts must fit; extra replicas are placed where room is left.
     let mut reserved = rates.len();
     for &expert in &order {
-        let mut placed = 0;
-        for _ in 0..replicas[expert] {
+        for n_placed in 0..replicas[expert] {
             let free: usize = ranks.iter().map(|fill| fill.free(shape)).sum();
-            if 0 < placed && free <= reserved - 1 {
+            if 0 < n_placed && free < reserved {
                 break;
             }
             let Some(rank) = lightest_rank(&ranks, expert as ExpertId, shape, speeds) else {
@@ -46,7 +45,6 @@
             };
             ranks[rank].experts.push(expert as ExpertId);
             ranks[rank].load += share(expert);
-            placed += 1;
         }
         reserved -= 1;
     }
