--- a/src/error.rs
+++ b/src/error.rs
@@ -12,7 +12,11 @@
         SettingsRead(path: PathBuf, reason: String) {
             display("{}: {}", path.display(), reason)
         }
-        /// A settings file with a bad section or key.
+        /// A settings file with a missing, doubled or unknown section.
+        SettingsSection(path: PathBuf, section: String, expected: String) {
+            display("{}: [{}]: {}", path.display(), section, expected)
+        }
+        /// A settings file with a bad, missing, doubled or unknown key.
         SettingsValue(path: PathBuf, section: String, key: String, expected: String) {
             display("{}: [{}] {}: {}", path.display(), section, key, expected)
         }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -5,5 +5,6 @@
 pub mod orders;
 pub mod platform;
 pub mod routing;
+pub mod settings;
 pub mod step_window;
 pub mod timestamp;
--- /dev/null
+++ b/src/process/settings/mod.rs
@@ -0,0 +1,85 @@
+//! The settings of a process: one INI file, checked whole at the start.
+
+mod address_settings;
+mod limit_settings;
+mod log_settings;
+mod peer_settings;
+mod platform_settings;
+mod process_settings;
+mod role_settings;
+mod section_reader;
+mod token_settings;
+
+use std::path::Path;
+
+use ini::Ini;
+
+use crate::prelude::*;
+
+pub use address_settings::AddressSettings;
+pub use limit_settings::LimitSettings;
+pub use log_settings::{LogFormat, LogSettings};
+pub use peer_settings::PeerSettings;
+pub use platform_settings::PlatformSettings;
+pub use process_settings::ProcessSettings;
+pub use role_settings::{AgentSettings, EntrySettings, RoleSettings, TargetKind};
+pub use token_settings::TokenSettings;
+
+use section_reader::{FileReader, SectionNeed};
+
+/// The settings of one process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Who the process is.
+    pub process: ProcessSettings,
+    /// What the process does, with the settings that only this role has.
+    pub role: RoleSettings,
+    /// The addresses that processes of both roles listen on.
+    pub addresses: AddressSettings,
+    /// Where the platform's services are.
+    pub platform: PlatformSettings,
+    /// The processes that a new process asks first.
+    pub peers: PeerSettings,
+    /// The tokens of operators and peers.
+    pub tokens: TokenSettings,
+    /// How the log is written.
+    pub log: LogSettings,
+    /// Bounds on requests and on a graceful stop.
+    pub limits: LimitSettings,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// The file cannot be read, or one line that names the file, the section, the key and what
+    /// was expected.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|err| Error::SettingsRead(path.to_owned(), err.to_string()))?;
+        Self::parse(path, &text)
+    }
+
+    /// Checks the text of a settings file; `path` is only named in errors.
+    ///
+    /// # Errors
+    /// As [`Settings::load`].
+    pub fn parse(path: &Path, text: &str) -> Result<Self> {
+        let ini = Ini::load_from_str_noescape(text)
+            .map_err(|err| Error::SettingsRead(path.to_owned(), format!("line {err}")))?;
+        let file = FileReader::new(path, &ini)?;
+        let process = ProcessSettings::read(&file)?;
+        let role = RoleSettings::read(&file)?;
+        let addresses = AddressSettings::read(&file, &role)?;
+        Ok(Self {
+            process,
+            addresses,
+            platform: PlatformSettings::read(&file)?,
+            peers: PeerSettings::read(&file)?,
+            tokens: TokenSettings::read(&file)?,
+            log: LogSettings::read(&file)?,
+            limits: LimitSettings::read(&file)?,
+            role,
+        })
+    }
+}
--- /dev/null
+++ b/src/process/settings/role_settings.rs
@@ -0,0 +1,102 @@
+//! What a process does.
+
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+
+use super::SectionNeed;
+use super::address_settings::{IP_AND_PORT, addresses_section, reachable_address};
+use super::process_settings::process_section;
+use super::section_reader::FileReader;
+
+/// The role of a process, with the settings that only this role has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RoleSettings {
+    /// Serves callers and operators, and routes.
+    Entry(EntrySettings),
+    /// Stands before one target.
+    Agent(AgentSettings),
+}
+
+/// The settings that only an entry has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// The address for callers.
+    pub callers: SocketAddr,
+}
+
+/// The settings that only an agent has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// The address for work from entries.
+    pub work: SocketAddr,
+    /// The address of the target.
+    pub target: SocketAddr,
+    /// What the target is.
+    pub kind: TargetKind,
+}
+
+/// What a target is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum TargetKind {
+    /// A model engine.
+    #[display("engine")]
+    Engine,
+    /// A plain service.
+    #[display("service")]
+    Service,
+}
+
+#[derive(Clone, Copy)]
+enum RoleName {
+    Entry,
+    Agent,
+}
+
+impl RoleSettings {
+    pub(super) fn read(file: &FileReader<'_>) -> Result<Self> {
+        let role =
+            process_section(file)?.required("role", "entry or agent", |text| match text {
+                "entry" => Some(RoleName::Entry),
+                "agent" => Some(RoleName::Agent),
+                _ => None,
+            })?;
+        match role {
+            RoleName::Entry => EntrySettings::read(file).map(Self::Entry),
+            RoleName::Agent => AgentSettings::read(file).map(Self::Agent),
+        }
+    }
+}
+
+impl EntrySettings {
+    fn read(file: &FileReader<'_>) -> Result<Self> {
+        let addresses = addresses_section(file)?;
+        if addresses.text("work").is_some() {
+            return Err(addresses.error("work", "expected with role agent only"));
+        }
+        if file.has_section("target") {
+            return Err(file.section_error("target", "expected with role agent only"));
+        }
+        let callers = addresses.required("callers", IP_AND_PORT, |text| text.parse().ok())?;
+        Ok(Self { callers })
+    }
+}
+
+impl AgentSettings {
+    fn read(file: &FileReader<'_>) -> Result<Self> {
+        let addresses = addresses_section(file)?;
+        if addresses.text("callers").is_some() {
+            return Err(addresses.error("callers", "expected with role entry only"));
+        }
+        let target = file.section("target", SectionNeed::Required, &["address", "kind"])?;
+        Ok(Self {
+            work: addresses.required("work", IP_AND_PORT, |text| text.parse().ok())?,
+            target: target.required("address", IP_AND_PORT, reachable_address)?,
+            kind: target.required("kind", "engine or service", |text| match text {
+                "engine" => Some(TargetKind::Engine),
+                "service" => Some(TargetKind::Service),
+                _ => None,
+            })?,
+        })
+    }
+}
