--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -7,5 +7,6 @@
 pub mod orders;
 pub mod platform;
 pub mod routing;
+pub mod settings;
 pub mod step_window;
 pub mod timestamp;
