--- /dev/null
+++ b/src/connection/control_rpc.rs
@@ -0,0 +1,133 @@
+//! The control messages between processes, by JSON-RPC.
+
+use std::net::SocketAddr;
+
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::types::ErrorObjectOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::process::routing::{CacheEvent, DemandReport, LoadReport, SuspectReport};
+use crate::version::config::{AcceptedRecord, ConfigSnapshot, VersionDigest};
+
+/// The version that a process has in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionMark {
+    /// Its number.
+    pub number: VersionNumber,
+    /// Its digest.
+    pub digest: VersionDigest,
+}
+
+/// What an entry VM tells another, and gets back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerHello {
+    /// The entry VM that speaks.
+    pub from: EntryName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Where it takes control messages.
+    pub control: SocketAddr,
+    /// The version that it has in force.
+    pub version: VersionMark,
+    /// The demand of client accounts at it.
+    pub demand: DemandReport,
+    /// The requests that may crash targets; empty between data centres.
+    pub suspects: Vec<SuspectReport>,
+    /// The other entry VMs that it knows.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// What an entry VM asks an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportPoll {
+    /// The entry VM that asks.
+    pub from: EntryName,
+    /// Where it takes control messages.
+    pub control: SocketAddr,
+    /// The version that it has in force.
+    pub version: VersionMark,
+    /// What the platform's list says of the agent's VM.
+    pub listed: ListedState,
+    /// From where cache events are wanted.
+    pub cache_from: u64,
+}
+
+/// What the platform's list says of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ListedState {
+    /// Nothing, or that the VM is in use.
+    Present,
+    /// That the VM is leaving.
+    Leaving,
+}
+
+/// What an agent reports.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AgentReport {
+    /// The agent.
+    pub agent: AgentName,
+    /// Its incarnation.
+    pub incarnation: ProcessIncarnation,
+    /// Whether it takes new work.
+    pub readiness: AgentReadiness,
+    /// The load, where the agent knows its target.
+    pub load: Option<LoadReport>,
+    /// The version that it has in force.
+    pub version: VersionMark,
+    /// The requests that may crash targets.
+    pub suspects: Vec<SuspectReport>,
+    /// Changes of the target's prefix cache.
+    pub cache: Vec<CacheEvent>,
+    /// From where the next cache events are wanted.
+    pub cache_next: u64,
+}
+
+/// Whether an agent takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+#[serde(rename_all = "kebab-case")]
+pub enum AgentReadiness {
+    /// It does.
+    #[display("ready")]
+    Ready,
+    /// It has no configuration yet, or its target is down.
+    #[display("not-ready")]
+    NotReady,
+    /// It is leaving.
+    #[display("leaving")]
+    Leaving,
+}
+
+/// A request for the versions after one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionPull {
+    /// The version that the asking process has.
+    pub have: VersionNumber,
+}
+
+/// The versions after one: records where the history reaches back, else the whole state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VersionDelivery {
+    /// The accepted records, in the order of their versions.
+    Records(Vec<Arc<AcceptedRecord>>),
+    /// The whole state.
+    State(Box<ConfigSnapshot>),
+}
+
+/// The control messages.
+#[rpc(server, client, namespace = "comfreyhead")]
+pub trait Control {
+    /// Exchanges versions, demand and suspects between entry VMs.
+    #[method(name = "exchange")]
+    async fn exchange(&self, hello: PeerHello) -> Result<PeerHello, ErrorObjectOwned>;
+
+    /// Asks an agent for its report.
+    #[method(name = "report")]
+    async fn report(&self, poll: ReportPoll) -> Result<AgentReport, ErrorObjectOwned>;
+
+    /// Asks for the versions after one.
+    #[method(name = "pull")]
+    async fn pull(&self, pull: VersionPull) -> Result<VersionDelivery, ErrorObjectOwned>;
+}
--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server loop that callers and entry VMs connect to.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -21,6 +22,15 @@
 /// The pause after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Binds a listener.
+///
+/// # Errors
+/// The address is in use or not of this machine.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|err| Error::Io(format!("cannot listen on {address}"), err))
+}
+
 /// Serves connections until `stop`, then lets the requests in progress finish.
 ///
 /// Returns once every connection has ended.
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -3,6 +3,8 @@
 mod bearer_token;
 mod caller_error;
 mod control_pool;
+mod control_rpc;
+mod control_server;
 mod http_server;
 mod reply;
 mod work_message;
@@ -10,6 +12,14 @@
 pub use bearer_token::{bearer_token, token_digest};
 pub use caller_error::{CallerError, OUTCOME_HEADER, outcome_value};
 pub use control_pool::{ControlPool, MAX_CONTROL_BYTES};
-pub use http_server::serve;
+pub use control_rpc::{
+    AgentReadiness, AgentReport, ControlClient, ControlServer, ListedState, PeerHello, ReportPoll,
+    VersionDelivery, VersionMark, VersionPull,
+};
+pub use control_server::serve_control;
+pub use http_server::{bind, serve};
 pub use reply::{BodyFailure, ResponseBody, empty_reply, json_reply, read_body, stream_reply};
-pub use work_message::{WorkKind, WorkRefusal, WorkRequest};
+pub use work_message::{
+    CANCEL_PATH, LossReason, ORDER_PATH, OrderDispatch, RESUME_PATH, ResumeFailure,
+    SEQUENCE_HEADER, WORK_PATH, WorkKind, WorkLine, WorkRefusal, WorkRequest, WorkResume,
+};
--- a/src/connection/reply.rs
+++ b/src/connection/reply.rs
@@ -13,7 +13,10 @@
 use serde::Serialize;
 
 /// The body of a reply, whole or streamed.
-pub type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
+pub type ResponseBody = UnsyncBoxBody<Bytes, BoxError>;
+
+/// An error of a body.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 quick_error! {
     /// Why the body of a request cannot be used.
@@ -44,7 +47,7 @@
 
 /// Makes a reply without a body.
 pub fn empty_reply(status: StatusCode) -> Response<ResponseBody> {
-    let mut response = Response::new(Empty::new().boxed_unsync());
+    let mut response = Response::new(Empty::new().map_err(never).boxed_unsync());
     *response.status_mut() = status;
     response
 }
@@ -52,7 +55,7 @@
 /// Makes a reply with a JSON body.
 pub fn json_reply(status: StatusCode, body: &impl Serialize) -> Response<ResponseBody> {
     let bytes = serde_json::to_vec(body).unwrap_or_default();
-    let mut response = Response::new(Full::from(bytes).boxed_unsync());
+    let mut response = Response::new(Full::from(bytes).map_err(never).boxed_unsync());
     *response.status_mut() = status;
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
@@ -64,10 +67,14 @@
     content_type: &'static str,
     chunks: impl Stream<Item = Bytes> + Send + 'static,
 ) -> Response<ResponseBody> {
-    let frames = chunks.map(|chunk| Ok::<_, Infallible>(Frame::data(chunk)));
+    let frames = chunks.map(|chunk| Ok::<_, BoxError>(Frame::data(chunk)));
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     response
         .headers_mut()
         .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
     response
 }
+
+fn never(err: Infallible) -> BoxError {
+    match err {}
+}
--- /dev/null
+++ b/src/process/agent/agent_process.rs
@@ -0,0 +1,285 @@
+//! The process of one agent.
+
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use parking_lot::Mutex;
+use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::connection::{AgentReadiness, ControlPool, WorkKind, bind, serve, serve_control};
+use crate::prelude::*;
+use crate::process::metrics::ProcessMetrics;
+use crate::process::operator::{HealthProbe, OperatorContext, start_operator_api};
+use crate::process::platform::{EngineClient, LogClient, ServiceClient};
+use crate::process::routing::{CrashSuspects, RequestDigest, TargetCrash};
+use crate::process::settings::{AgentSettings, Settings, TargetKind};
+use crate::process::version_holder::VersionHolder;
+
+use super::order_driver::{OrderInput, drive_orders};
+use super::serving::{AgentServing, own_target};
+use super::work_table::{StartedWork, WorkTable};
+use super::{control_api, lookup_run, model_run, target_watch, work_api};
+
+/// The pause between two looks at whether a leaving agent holds work.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// How long a drained agent still answers resumes and cancellations.
+const DRAIN_LINGER: Duration = Duration::from_millis(500);
+
+/// The bound listeners of an agent.
+#[derive(Debug)]
+pub struct AgentListeners {
+    /// For work from entry VMs.
+    pub work: TcpListener,
+    /// For control messages.
+    pub control: TcpListener,
+    /// For metrics and health checks.
+    pub operators: SocketAddr,
+}
+
+/// The process of one agent.
+#[derive(Debug)]
+pub struct AgentProcess {
+    pub(super) settings: Settings,
+    pub(super) name: AgentName,
+    pub(super) kind: TargetKind,
+    pub(super) incarnation: ProcessIncarnation,
+    pub(super) log: Logger,
+    pub(super) metrics: ProcessMetrics,
+    pub(super) versions: VersionHolder,
+    pub(super) control: ControlPool,
+    pub(super) log_client: LogClient,
+    pub(super) engine: EngineClient,
+    pub(super) service: ServiceClient,
+    pub(super) serving: OnceLock<AgentServing>,
+    pub(super) suspects: Mutex<CrashSuspects>,
+    pub(super) watch: target_watch::WatchState,
+    is_leaving: AtomicBool,
+    is_target_up: AtomicBool,
+    pub(super) has_orders: AtomicBool,
+    /// Cancelled when the agent is told to leave.
+    leave: CancellationToken,
+    /// Cancelled when the agent holds nothing any longer.
+    pub(super) stop: CancellationToken,
+}
+
+impl AgentListeners {
+    /// Binds the listeners that the settings name.
+    ///
+    /// # Errors
+    /// An address is in use or not of this machine.
+    pub async fn bind(settings: &Settings, agent: &AgentSettings) -> Result<Self> {
+        Ok(Self {
+            work: bind(agent.work).await?,
+            control: bind(settings.addresses.control).await?,
+            operators: settings.addresses.operators,
+        })
+    }
+}
+
+impl AgentProcess {
+    /// Makes the process.
+    ///
+    /// # Errors
+    /// The metrics cannot be registered.
+    pub fn new(settings: Settings, agent: &AgentSettings, log: Logger) -> Result<Arc<Self>> {
+        let now = ProcessIncarnation(Timestamp::now().0);
+        let target_url = format!("http://{}", agent.target);
+        Ok(Arc::new(Self {
+            name: AgentName::from(Arc::clone(&settings.process.name)),
+            kind: agent.kind,
+            incarnation: settings.process.incarnation.unwrap_or(now),
+            metrics: ProcessMetrics::new()?,
+            versions: VersionHolder::default(),
+            control: ControlPool::new(&settings.tokens.peer),
+            log_client: LogClient::new(&settings.platform.log),
+            engine: EngineClient::new(&target_url),
+            service: ServiceClient::new(&target_url),
+            serving: OnceLock::new(),
+            suspects: Mutex::default(),
+            watch: target_watch::WatchState::default(),
+            is_leaving: AtomicBool::new(false),
+            is_target_up: AtomicBool::new(true),
+            has_orders: AtomicBool::new(false),
+            leave: CancellationToken::new(),
+            stop: CancellationToken::new(),
+            settings,
+            log,
+        }))
+    }
+
+    /// Serves until the agent has left.
+    ///
+    /// # Errors
+    /// The server for metrics and health checks cannot start.
+    pub async fn run(self: &Arc<Self>, listeners: AgentListeners) -> Result<()> {
+        info!(self.log, "agent starts"; "agent" => %self.name, "incarnation" => self.incarnation.0);
+        let context = OperatorContext::agent(self.health_probe());
+        let operators = start_operator_api(listeners.operators, context, &self.log)?;
+        let methods = control_api::methods(self);
+        let token = Arc::clone(&self.settings.tokens.peer);
+        let control = serve_control(listeners.control, methods, token, self.stop.clone());
+        let process = Arc::clone(self);
+        let handler = move |request| work_api::handle(Arc::clone(&process), request);
+        let work = serve(listeners.work, self.stop.clone(), self.log.clone(), handler);
+        tokio::spawn(target_watch::watch_target(Arc::clone(self)));
+        tokio::spawn(Arc::clone(self).follow_versions());
+        let drain = Arc::clone(self).drain();
+        tokio::join!(control, work, drain);
+        let _ = operators.close().await;
+        info!(self.log, "agent ends"; "agent" => %self.name);
+        Ok(())
+    }
+
+    /// Starts to leave: takes no new work, finishes what is in progress, then ends.
+    pub fn leave(&self) {
+        if self.is_leaving.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        info!(self.log, "agent leaves"; "agent" => %self.name);
+        if let Some(serving) = self.serving.get() {
+            serving.table.lock().admission.drain();
+            let _ = serving.orders.send(OrderInput::Leave);
+        }
+        self.leave.cancel();
+    }
+
+    /// Returns whether the agent takes new work.
+    pub(super) fn readiness(&self) -> AgentReadiness {
+        if self.is_leaving.load(Ordering::SeqCst) {
+            return AgentReadiness::Leaving;
+        }
+        let is_ready = self.serving.get().is_some() && self.is_target_up.load(Ordering::SeqCst);
+        if is_ready {
+            AgentReadiness::Ready
+        } else {
+            AgentReadiness::NotReady
+        }
+    }
+
+    fn health_probe(self: &Arc<Self>) -> HealthProbe {
+        let ready = Arc::clone(self);
+        let measured = Arc::clone(self);
+        HealthProbe {
+            is_ready: Box::new(move || ready.readiness() == AgentReadiness::Ready),
+            metrics: Box::new(move || measured.metrics.render()),
+        }
+    }
+
+    /// Gives started work to the target, each in a task of its own.
+    pub(super) fn spawn_runs(self: &Arc<Self>, started: Vec<StartedWork>) {
+        for start in started {
+            tokio::spawn(Arc::clone(self).run_work(start));
+        }
+    }
+
+    /// Notes that the target answers.
+    pub(super) fn target_answers(&self) {
+        if !self.is_target_up.swap(true, Ordering::SeqCst) {
+            info!(self.log, "target is back"; "agent" => %self.name);
+        }
+    }
+
+    /// Notes that the target does not answer; the first to notice holds it against what runs.
+    pub(super) fn target_crashed(&self) {
+        if !self.is_target_up.swap(false, Ordering::SeqCst) {
+            return;
+        }
+        let Some(serving) = self.serving.get() else {
+            return;
+        };
+        let now = Timestamp::now();
+        let runs = serving.table.lock().in_progress();
+        let digests: Vec<RequestDigest> = runs.iter().map(|run| run.digest.clone()).collect();
+        warn!(self.log, "target crashed"; "target" => %serving.target, "running" => digests.len());
+        let crash = TargetCrash {
+            target: serving.target.clone(),
+            incarnation: ProcessIncarnation(now.0),
+        };
+        self.suspects.lock().crashed(now, &crash, &digests);
+    }
+
+    async fn run_work(self: Arc<Self>, start: StartedWork) {
+        let run = Arc::clone(&start.run);
+        match &start.request.kind {
+            WorkKind::Model(path) => {
+                model_run::run_model(&self, &start, path).await;
+            }
+            WorkKind::Lookup(call) => {
+                lookup_run::run_lookup(&self, &start, call).await;
+            }
+        }
+        assert!(run.is_over(), "a run ends with a last event or a loss");
+        let Some(serving) = self.serving.get() else {
+            return;
+        };
+        let started = serving.table.lock().finish(Timestamp::now(), run.work);
+        self.spawn_runs(started);
+    }
+
+    /// Brings each version into force and starts to serve when one names the target.
+    async fn follow_versions(self: Arc<Self>) {
+        let mut versions = self.versions.subscribe();
+        loop {
+            let version = versions.borrow_and_update().clone();
+            self.metrics.version.set(version.number.0 as i64);
+            if let Some((target, config)) = own_target(&version, &self.name, self.kind) {
+                self.start_serving(target.clone(), config.slots);
+            }
+            tokio::select! {
+                changed = versions.changed() => if changed.is_err() { return },
+                () = self.stop.cancelled() => return,
+            }
+        }
+    }
+
+    fn start_serving(self: &Arc<Self>, target: TargetName, slots: u32) {
+        if self.serving.get().is_some() {
+            return;
+        }
+        let (orders, inputs) = mpsc::unbounded_channel();
+        let table = Mutex::new(WorkTable::new(self.incarnation, slots));
+        let serving = AgentServing {
+            target: target.clone(),
+            table,
+            orders,
+        };
+        if self.serving.set(serving).is_ok() {
+            info!(self.log, "agent serves"; "agent" => %self.name, "target" => %target);
+            tokio::spawn(drive_orders(Arc::clone(self), target, inputs));
+        }
+        if self.is_leaving.load(Ordering::SeqCst)
+            && let Some(serving) = self.serving.get()
+        {
+            serving.table.lock().admission.drain();
+            let _ = serving.orders.send(OrderInput::Leave);
+        }
+    }
+
+    /// Waits until the agent leaves and holds nothing, then stops the servers.
+    async fn drain(self: Arc<Self>) {
+        self.leave.cancelled().await;
+        let limit = Duration::from_secs(self.settings.limits.drain_seconds);
+        let waited = tokio::time::timeout(limit, async {
+            while !self.is_drained() {
+                tokio::time::sleep(DRAIN_POLL).await;
+            }
+        });
+        if waited.await.is_err() {
+            warn!(self.log, "agent ends with work in progress"; "drain_s" => limit.as_secs());
+        }
+        tokio::time::sleep(DRAIN_LINGER).await;
+        self.stop.cancel();
+    }
+
+    fn is_drained(&self) -> bool {
+        let Some(serving) = self.serving.get() else {
+            return true;
+        };
+        let has_orders = self.has_orders.load(Ordering::SeqCst);
+        serving.table.lock().admission.is_drained() && !has_orders
+    }
+}
--- /dev/null
+++ b/src/process/agent/order_driver.rs
@@ -0,0 +1,214 @@
+//! Drives the machine of an agent's orders: the log service, the target and the replies.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+
+use serde_json::Value;
+use slog::info;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::connection::OrderDispatch;
+use crate::prelude::*;
+use crate::process::order_io::run_log_action;
+use crate::process::orders::{
+    AttemptId, HolderAction, HolderEvent, HolderIdentity, OrderAnswer, OrderHolder, OrderReply,
+    OrderRequest, OrderSettings,
+};
+use crate::process::platform::{CallFailure, ServiceCall};
+
+use super::agent_process::AgentProcess;
+
+/// The longest time that a target may take for an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
+/// The longest sleep between two looks at the machine.
+const MAX_SLEEP: Duration = Duration::from_secs(5);
+
+/// What reaches the driver.
+#[derive(Debug)]
+pub(super) enum OrderInput {
+    /// An entry VM dispatched an order.
+    Dispatch(Box<OrderDispatch>, oneshot::Sender<OrderReply>),
+    /// The log service or the target answered.
+    Event(HolderEvent),
+    /// The agent is leaving.
+    Leave,
+}
+
+/// An order whose reply is due, with what its target gets.
+struct PendingOrder {
+    call: Arc<str>,
+    key: Arc<str>,
+    body: Value,
+    reply: Option<oneshot::Sender<OrderReply>>,
+}
+
+struct OrderDriver {
+    process: Arc<AgentProcess>,
+    holder: OrderHolder,
+    pending: HashMap<AttemptId, PendingOrder>,
+    inputs: mpsc::WeakUnboundedSender<OrderInput>,
+}
+
+/// Drives the orders of an agent until it stops.
+pub(super) async fn drive_orders(
+    process: Arc<AgentProcess>,
+    target: TargetName,
+    mut inputs: mpsc::UnboundedReceiver<OrderInput>,
+) {
+    let Some(serving) = process.serving.get() else {
+        return;
+    };
+    let identity = HolderIdentity {
+        agent: process.name.clone(),
+        incarnation: process.incarnation,
+        target,
+    };
+    let mut driver = OrderDriver {
+        holder: OrderHolder::new(identity, order_settings(&process)),
+        pending: HashMap::new(),
+        inputs: serving.orders.downgrade(),
+        process: Arc::clone(&process),
+    };
+    loop {
+        let sleep = driver.sleep();
+        let input = tokio::select! {
+            input = inputs.recv() => input,
+            () = tokio::time::sleep(sleep) => Some(OrderInput::Event(HolderEvent::Tick)),
+            () = process.stop.cancelled() => return,
+        };
+        let Some(input) = input else { return };
+        driver.take(input);
+    }
+}
+
+fn order_settings(process: &AgentProcess) -> OrderSettings {
+    let mut settings = OrderSettings::default();
+    let retries = &process.versions.current().content.retries;
+    settings.window.validity = Duration::from_secs(retries.order_window_s);
+    settings
+}
+
+impl OrderDriver {
+    fn sleep(&self) -> Duration {
+        let wake = self
+            .holder
+            .next_wake()
+            .map(|wake| wake.since(Timestamp::now()));
+        wake.unwrap_or(MAX_SLEEP).min(MAX_SLEEP)
+    }
+
+    fn take(&mut self, input: OrderInput) {
+        let now = Timestamp::now();
+        let event = match input {
+            OrderInput::Dispatch(dispatch, reply) => self.arrived(now, *dispatch, reply),
+            OrderInput::Event(event) => event,
+            OrderInput::Leave => HolderEvent::Leave,
+        };
+        for action in self.holder.on_event(now, event) {
+            self.carry_out(action);
+        }
+        self.process
+            .has_orders
+            .store(!self.holder.is_drained(), Ordering::SeqCst);
+    }
+
+    fn arrived(
+        &mut self,
+        now: Timestamp,
+        dispatch: OrderDispatch,
+        reply: oneshot::Sender<OrderReply>,
+    ) -> HolderEvent {
+        let request = OrderRequest {
+            key: dispatch.key,
+            attempt: dispatch.attempt,
+            digest: dispatch.digest,
+            service: dispatch.service,
+            call: dispatch.call,
+            deadline: now + Duration::from_millis(dispatch.remaining_ms),
+            key_history: dispatch.key_history,
+        };
+        let pending = PendingOrder {
+            call: Arc::clone(&request.call),
+            key: Arc::from(request.key.id.to_string()),
+            body: dispatch.body,
+            reply: Some(reply),
+        };
+        self.pending.entry(request.attempt).or_insert(pending);
+        HolderEvent::Arrived(request)
+    }
+
+    fn carry_out(&mut self, action: HolderAction) {
+        match action {
+            HolderAction::Log(action) => {
+                let log = self.process.log_client.clone();
+                self.spawn(async move { HolderEvent::Log(run_log_action(&log, action).await) });
+            }
+            HolderAction::Run { attempt, claim } => {
+                info!(self.process.log, "order runs"; "attempt" => %attempt, "claim" => claim.0);
+                self.run(attempt);
+            }
+            HolderAction::Reply { attempt, reply } => {
+                let pending = self.pending.remove(&attempt);
+                if let Some(sender) = pending.and_then(|pending| pending.reply) {
+                    let _ = sender.send(reply);
+                }
+            }
+        }
+    }
+
+    /// Gives an order to the target. The body is taken, so that none is given twice.
+    fn run(&mut self, attempt: AttemptId) {
+        let Some(pending) = self.pending.get_mut(&attempt) else {
+            self.spawn(async move { HolderEvent::TargetUnreached { attempt } });
+            return;
+        };
+        let call = Arc::clone(&pending.call);
+        let key = Arc::clone(&pending.key);
+        let body = pending.body.take();
+        let process = Arc::clone(&self.process);
+        self.spawn(async move {
+            let call = ServiceCall {
+                call: &call,
+                request: RequestId(attempt.0),
+                key: &key,
+                body: &body,
+                timeout: ORDER_TIMEOUT,
+            };
+            target_event(attempt, process.service.run(&call).await)
+        });
+    }
+
+    fn spawn(&self, event: impl Future<Output = HolderEvent> + Send + 'static) {
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let event = event.await;
+            if let Some(inputs) = inputs.upgrade() {
+                let _ = inputs.send(OrderInput::Event(event));
+            }
+        });
+    }
+}
+
+fn target_event(attempt: AttemptId, answer: Result<Value, CallFailure>) -> HolderEvent {
+    let limit = OrderSettings::default().answer_limit;
+    let bounded = |status, body: &Value| {
+        OrderAnswer::bounded(
+            status,
+            "application/json",
+            body.to_string().as_bytes(),
+            limit,
+        )
+    };
+    match answer {
+        Ok(body) => HolderEvent::TargetAnswered {
+            attempt,
+            answer: bounded(200, &body),
+        },
+        Err(CallFailure::Refused(status, body)) => HolderEvent::TargetFailed {
+            attempt,
+            answer: bounded(status, &body),
+        },
+        Err(CallFailure::NotSent(_)) => HolderEvent::TargetUnreached { attempt },
+        Err(CallFailure::Unknown(_)) => HolderEvent::TargetLost { attempt },
+    }
+}
--- /dev/null
+++ b/src/process/agent/target_watch.rs
@@ -0,0 +1,138 @@
+//! Watches the target: its load, its cache events, and runs that nobody reads.
+
+use std::collections::{HashMap, VecDeque};
+
+use parking_lot::Mutex;
+
+use crate::prelude::*;
+use crate::process::platform::{CachePage, EngineLoad, HttpFailure};
+use crate::process::routing::{CacheEvent, PrefixHash};
+use crate::process::settings::TargetKind;
+use crate::request::WorkId;
+
+use super::agent_process::AgentProcess;
+
+/// The pause between two looks at the target.
+const WATCH_PERIOD: Duration = Duration::from_millis(250);
+/// The longest time between two tokens that a target should take.
+const STEP_TIME_GOAL: Duration = Duration::from_millis(38);
+/// How long a run goes on that nobody reads.
+const UNREAD_LIFE: Duration = Duration::from_secs(10);
+/// The most cache events that are kept for entry VMs.
+const MAX_CACHE_EVENTS: usize = 4_096;
+/// The most cache events of one report.
+const MAX_REPORTED_EVENTS: usize = 64;
+
+/// What is known of the target. Its locks are leaves of the lock order.
+#[derive(Debug, Default)]
+pub(super) struct WatchState {
+    load: Mutex<EngineLoad>,
+    cache: Mutex<CacheWindow>,
+}
+
+/// The last cache events, numbered.
+#[derive(Debug, Default)]
+struct CacheWindow {
+    next: u64,
+    events: VecDeque<CacheEvent>,
+}
+
+impl WatchState {
+    /// Returns the load that the target last reported.
+    pub(super) fn load(&self) -> EngineLoad {
+        self.load.lock().clone()
+    }
+
+    /// Returns cache events from `from` on, and where the next read begins.
+    pub(super) fn cache_since(&self, from: u64) -> (Vec<CacheEvent>, u64) {
+        let cache = self.cache.lock();
+        let first = cache.next - cache.events.len() as u64;
+        let n_skipped = from.saturating_sub(first) as usize;
+        let events: Vec<_> = cache
+            .events
+            .iter()
+            .skip(n_skipped)
+            .take(MAX_REPORTED_EVENTS)
+            .cloned()
+            .collect();
+        let next = from.max(first) + events.len() as u64;
+        (events, next.min(cache.next))
+    }
+
+    fn add_events(&self, page: &CachePage) {
+        let mut cache = self.cache.lock();
+        for event in page.events.iter().filter_map(cache_event) {
+            cache.next += 1;
+            cache.events.push_back(event);
+        }
+        let n_surplus = cache.events.len().saturating_sub(MAX_CACHE_EVENTS);
+        cache.events.drain(..n_surplus);
+    }
+}
+
+/// Watches the target until the agent stops.
+pub(super) async fn watch_target(process: Arc<AgentProcess>) {
+    let mut cache_from = 0;
+    let mut unread = HashMap::new();
+    let mut ticks = tokio::time::interval(WATCH_PERIOD);
+    while !process.stop.is_cancelled() {
+        ticks.tick().await;
+        if process.kind == TargetKind::Engine {
+            watch_engine(&process, &mut cache_from).await;
+        }
+        if let Some(serving) = process.serving.get() {
+            cancel_unread(&process, &mut unread);
+            let started = serving.table.lock().advance(Timestamp::now());
+            process.spawn_runs(started);
+        }
+    }
+}
+
+async fn watch_engine(process: &AgentProcess, cache_from: &mut u64) {
+    match process.engine.load().await {
+        Ok(load) => {
+            process.target_answers();
+            let step_time = Duration::from_secs_f64((load.step_ms / 1_000.0).max(0.0));
+            if let Some(serving) = process.serving.get() {
+                let admission = &mut serving.table.lock().admission;
+                admission.observe_step_time(step_time, STEP_TIME_GOAL);
+            }
+            *process.watch.load.lock() = load;
+        }
+        Err(HttpFailure::NotSent(_)) => process.target_crashed(),
+        Err(_) => {}
+    }
+    if let Ok(page) = process.engine.cache_events(*cache_from).await {
+        process.watch.add_events(&page);
+        *cache_from = page.next;
+    }
+}
+
+/// Cancels runs whose entry VM is gone and whose caller did not come back.
+fn cancel_unread(process: &AgentProcess, unread: &mut HashMap<WorkId, Timestamp>) {
+    let Some(serving) = process.serving.get() else {
+        return;
+    };
+    let now = Timestamp::now();
+    let runs = serving.table.lock().in_progress();
+    unread.retain(|work, _| {
+        runs.iter()
+            .any(|run| run.work == *work && run.n_readers() == 0)
+    });
+    for run in runs.iter().filter(|run| run.n_readers() == 0) {
+        let since = *unread.entry(run.work).or_insert(now);
+        if UNREAD_LIFE <= now.since(since) {
+            run.cancel.cancel();
+        }
+    }
+}
+
+/// Reads an engine's event; blocks that are no 64-bit hash are left out.
+fn cache_event(event: &crate::process::platform::CacheEvent) -> Option<CacheEvent> {
+    let hash = PrefixHash(u64::from_str_radix(&event.block, 16).ok()?);
+    match event.kind.as_str() {
+        "stored" => Some(CacheEvent::Stored(vec![hash])),
+        "removed" => Some(CacheEvent::Removed(vec![hash])),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/process/entry/caller_api.rs
@@ -0,0 +1,260 @@
+//! The API for callers: its routes, who calls, and how ends are told.
+
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+use crate::connection::{
+    BodyFailure, CallerError, OUTCOME_HEADER, ResponseBody, bearer_token, json_reply,
+    outcome_value, read_body,
+};
+use crate::prelude::*;
+use crate::process::routing::{LimitDecision, RefusalReason, WorkCost};
+use crate::request::{EndReason, RequestEnd};
+
+use super::entry_process::EntryProcess;
+use super::version_index::VersionIndex;
+use super::{model_api, service_api};
+
+/// The header that names a request.
+const REQUEST_HEADER: &str = "x-request-id";
+/// The header by which a caller shortens the time for an answer, in milliseconds.
+const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+
+/// A caller whose token is known, with the look-ups of the version that knew it.
+#[derive(Debug)]
+pub(super) struct KnownCaller {
+    /// The look-ups.
+    pub(super) index: Arc<VersionIndex>,
+    /// The client account.
+    pub(super) account: AccountName,
+    /// The account's share under contention.
+    pub(super) weight: u32,
+}
+
+/// Answers one request of a caller.
+pub(super) async fn handle(
+    process: Arc<EntryProcess>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    match route(&process, request).await {
+        Ok(response) => response,
+        Err(err) => {
+            process
+                .metrics
+                .refusals
+                .with_label_values(&[err.code])
+                .inc();
+            err.to_reply()
+        }
+    }
+}
+
+async fn route(
+    process: &Arc<EntryProcess>,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, CallerError> {
+    let caller = authenticate(process, &request)?;
+    let path = request.uri().path().to_owned();
+    let segments: SmallVec<[&str; 6]> = path.split('/').skip(1).collect();
+    match (request.method(), segments.as_slice()) {
+        (&Method::GET, ["v1", "models"]) => Ok(list_models(&caller)),
+        (&Method::POST, ["v1", "chat", "completions"] | ["v1", "completions"]) => {
+            model_api::complete(process, &caller, request).await
+        }
+        (&Method::GET, ["v1", "requests", id, "events"]) => {
+            model_api::resume(process, &caller, id, request.headers()).await
+        }
+        (&Method::POST, ["v1", "services", service, call]) => {
+            service_api::call_service(process, &caller, (service, call), request).await
+        }
+        _ => {
+            let message = format!("no such call: {} {path}", request.method());
+            Err(CallerError::not_run(
+                StatusCode::NOT_FOUND,
+                "no_such_call",
+                message,
+            ))
+        }
+    }
+}
+
+fn authenticate(
+    process: &EntryProcess,
+    request: &Request<Incoming>,
+) -> Result<KnownCaller, CallerError> {
+    if !process.is_ready() {
+        let message = "this entry VM has no configuration version yet, or is leaving";
+        let err = CallerError::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", message);
+        return Err(err.with_retry_after(Some(Duration::from_secs(1))));
+    }
+    let index = process.index.load_full();
+    let known = bearer_token(request.headers()).and_then(|token| index.account(token));
+    let Some((account, config)) = known else {
+        let message = "the bearer token is missing or not of a client account";
+        return Err(CallerError::not_run(
+            StatusCode::UNAUTHORIZED,
+            "invalid_token",
+            message,
+        ));
+    };
+    let (account, weight) = (account.clone(), config.weight);
+    Ok(KnownCaller {
+        index,
+        account,
+        weight,
+    })
+}
+
+/// Reads the body of a request as a JSON object.
+pub(super) async fn read_object(
+    process: &EntryProcess,
+    body: Incoming,
+) -> Result<(Value, bytes::Bytes), CallerError> {
+    let limit = process.settings.limits.max_body_bytes;
+    let bytes = read_body(body, limit).await.map_err(|err| {
+        let (status, code) = match err {
+            BodyFailure::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+            BodyFailure::CutShort(_) => (StatusCode::BAD_REQUEST, "body_cut_short"),
+        };
+        CallerError::not_run(status, code, err.to_string())
+    })?;
+    let invalid =
+        |message: String| CallerError::not_run(StatusCode::BAD_REQUEST, "invalid_json", message);
+    let value: Value = serde_json::from_slice(&bytes)
+        .map_err(|err| invalid(format!("the body is not JSON: {err}")))?;
+    if value.is_object() {
+        return Ok((value, bytes));
+    }
+    Err(invalid("the body is not a JSON object".to_owned()))
+}
+
+/// Checks a request against the limits of its account and charges its cost.
+pub(super) fn admit(
+    process: &EntryProcess,
+    caller: &KnownCaller,
+    cost: u64,
+) -> Result<(), CallerError> {
+    let cost = WorkCost { tokens: cost };
+    let decision = process
+        .limiter
+        .lock()
+        .admit(Timestamp::now(), &caller.account, &cost);
+    match decision {
+        LimitDecision::Admitted => Ok(()),
+        LimitDecision::Refused {
+            reason,
+            retry_after,
+        } => Err(refused_error(reason, retry_after, RequestOutcome::NotRun)),
+    }
+}
+
+/// Returns the time for an answer: the longest that the version allows, or the caller's.
+pub(super) fn timeout(headers: &HeaderMap, longest_ms: u64) -> Duration {
+    let header = headers.get(TIMEOUT_HEADER);
+    let wanted = header
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok());
+    Duration::from_millis(wanted.unwrap_or(longest_ms).min(longest_ms))
+}
+
+/// Tells a caller of an end without a whole answer.
+pub(super) fn end_error(end: &RequestEnd) -> CallerError {
+    match &end.reason {
+        EndReason::Refused(reason) => refused_error(*reason, end.retry_after, end.outcome),
+        EndReason::TargetFailed(failure) => {
+            let status = StatusCode::from_u16(failure.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            CallerError::failed(status, failure.message.clone())
+        }
+        EndReason::DeadlinePassed => ended_error(end, StatusCode::GATEWAY_TIMEOUT, "deadline"),
+        _ => ended_error(end, StatusCode::BAD_GATEWAY, "answer_lost"),
+    }
+}
+
+/// Names the outcome and the request in the head of a reply.
+pub(super) fn name_outcome(
+    mut response: Response<ResponseBody>,
+    request: RequestId,
+    outcome: RequestOutcome,
+) -> Response<ResponseBody> {
+    response
+        .headers_mut()
+        .insert(OUTCOME_HEADER, outcome_value(outcome));
+    name_request(response, request)
+}
+
+/// Names the request in the head of a reply.
+pub(super) fn name_request(
+    mut response: Response<ResponseBody>,
+    request: RequestId,
+) -> Response<ResponseBody> {
+    if let Ok(value) = request.to_string().parse() {
+        response.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    response
+}
+
+fn ended_error(end: &RequestEnd, status: StatusCode, code: &'static str) -> CallerError {
+    let message = match end.outcome {
+        RequestOutcome::NotRun => format!("the request did not run: {}", end.reason),
+        _ => format!(
+            "the request may have run, its answer is not whole: {}",
+            end.reason
+        ),
+    };
+    let retry_after = Some(end.retry_after).filter(|wait| !wait.is_zero());
+    CallerError {
+        status,
+        outcome: end.outcome,
+        code,
+        message,
+        retry_after,
+    }
+}
+
+fn refused_error(
+    reason: RefusalReason,
+    retry_after: Duration,
+    outcome: RequestOutcome,
+) -> CallerError {
+    let (status, code) = match reason {
+        RefusalReason::TokenLimit => (StatusCode::TOO_MANY_REQUESTS, "token_limit"),
+        RefusalReason::InFlightLimit => (StatusCode::TOO_MANY_REQUESTS, "in_flight_limit"),
+        RefusalReason::UnknownAccount => (StatusCode::UNAUTHORIZED, "unknown_account"),
+        RefusalReason::CrashSuspect => (StatusCode::UNPROCESSABLE_ENTITY, "crash_suspect"),
+        RefusalReason::Deadline => (StatusCode::SERVICE_UNAVAILABLE, "deadline"),
+        RefusalReason::NoTarget => (StatusCode::SERVICE_UNAVAILABLE, "no_target"),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, "overloaded"),
+    };
+    let message = match outcome {
+        RequestOutcome::NotRun => format!("refused, the request did not run: {reason}"),
+        _ => format!("refused, an earlier try may have run: {reason}"),
+    };
+    let retry_after = Some(retry_after).filter(|wait| !wait.is_zero());
+    CallerError {
+        status,
+        outcome,
+        code,
+        message,
+        retry_after,
+    }
+}
+
+/// Makes the refusal of a request that crashes targets.
+pub(super) fn suspect_error(retry_after: Duration) -> CallerError {
+    refused_error(
+        RefusalReason::CrashSuspect,
+        retry_after,
+        RequestOutcome::NotRun,
+    )
+}
+
+fn list_models(caller: &KnownCaller) -> Response<ResponseBody> {
+    let models = caller.index.version.content.models.keys();
+    let data: Vec<Value> = models
+        .map(|model| {
+            json!({ "id": model, "object": "model", "created": 0, "owned_by": "comfreyhead" })
+        })
+        .collect();
+    json_reply(StatusCode::OK, &json!({ "object": "list", "data": data }))
+}
--- /dev/null
+++ b/src/process/entry/control_api.rs
@@ -0,0 +1,46 @@
+//! The control messages that an entry VM answers.
+
+use jsonrpsee::Methods;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::types::ErrorObjectOwned;
+
+use crate::connection::{
+    AgentReport, ControlServer, PeerHello, ReportPoll, VersionDelivery, VersionPull,
+};
+use crate::prelude::*;
+
+use super::entry_process::EntryProcess;
+use super::peer_watch::{own_hello, take_hello};
+
+/// The JSON-RPC error code of a message for the other role.
+const WRONG_ROLE: i32 = -32_001;
+
+struct EntryControl {
+    process: Arc<EntryProcess>,
+}
+
+/// Returns the methods of an entry VM.
+pub(super) fn methods(process: &Arc<EntryProcess>) -> Methods {
+    EntryControl {
+        process: Arc::clone(process),
+    }
+    .into_rpc()
+    .into()
+}
+
+#[async_trait]
+impl ControlServer for EntryControl {
+    async fn exchange(&self, hello: PeerHello) -> Result<PeerHello, ErrorObjectOwned> {
+        take_hello(&self.process, &hello);
+        Ok(own_hello(&self.process))
+    }
+
+    async fn report(&self, _poll: ReportPoll) -> Result<AgentReport, ErrorObjectOwned> {
+        let message = "this process is an entry VM, not an agent";
+        Err(ErrorObjectOwned::owned(WRONG_ROLE, message, None::<()>))
+    }
+
+    async fn pull(&self, pull: VersionPull) -> Result<VersionDelivery, ErrorObjectOwned> {
+        Ok(self.process.versions.delivery_since(pull.have))
+    }
+}
--- /dev/null
+++ b/src/process/entry/entry_process.rs
@@ -0,0 +1,394 @@
+//! The process of one entry VM.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::connection::{ControlPool, bind, serve, serve_control};
+use crate::prelude::*;
+use crate::process::metrics::ProcessMetrics;
+use crate::process::operator::{
+    ConfigReport, HealthProbe, InForceReport, OperatorContext, ProcessVersion, RequestReport,
+    StatusReport, TargetReport, VersionSource, start_operator_api,
+};
+use crate::process::platform::{HttpClient, LogClient, VmListClient};
+use crate::process::routing::{
+    AccountLimiter, CrashSuspects, HedgeTimer, RetryBudget, TargetEligibility, TargetTable,
+};
+use crate::process::settings::{EntrySettings, Settings};
+use crate::process::version_holder::VersionHolder;
+use crate::version::config::{ConfigVersion, RetryConfig, TargetRole};
+
+use super::decision_journal::DecisionJournal;
+use super::known_agents::{KnownAgent, KnownAgents};
+use super::known_peers::KnownPeers;
+use super::order_driver::{EntryInput, drive_orders};
+use super::version_index::VersionIndex;
+use super::{agent_watch, caller_api, config_tail, control_api, peer_watch};
+
+/// A process that was silent for longer counts as unreachable.
+const SILENT_AFTER: Duration = Duration::from_secs(5);
+
+/// The bound listeners of an entry VM.
+#[derive(Debug)]
+pub struct EntryListeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For control messages.
+    pub control: TcpListener,
+    /// For operators, metrics and health checks.
+    pub operators: SocketAddr,
+}
+
+/// The process of one entry VM.
+///
+/// Lock order: version fold, limiter, targets, budget, suspects; all other locks are leaves.
+#[derive(Debug)]
+pub struct EntryProcess {
+    pub(super) settings: Settings,
+    pub(super) name: EntryName,
+    pub(super) incarnation: ProcessIncarnation,
+    pub(super) log: Logger,
+    pub(super) metrics: ProcessMetrics,
+    pub(super) versions: VersionHolder,
+    pub(super) index: ArcSwap<VersionIndex>,
+    pub(super) control: ControlPool,
+    pub(super) log_client: LogClient,
+    pub(super) vm_list: VmListClient,
+    pub(super) work_client: HttpClient,
+    pub(super) limiter: Mutex<AccountLimiter>,
+    pub(super) targets: Mutex<TargetTable>,
+    pub(super) budget: Mutex<RetryBudget>,
+    pub(super) suspects: Mutex<CrashSuspects>,
+    pub(super) hedges: Mutex<HedgeTimer>,
+    pub(super) agents: Mutex<KnownAgents>,
+    pub(super) peers: Mutex<KnownPeers>,
+    pub(super) journal: Mutex<DecisionJournal>,
+    pub(super) orders: mpsc::UnboundedSender<EntryInput>,
+    order_inputs: Mutex<Option<mpsc::UnboundedReceiver<EntryInput>>>,
+    source: Mutex<VersionSource>,
+    is_log_reachable: AtomicBool,
+    /// Cancelled when the entry VM is told to leave.
+    pub(super) leave: CancellationToken,
+    /// Cancelled when the last request has ended.
+    pub(super) stop: CancellationToken,
+}
+
+impl EntryListeners {
+    /// Binds the listeners that the settings name.
+    ///
+    /// # Errors
+    /// An address is in use or not of this machine.
+    pub async fn bind(settings: &Settings, entry: &EntrySettings) -> Result<Self> {
+        Ok(Self {
+            callers: bind(entry.callers).await?,
+            control: bind(settings.addresses.control).await?,
+            operators: settings.addresses.operators,
+        })
+    }
+}
+
+impl EntryProcess {
+    /// Makes the process.
+    ///
+    /// # Errors
+    /// The metrics cannot be registered.
+    pub fn new(settings: Settings, log: Logger) -> Result<Arc<Self>> {
+        let now = Timestamp::now();
+        let name = EntryName::from(Arc::clone(&settings.process.name));
+        let incarnation = settings
+            .process
+            .incarnation
+            .unwrap_or(ProcessIncarnation(now.0));
+        let own = settings.addresses.control;
+        let (orders, order_inputs) = mpsc::unbounded_channel();
+        Ok(Arc::new(Self {
+            incarnation,
+            metrics: ProcessMetrics::new()?,
+            versions: VersionHolder::default(),
+            index: ArcSwap::default(),
+            control: ControlPool::new(&settings.tokens.peer),
+            log_client: LogClient::new(&settings.platform.log),
+            vm_list: VmListClient::new(&settings.platform.vms),
+            work_client: HttpClient::http2(),
+            limiter: Mutex::new(AccountLimiter::new(name.clone())),
+            targets: Mutex::new(TargetTable::new(settings.process.data_centre.clone())),
+            budget: Mutex::new(RetryBudget::new(&RetryConfig::default())),
+            suspects: Mutex::default(),
+            hedges: Mutex::default(),
+            agents: Mutex::default(),
+            peers: Mutex::new(KnownPeers::new(own, &settings.peers.seeds, now)),
+            journal: Mutex::default(),
+            orders,
+            order_inputs: Mutex::new(Some(order_inputs)),
+            source: Mutex::new(VersionSource::None),
+            is_log_reachable: AtomicBool::new(false),
+            leave: CancellationToken::new(),
+            stop: CancellationToken::new(),
+            name,
+            settings,
+            log,
+        }))
+    }
+
+    /// Serves until the entry VM has left.
+    ///
+    /// # Errors
+    /// The server for operators cannot start.
+    pub async fn run(self: &Arc<Self>, listeners: EntryListeners) -> Result<()> {
+        info!(self.log, "entry starts"; "entry" => %self.name, "incarnation" => self.incarnation.0);
+        let context = OperatorContext::entry(self.health_probe(), Arc::clone(self));
+        let operators = start_operator_api(listeners.operators, context, &self.log)?;
+        let methods = control_api::methods(self);
+        let token = Arc::clone(&self.settings.tokens.peer);
+        let control = serve_control(listeners.control, methods, token, self.stop.clone());
+        let process = Arc::clone(self);
+        let handler = move |request| caller_api::handle(Arc::clone(&process), request);
+        let callers = serve(
+            listeners.callers,
+            self.leave.clone(),
+            self.log.clone(),
+            handler,
+        );
+        self.spawn_tasks();
+        let serve_out = async {
+            callers.await;
+            self.stop.cancel();
+        };
+        tokio::join!(control, serve_out);
+        let _ = operators.close().await;
+        info!(self.log, "entry ends"; "entry" => %self.name);
+        Ok(())
+    }
+
+    /// Starts to leave: accepts nothing new, finishes what is in progress, then ends.
+    pub fn leave(&self) {
+        if !self.leave.is_cancelled() {
+            info!(self.log, "entry leaves"; "entry" => %self.name);
+        }
+        self.leave.cancel();
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns whether the process serves callers.
+    pub fn is_ready(&self) -> bool {
+        *self.source.lock() != VersionSource::None && !self.leave.is_cancelled()
+    }
+
+    /// Returns the version in force with its content.
+    pub fn config_report(&self) -> ConfigReport {
+        let version = self.versions.current();
+        ConfigReport {
+            version: version.number,
+            digest: version.digest.clone(),
+            content: version.content.clone(),
+        }
+    }
+
+    /// Explains the decisions on a request, as far as this entry VM still knows them.
+    pub fn explain(&self, request: RequestId) -> Option<RequestReport> {
+        self.journal.lock().explain(request)
+    }
+
+    /// Reports the state of this entry VM and what it sees of the others.
+    pub fn status(&self) -> StatusReport {
+        let mark = self.versions.mark();
+        StatusReport {
+            name: self.name.clone(),
+            data_centre: self.settings.process.data_centre.clone(),
+            version: mark.number,
+            digest: mark.digest,
+            source: *self.source.lock(),
+            log_reachable: self.is_log_reachable.load(Ordering::SeqCst),
+            in_flight: self.metrics.in_flight.get(),
+            peers: self.peers.lock().reports(Timestamp::now()),
+            targets: self.target_reports(),
+        }
+    }
+
+    /// Reports the targets.
+    pub fn target_reports(&self) -> Vec<TargetReport> {
+        let now = Timestamp::now();
+        let version = self.versions.current();
+        let targets = self.targets.lock();
+        let agents = self.agents.lock();
+        let reports = version.content.targets.iter().map(|(target, config)| {
+            let agent = agents.get(target);
+            TargetReport {
+                target: target.clone(),
+                data_centre: config.data_centre.clone(),
+                serves: match &config.serves {
+                    TargetRole::Model(model) => format!("model {model}"),
+                    TargetRole::Service(service) => format!("service {service}"),
+                },
+                state: match agents.eligibility(target) {
+                    TargetEligibility::Eligible => "eligible",
+                    TargetEligibility::Leaving => "leaving",
+                    TargetEligibility::Down => "down",
+                }
+                .to_owned(),
+                incarnation: agent.and_then(|agent| agent.incarnation),
+                load: targets.estimated_load(target).unwrap_or(0),
+                slow: targets.is_slow(target),
+                version: agent.map_or(VersionNumber(0), |agent| agent.version),
+                silent_ms: agent
+                    .and_then(|agent| agent.heard_at)
+                    .map(|at| now.since(at).as_millis() as u64),
+            }
+        });
+        reports.collect()
+    }
+
+    /// Reports where a version is in force, as far as this entry VM knows.
+    pub fn in_force(&self, version: VersionNumber) -> InForceReport {
+        let mut report = InForceReport {
+            version,
+            in_force: 0,
+            lagging: Vec::new(),
+            unreachable: Vec::new(),
+        };
+        let own = ProcessVersion {
+            process: self.name.to_string(),
+            version: self.versions.mark().number,
+            silent_ms: Some(0),
+        };
+        let peers = self
+            .peers
+            .lock()
+            .reports(Timestamp::now())
+            .into_iter()
+            .map(|peer| {
+                let name = peer.name.map(|name| name.to_string());
+                ProcessVersion {
+                    process: name.unwrap_or_else(|| peer.control.to_string()),
+                    version: peer.version,
+                    silent_ms: peer.silent_ms,
+                }
+            });
+        let agents = self
+            .target_reports()
+            .into_iter()
+            .map(|target| ProcessVersion {
+                process: target.target.to_string(),
+                version: target.version,
+                silent_ms: target.silent_ms,
+            });
+        for process in std::iter::once(own).chain(peers).chain(agents) {
+            let silent_after = SILENT_AFTER.as_millis() as u64;
+            if version <= process.version {
+                report.in_force += 1;
+            } else if process
+                .silent_ms
+                .is_some_and(|silent_ms| silent_ms < silent_after)
+            {
+                report.lagging.push(process);
+            } else {
+                report.unreachable.push(process);
+            }
+        }
+        report
+    }
+
+    /// Notes that the log service answered, or did not.
+    pub(super) fn log_answered(&self, is_reachable: bool) {
+        let was_reachable = self.is_log_reachable.swap(is_reachable, Ordering::SeqCst);
+        if was_reachable != is_reachable {
+            info!(self.log, "log service"; "reachable" => is_reachable);
+        }
+    }
+
+    /// Notes from where the version in force is.
+    pub(super) fn set_source(&self, source: VersionSource) {
+        *self.source.lock() = source;
+    }
+
+    /// Returns from where the version in force is.
+    pub(super) fn source(&self) -> VersionSource {
+        *self.source.lock()
+    }
+
+    /// Notes a decision on a request, for the log and for `explain`.
+    pub(super) fn note_decision(&self, request: RequestId, decision: String) {
+        self.journal
+            .lock()
+            .decide(Timestamp::now(), request, decision);
+    }
+
+    fn health_probe(self: &Arc<Self>) -> HealthProbe {
+        let ready = Arc::clone(self);
+        let measured = Arc::clone(self);
+        HealthProbe {
+            is_ready: Box::new(move || ready.is_ready()),
+            metrics: Box::new(move || measured.metrics.render()),
+        }
+    }
+
+    fn spawn_tasks(self: &Arc<Self>) {
+        tokio::spawn(Arc::clone(self).follow_versions());
+        tokio::spawn(config_tail::tail_config(Arc::clone(self)));
+        tokio::spawn(peer_watch::watch_peers(Arc::clone(self)));
+        tokio::spawn(agent_watch::watch_agents(Arc::clone(self)));
+        tokio::spawn(agent_watch::watch_vm_list(Arc::clone(self)));
+        if let Some(inputs) = self.order_inputs.lock().take() {
+            tokio::spawn(drive_orders(Arc::clone(self), inputs));
+        }
+    }
+
+    async fn follow_versions(self: Arc<Self>) {
+        let mut versions = self.versions.subscribe();
+        loop {
+            let version = versions.borrow_and_update().clone();
+            self.put_in_force(&version);
+            tokio::select! {
+                changed = versions.changed() => if changed.is_err() { return },
+                () = self.stop.cancelled() => return,
+            }
+        }
+    }
+
+    fn put_in_force(&self, version: &Arc<ConfigVersion>) {
+        let content = &version.content;
+        {
+            let mut limiter = self.limiter.lock();
+            for (name, account) in &content.accounts {
+                limiter.set_account(name, account);
+            }
+            limiter.retain_accounts(|name| content.accounts.contains_key(name));
+        }
+        {
+            let mut targets = self.targets.lock();
+            for (name, target) in &content.targets {
+                targets.set_target(name, &target.serves, target.slots, &target.data_centre);
+            }
+            let removed: Vec<TargetName> = targets
+                .targets()
+                .filter(|(name, _)| !content.targets.contains_key(*name))
+                .map(|(name, _)| name.clone())
+                .collect();
+            for name in &removed {
+                targets.set_eligible(name, TargetEligibility::Down);
+            }
+        }
+        self.budget.lock().set_config(&content.retries);
+        let agents = content.targets.iter().map(|(name, target)| {
+            let agent = target.agent.clone();
+            let known = KnownAgent::new(agent, target.work_address, target.control_address);
+            (name.clone(), known)
+        });
+        self.agents.lock().set_agents(agents);
+        self.index
+            .store(Arc::new(VersionIndex::new(Arc::clone(version))));
+        self.metrics.version.set(version.number.0 as i64);
+        info!(self.log, "version in force"; "version" => version.number.0);
+    }
+}
--- /dev/null
+++ b/src/process/entry/order_driver.rs
@@ -0,0 +1,199 @@
+//! Drives the machine of an entry VM's orders: the log service, the agents and the replies.
+
+use std::collections::HashMap;
+
+use http::StatusCode;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use slog::info;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::connection::{ORDER_PATH, OrderDispatch};
+use crate::prelude::*;
+use crate::process::order_io::run_log_action;
+use crate::process::orders::{
+    EntryAction, EntryEvent, EntryOrders, OrderReply, OrderRequest, OrderSettings, TryId,
+    TryRequest, rank_agents,
+};
+use crate::process::platform::HttpFailure;
+use crate::process::routing::TargetEligibility;
+
+use super::dispatch::post_json;
+use super::entry_process::EntryProcess;
+
+/// The time beyond the deadline in which an agent's reply is still awaited.
+const REPLY_GRACE: Duration = Duration::from_millis(500);
+/// The longest sleep between two looks at the machine.
+const MAX_SLEEP: Duration = Duration::from_secs(5);
+
+/// What reaches the driver.
+#[derive(Debug)]
+pub(super) enum EntryInput {
+    /// A caller sent an order.
+    Submit {
+        /// The order.
+        request: Box<TryRequest>,
+        /// What the service gets.
+        body: Value,
+        /// Where the reply goes.
+        reply: oneshot::Sender<OrderReply>,
+    },
+    /// An agent or the log service answered.
+    Event(EntryEvent),
+}
+
+/// A try whose reply is due.
+struct PendingTry {
+    body: Value,
+    reply: oneshot::Sender<OrderReply>,
+    tried: SmallVec<[AgentName; 2]>,
+}
+
+struct OrderDriver {
+    process: Arc<EntryProcess>,
+    orders: EntryOrders,
+    pending: HashMap<TryId, PendingTry>,
+    next_try: u64,
+}
+
+/// Drives the orders of an entry VM until it stops.
+pub(super) async fn drive_orders(
+    process: Arc<EntryProcess>,
+    mut inputs: mpsc::UnboundedReceiver<EntryInput>,
+) {
+    let rng = ChaCha8Rng::from_rng(&mut rand::rng());
+    let mut driver = OrderDriver {
+        orders: EntryOrders::new(process.name.clone(), OrderSettings::default(), rng),
+        pending: HashMap::new(),
+        next_try: 0,
+        process: Arc::clone(&process),
+    };
+    loop {
+        let wake = driver
+            .orders
+            .next_wake()
+            .map(|wake| wake.since(Timestamp::now()));
+        let sleep = wake.unwrap_or(MAX_SLEEP).min(MAX_SLEEP);
+        let input = tokio::select! {
+            input = inputs.recv() => input,
+            () = tokio::time::sleep(sleep) => Some(EntryInput::Event(EntryEvent::Tick)),
+            () = process.stop.cancelled() => return,
+        };
+        let Some(input) = input else { return };
+        driver.take(input);
+    }
+}
+
+impl OrderDriver {
+    fn take(&mut self, input: EntryInput) {
+        let event = match input {
+            EntryInput::Submit {
+                request,
+                body,
+                reply,
+            } => {
+                self.next_try += 1;
+                let try_id = TryId(self.next_try);
+                let tried = SmallVec::new();
+                self.pending
+                    .insert(try_id, PendingTry { body, reply, tried });
+                EntryEvent::Submitted {
+                    try_id,
+                    request: *request,
+                }
+            }
+            EntryInput::Event(event) => event,
+        };
+        for action in self.orders.on_event(Timestamp::now(), event) {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: EntryAction) {
+        match action {
+            EntryAction::Log(action) => {
+                let log = self.process.log_client.clone();
+                self.spawn(async move { EntryEvent::Log(run_log_action(&log, action).await) });
+            }
+            EntryAction::Dispatch { try_id, order, .. } => self.dispatch(try_id, order),
+            EntryAction::Answer { try_id, reply } => {
+                if let Some(pending) = self.pending.remove(&try_id) {
+                    let _ = pending.reply.send(reply);
+                }
+            }
+        }
+    }
+
+    fn dispatch(&mut self, try_id: TryId, order: OrderRequest) {
+        let attempt = order.attempt;
+        let Some((agent, url)) = self.choose(try_id, &order) else {
+            info!(self.process.log, "order not routed"; "key" => %order.key, "reason" => "no-agent");
+            self.spawn(async move { EntryEvent::NoAgent { attempt } });
+            return;
+        };
+        info!(self.process.log, "order routed"; "key" => %order.key, "attempt" => %attempt,
+            "agent" => %agent, "shard" => order.key.shard().0);
+        let Some(pending) = self.pending.get_mut(&try_id) else {
+            return;
+        };
+        pending.tried.push(agent);
+        let remaining = order.deadline.since(Timestamp::now());
+        let dispatch = OrderDispatch {
+            key: order.key,
+            attempt,
+            digest: order.digest,
+            service: order.service,
+            call: order.call,
+            remaining_ms: remaining.as_millis() as u64,
+            key_history: order.key_history,
+            body: pending.body.clone(),
+        };
+        let process = Arc::clone(&self.process);
+        self.spawn(async move {
+            let request = post_json(&url, &dispatch, &process.settings.tokens.peer);
+            let answer: Result<OrderReply, HttpFailure> = match request {
+                Ok(request) => {
+                    process
+                        .work_client
+                        .json(request, remaining + REPLY_GRACE)
+                        .await
+                }
+                Err(err) => Err(err),
+            };
+            match answer {
+                Ok(reply) => EntryEvent::AgentReplied { attempt, reply },
+                // A conflict is told by an agent that has not looked at the order.
+                Err(HttpFailure::NotSent(_) | HttpFailure::Status(StatusCode::CONFLICT, _)) => {
+                    EntryEvent::AgentUnreached { attempt }
+                }
+                Err(_) => EntryEvent::AgentLost { attempt },
+            }
+        });
+    }
+
+    /// Chooses the agent that ranks first for the key's shard and was not tried.
+    fn choose(&self, try_id: TryId, order: &OrderRequest) -> Option<(AgentName, String)> {
+        let index = self.process.index.load();
+        let known = self.process.agents.lock();
+        let tried = &self.pending.get(&try_id)?.tried;
+        let eligible: Vec<(TargetName, AgentName)> = index
+            .service_agents(&order.service)
+            .into_iter()
+            .filter(|(target, _)| known.eligibility(target) == TargetEligibility::Eligible)
+            .filter(|(_, agent)| !tried.contains(agent))
+            .collect();
+        let agents: Vec<AgentName> = eligible.iter().map(|(_, agent)| agent.clone()).collect();
+        let chosen = rank_agents(order.key.shard(), &agents).into_iter().next()?;
+        let (target, _) = eligible.iter().find(|(_, agent)| *agent == chosen)?;
+        let address = known.get(target)?.work_address;
+        Some((chosen, format!("http://{address}{ORDER_PATH}")))
+    }
+
+    fn spawn(&self, event: impl Future<Output = EntryEvent> + Send + 'static) {
+        let inputs = self.process.orders.clone();
+        tokio::spawn(async move {
+            let _ = inputs.send(EntryInput::Event(event.await));
+        });
+    }
+}
--- /dev/null
+++ b/src/process/entry/order_review.rs
@@ -0,0 +1,121 @@
+//! Orders without a known outcome, as operators review and settle them.
+
+use serde_json::Value;
+
+use crate::prelude::*;
+use crate::process::operator::{OpenOrder, OpenOrders, PatchResult, SettleOrder, SettleReport};
+use crate::process::order_io::order_page;
+use crate::process::orders::{
+    KeyState, OpenClaim, OrderChange, OrderRecord, OrderSettlement, OrderShard, OrderWindow,
+    ReadSize, SettlementAuthor, ShardReader, stream_name,
+};
+use crate::process::platform::{AppendFailure, LogClient};
+
+/// The most records of one read.
+const MAX_READ: usize = 1_024;
+/// The pages after which a look at a shard is given up.
+const MAX_PAGES: usize = 4_096;
+
+/// Lists the claims without a settlement, the oldest first.
+///
+/// # Errors
+/// The log service did not answer.
+pub(super) async fn open_orders(log: &LogClient) -> Result<OpenOrders> {
+    let now = Timestamp::now();
+    let reads = OrderShard::all().map(|shard| read_shard(log, shard));
+    let readers = futures::future::try_join_all(reads).await?;
+    let claims = readers
+        .iter()
+        .filter_map(ShardReader::fold)
+        .flat_map(|fold| fold.open_claims());
+    let mut orders: Vec<OpenOrder> = claims.map(|claim| open_order(now, claim)).collect();
+    orders.sort_by_key(|order| std::cmp::Reverse(order.age_s));
+    Ok(OpenOrders { orders })
+}
+
+/// Records what an operator found out about an order.
+///
+/// # Errors
+/// The log service did not answer.
+pub(super) async fn settle_order(log: &LogClient, order: SettleOrder) -> Result<SettleReport> {
+    if order.outcome == RequestOutcome::Unknown {
+        return Err(Error::Invalid(
+            "an operator settles as answered, failed or not-run".into(),
+        ));
+    }
+    let shard = order.key.shard();
+    let state = key_state(log, shard, &order).await?;
+    let is_held = matches!(&state, KeyState::Claimed(claim) if claim.attempt == order.attempt);
+    if !is_held && !is_unknown(&state) {
+        let reason = format!("the key has no open claim of this attempt: {state:?}");
+        return Ok(SettleReport {
+            result: PatchResult::Rejected,
+            reason,
+        });
+    }
+    let settlement = OrderSettlement {
+        outcome: order.outcome,
+        answer: None,
+        by: SettlementAuthor::Operator {
+            name: Arc::clone(&order.author),
+            note: Arc::from(order.note.as_str()),
+        },
+    };
+    let change = OrderChange::Settle(settlement);
+    let record = OrderRecord::new(order.key.clone(), order.attempt, change);
+    let result = append(log, shard, record.to_value()).await;
+    let reason = format!("{:?}", key_state(log, shard, &order).await?);
+    Ok(SettleReport { result, reason })
+}
+
+async fn append(log: &LogClient, shard: OrderShard, record: Value) -> PatchResult {
+    match log.append(&stream_name(shard), &[record]).await {
+        Ok(_) => PatchResult::Accepted,
+        Err(AppendFailure::Unknown(_)) => PatchResult::Unknown,
+        Err(_) => PatchResult::NotWritten,
+    }
+}
+
+async fn key_state(log: &LogClient, shard: OrderShard, order: &SettleOrder) -> Result<KeyState> {
+    let reader = read_shard(log, shard).await?;
+    Ok(reader
+        .fold()
+        .map_or(KeyState::NotCovered, |fold| fold.state_of(&order.key)))
+}
+
+fn is_unknown(state: &KeyState) -> bool {
+    matches!(state, KeyState::Settled { settlement, .. }
+        if settlement.outcome == RequestOutcome::Unknown)
+}
+
+/// Reads all that the log service keeps of a shard.
+async fn read_shard(log: &LogClient, shard: OrderShard) -> Result<ShardReader> {
+    let mut reader = ShardReader::covering(OrderWindow::default(), Timestamp(0));
+    for _ in 0..MAX_PAGES {
+        if reader.fold().is_some() {
+            return Ok(reader);
+        }
+        let step = reader.next_read();
+        let max = match step.size {
+            ReadSize::One => 1,
+            ReadSize::Many | ReadSize::Tail => MAX_READ,
+        };
+        let page = log
+            .read(&stream_name(shard), step.from, max, Duration::ZERO)
+            .await?;
+        reader.on_page(Timestamp::now(), &order_page(page));
+    }
+    Err(Error::Platform(format!(
+        "the shard {shard} is too long to review"
+    )))
+}
+
+fn open_order(now: Timestamp, claim: OpenClaim) -> OpenOrder {
+    OpenOrder {
+        key: claim.key,
+        attempt: claim.attempt,
+        agent: claim.claim.agent,
+        target: claim.claim.target,
+        age_s: now.since(claim.at).as_secs(),
+    }
+}
--- /dev/null
+++ b/src/process/entry/request_run.rs
@@ -0,0 +1,453 @@
+//! Carries one request from its acceptance to its outcome.
+
+use std::collections::HashMap;
+
+use serde_json::Value;
+use slog::info;
+use tokio::sync::mpsc;
+
+use crate::connection::{WorkKind, WorkRequest, WorkResume};
+use crate::prelude::*;
+use crate::process::routing::{
+    PrefixHash, RefusalReason, RouteQuery, RouteRefusal, WorkCancel, WorkCost, WorkOffer,
+    WorkRepetition, WorkSharing,
+};
+use crate::request::{
+    EventBody, RequestEnd, RequestTracker, ResumePoint, TrackerAction, TrackerEvent, WorkEvent,
+    WorkId,
+};
+use crate::version::config::TargetRole;
+
+use super::answer_resume::ResumeToken;
+use super::dispatch::{AttemptPlace, cancel_work, resume_work, send_work};
+use super::entry_process::EntryProcess;
+
+/// The events that may wait for a slow caller.
+pub(super) const CALLER_BUFFER: usize = 256;
+/// The time before the deadline at which silent work is cancelled, for a proof.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
+/// How long a stream whose caller went away can be resumed before it is cancelled.
+const RESUME_GRACE: Duration = Duration::from_secs(10);
+/// How long cancellations of a caller that went away may take.
+const CANCEL_GRACE: Duration = Duration::from_secs(4);
+
+/// A request as its caller sent it.
+#[derive(Clone, Debug)]
+pub(super) struct AcceptedRequest {
+    /// The id.
+    pub(super) request: RequestId,
+    /// The client account.
+    pub(super) account: AccountName,
+    /// The account's share under contention.
+    pub(super) weight: u32,
+    /// The lane.
+    pub(super) lane: WorkLane,
+    /// What a target must serve.
+    pub(super) role: TargetRole,
+    /// What the target is to do.
+    pub(super) kind: WorkKind,
+    /// The hashes of the prompt's prefixes.
+    pub(super) prefixes: SmallVec<[PrefixHash; 8]>,
+    /// The estimated cost, in tokens or calls.
+    pub(super) cost: u64,
+    /// Whether it may run beside other work.
+    pub(super) sharing: WorkSharing,
+    /// When it was accepted.
+    pub(super) accepted_at: Timestamp,
+    /// When the answer is due.
+    pub(super) deadline: Timestamp,
+    /// The body that the target gets.
+    pub(super) body: Value,
+}
+
+/// What reaches the caller.
+#[derive(Clone, Debug)]
+pub(super) enum CallerPart {
+    /// The next event, with what a resume needs.
+    Event(WorkEvent, ResumeToken),
+    /// The end; nothing follows.
+    End(RequestEnd),
+}
+
+/// How a caller takes its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallerForm {
+    /// In one piece: a caller that went away cannot come back for it.
+    Whole,
+    /// As a stream, which can be resumed.
+    Stream,
+}
+
+struct RequestRun {
+    process: Arc<EntryProcess>,
+    request: AcceptedRequest,
+    tracker: RequestTracker,
+    places: HashMap<u32, AttemptPlace>,
+    events: mpsc::UnboundedSender<TrackerEvent>,
+    parts: mpsc::Sender<CallerPart>,
+    form: CallerForm,
+    delivered: ResumePoint,
+}
+
+/// Starts an accepted request; its parts come through the returned channel.
+pub(super) fn start_request(
+    process: &Arc<EntryProcess>,
+    request: AcceptedRequest,
+    form: CallerForm,
+) -> mpsc::Receiver<CallerPart> {
+    let (parts, receiver) = mpsc::channel(CALLER_BUFFER);
+    let (events, inputs) = mpsc::unbounded_channel();
+    let (tracker, actions) = RequestTracker::new(
+        request.request,
+        WorkRepetition::Repeatable,
+        request.deadline,
+    );
+    process.budget.lock().first_try();
+    process
+        .journal
+        .lock()
+        .open(request.request, &request.account);
+    process.metrics.in_flight.inc();
+    let run = RequestRun {
+        process: Arc::clone(process),
+        request,
+        tracker,
+        places: HashMap::new(),
+        events,
+        parts,
+        form,
+        delivered: ResumePoint::default(),
+    };
+    tokio::spawn(run.drive(actions.into_vec(), inputs));
+    receiver
+}
+
+impl RequestRun {
+    async fn drive(
+        mut self,
+        actions: Vec<TrackerAction>,
+        mut inputs: mpsc::UnboundedReceiver<TrackerEvent>,
+    ) {
+        self.carry_out(actions).await;
+        self.schedule_hedge();
+        while self.tracker.outcome().is_none() {
+            let now = Timestamp::now();
+            let near = self.request.deadline - DEADLINE_MARGIN;
+            let (sleep, timer) = if now < near {
+                (near.since(now), TrackerEvent::DeadlineNear)
+            } else {
+                (
+                    self.request.deadline.since(now),
+                    TrackerEvent::DeadlinePassed,
+                )
+            };
+            let event = tokio::select! {
+                biased;
+                Some(event) = inputs.recv() => event,
+                () = self.parts.closed() => self.caller_gone(&mut inputs).await,
+                () = tokio::time::sleep(sleep) => timer,
+            };
+            self.take(event).await;
+        }
+        self.settle();
+    }
+
+    async fn take(&mut self, event: TrackerEvent) {
+        let now = Timestamp::now();
+        let actions = {
+            let mut budget = self.process.budget.lock();
+            self.tracker
+                .on_event(now, event, &mut budget, &mut rand::rng())
+        };
+        self.carry_out(actions.into_vec()).await;
+    }
+
+    /// The caller went away: a stream may be resumed for a while, then the work is cancelled.
+    async fn caller_gone(
+        &mut self,
+        inputs: &mut mpsc::UnboundedReceiver<TrackerEvent>,
+    ) -> TrackerEvent {
+        if self.form == CallerForm::Stream {
+            self.run_on(RESUME_GRACE, inputs).await;
+        }
+        self.take(TrackerEvent::CallerGone).await;
+        self.run_on(CANCEL_GRACE, inputs).await;
+        TrackerEvent::DeadlinePassed
+    }
+
+    /// Takes events for a while, or until the outcome is known.
+    async fn run_on(&mut self, time: Duration, inputs: &mut mpsc::UnboundedReceiver<TrackerEvent>) {
+        let deadline = Timestamp::now() + time;
+        while self.tracker.outcome().is_none() {
+            let left = deadline.since(Timestamp::now());
+            match tokio::time::timeout(left, inputs.recv()).await {
+                Ok(Some(event)) => self.take(event).await,
+                _ => break,
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, actions: Vec<TrackerAction>) {
+        let mut queue = std::collections::VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
+            match action {
+                TrackerAction::Route { tried } => {
+                    let event = self.route(&tried);
+                    let now = Timestamp::now();
+                    let process = Arc::clone(&self.process);
+                    let mut budget = process.budget.lock();
+                    let more = self
+                        .tracker
+                        .on_event(now, event, &mut budget, &mut rand::rng());
+                    queue.extend(more);
+                }
+                TrackerAction::Dispatch {
+                    work,
+                    target,
+                    incarnation,
+                    from,
+                } => {
+                    self.dispatch(work, target, incarnation, from);
+                }
+                TrackerAction::Resume { work, from, .. } => self.resume(work, from),
+                TrackerAction::Cancel { work, .. } => self.cancel(work),
+                TrackerAction::RetryLater { delay } => {
+                    self.process.metrics.retries.inc();
+                    self.send_later(delay, TrackerEvent::RetryDue);
+                }
+                TrackerAction::Deliver(event) => self.deliver(event).await,
+                TrackerAction::End(end) => {
+                    let _ = self.parts.send(CallerPart::End(end)).await;
+                }
+            }
+        }
+    }
+
+    fn route(&mut self, tried: &[TargetName]) -> TrackerEvent {
+        let now = Timestamp::now();
+        let query = self.query(tried);
+        let choice = self
+            .process
+            .targets
+            .lock()
+            .choose(now, &query, &mut rand::rng());
+        let request = self.request.request;
+        let account = &self.request.account;
+        match choice {
+            Ok(decision) => {
+                info!(self.process.log, "routed"; "request" => %request, "account" => %account,
+                    "target" => %decision.target, "reason" => %decision.reason,
+                    "runner_up" => decision.runner_up.as_ref().map(ToString::to_string),
+                    "load" => decision.load, "lane" => %self.request.lane);
+                self.process.note_decision(request, decision.to_string());
+                let agents = self.process.agents.lock();
+                let agent = agents.get(&decision.target);
+                match agent.and_then(|agent| agent.incarnation) {
+                    Some(incarnation) => TrackerEvent::Routed {
+                        target: decision.target,
+                        incarnation,
+                    },
+                    None => TrackerEvent::RouteRefused(no_target()),
+                }
+            }
+            Err(refusal) => {
+                info!(self.process.log, "not routed"; "request" => %request,
+                    "account" => %account, "reason" => %refusal.reason);
+                self.process.note_decision(request, refusal.to_string());
+                TrackerEvent::RouteRefused(refusal)
+            }
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        work: WorkId,
+        target: TargetName,
+        incarnation: ProcessIncarnation,
+        from: ResumePoint,
+    ) {
+        let now = Timestamp::now();
+        let address = self
+            .process
+            .agents
+            .lock()
+            .get(&target)
+            .map(|agent| agent.work_address);
+        let Some(address) = address else {
+            let attempt = work.attempt;
+            let reason = RefusalReason::NoTarget;
+            let retry_after = Duration::from_secs(1);
+            let _ = self.events.send(TrackerEvent::Refused {
+                attempt,
+                reason,
+                retry_after,
+            });
+            return;
+        };
+        self.process
+            .targets
+            .lock()
+            .dispatched(&target, work, &self.request.prefixes);
+        let agent_url = Arc::from(format!("http://{address}"));
+        let place = AttemptPlace {
+            work,
+            target,
+            agent_url,
+            incarnation,
+        };
+        self.places.insert(work.attempt, place.clone());
+        let request = self.work_request(now, work, incarnation, from);
+        let process = Arc::clone(&self.process);
+        tokio::spawn(send_work(process, place, request, self.events.clone()));
+    }
+
+    fn work_request(
+        &self,
+        now: Timestamp,
+        work: WorkId,
+        incarnation: ProcessIncarnation,
+        from: ResumePoint,
+    ) -> WorkRequest {
+        let request = &self.request;
+        let offer = WorkOffer {
+            work,
+            incarnation,
+            entry: self.process.name.clone(),
+            accepted_at: request.accepted_at,
+            remaining_ms: request.deadline.since(now).as_millis() as u64,
+            account: request.account.clone(),
+            weight: request.weight,
+            lane: request.lane,
+            cost: request.cost,
+            sharing: request.sharing,
+        };
+        let kind = request.kind.clone();
+        WorkRequest {
+            offer,
+            kind,
+            from,
+            body: request.body.clone(),
+        }
+    }
+
+    fn resume(&self, work: WorkId, from: ResumePoint) {
+        let Some(place) = self.places.get(&work.attempt).cloned() else {
+            return;
+        };
+        let account = self.request.account.clone();
+        let resume = WorkResume {
+            work,
+            incarnation: place.incarnation,
+            account,
+            from,
+        };
+        let process = Arc::clone(&self.process);
+        tokio::spawn(resume_work(process, place, resume, self.events.clone()));
+    }
+
+    fn cancel(&self, work: WorkId) {
+        let Some(place) = self.places.get(&work.attempt).cloned() else {
+            return;
+        };
+        let cancel = WorkCancel {
+            work,
+            incarnation: place.incarnation,
+            entry: self.process.name.clone(),
+            accepted_at: self.request.accepted_at,
+        };
+        let process = Arc::clone(&self.process);
+        tokio::spawn(cancel_work(process, place, cancel, self.events.clone()));
+    }
+
+    async fn deliver(&mut self, event: WorkEvent) {
+        let Some(place) = self.places.get(&event.attempt) else {
+            return;
+        };
+        if let EventBody::Payload(payload) = &event.body {
+            if self.delivered.index == 0 {
+                let waited = Timestamp::now().since(self.request.accepted_at);
+                self.process
+                    .metrics
+                    .first_event_s
+                    .observe(waited.as_secs_f64());
+            }
+            self.delivered = self.delivered.extend(payload);
+        }
+        let token = ResumeToken {
+            attempt: event.attempt,
+            target: place.target.clone(),
+            incarnation: place.incarnation,
+            point: self.delivered,
+        };
+        let _ = self.parts.send(CallerPart::Event(event, token)).await;
+    }
+
+    fn schedule_hedge(&self) {
+        if self.request.lane != WorkLane::Lookup {
+            return;
+        }
+        if let Some(delay) = self.process.hedges.lock().delay() {
+            self.send_later(delay, TrackerEvent::HedgeDue);
+        }
+    }
+
+    fn send_later(&self, delay: Duration, event: TrackerEvent) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let _ = events.send(event);
+        });
+    }
+
+    /// Closes the books on a request that has its outcome.
+    fn settle(self) {
+        let Some(outcome) = self.tracker.outcome() else {
+            return;
+        };
+        let took = Timestamp::now().since(self.request.accepted_at);
+        let process = &self.process;
+        let request = &self.request;
+        process.metrics.in_flight.dec();
+        process.metrics.count_outcome(outcome);
+        if outcome == RequestOutcome::Answered {
+            process.metrics.whole_answer_s.observe(took.as_secs_f64());
+            if request.lane == WorkLane::Lookup {
+                process.hedges.lock().observe(took);
+            }
+        }
+        let used = match outcome {
+            RequestOutcome::NotRun => WorkCost { tokens: 0 },
+            _ => WorkCost {
+                tokens: request.cost,
+            },
+        };
+        let estimated = WorkCost {
+            tokens: request.cost,
+        };
+        process
+            .limiter
+            .lock()
+            .finished(&request.account, &estimated, &used);
+        process.journal.lock().close(request.request, outcome);
+        info!(process.log, "request ended"; "request" => %request.request,
+            "account" => %request.account, "outcome" => %outcome,
+            "took_ms" => took.as_millis() as u64);
+    }
+
+    fn query<'a>(&'a self, tried: &'a [TargetName]) -> RouteQuery<'a> {
+        RouteQuery {
+            role: &self.request.role,
+            prefixes: &self.request.prefixes,
+            cost: self.request.cost,
+            tried,
+            deadline: self.request.deadline,
+        }
+    }
+}
+
+fn no_target() -> RouteRefusal {
+    RouteRefusal {
+        reason: RefusalReason::NoTarget,
+        retry_after: Duration::from_secs(1),
+    }
+}
--- a/src/process/logger.rs
+++ b/src/process/logger.rs
@@ -2,28 +2,18 @@
 
 use std::io;
 
-use derive_more::{Display, FromStr};
-use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog::{Drain, LevelFilter, Logger, o};
 
-/// The form of the log lines.
-#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq)]
-pub enum LogFormat {
-    /// One JSON object a line.
-    #[default]
-    #[display("json")]
-    Json,
-    /// Lines for people.
-    #[display("terminal")]
-    Terminal,
-}
+use super::settings::{LogFormat, LogSettings};
 
 /// The log records that may wait for the writer before new ones are dropped and counted.
 const QUEUE_RECORDS: usize = 8_192;
 
 /// Makes the root logger. Records go to standard error.
-pub fn root_logger(format: LogFormat, level: Level, process: &str) -> Logger {
+pub fn root_logger(settings: LogSettings, process: &str) -> Logger {
+    let level = settings.level;
     let values = o!("process" => process.to_owned());
-    match format {
+    match settings.format {
         LogFormat::Json => {
             let drain = slog_json::Json::default(io::stderr());
             Logger::root(queued(LevelFilter::new(drain.fuse(), level).fuse()), values)
--- /dev/null
+++ b/src/process/operator/mod.rs
@@ -0,0 +1,13 @@
+//! The operators' API: configuration versions, reports, metrics and health checks.
+
+mod api;
+mod context;
+mod report;
+
+pub use api::{openapi_document, start_operator_api};
+pub use context::{HealthProbe, OperatorContext};
+pub use report::{
+    ConfigReport, DecisionReport, InForceReport, OpenOrder, OpenOrders, PatchOrder, PatchReport,
+    PatchResult, PeerReport, ProcessVersion, RecallOrder, RequestReport, SettleOrder, SettleReport,
+    StatusReport, TargetReport, VersionReport, VersionSource,
+};
--- a/src/process/platform/log_service.rs
+++ b/src/process/platform/log_service.rs
@@ -44,6 +44,10 @@
         NotWritten(reason: String) {
             display("not written: {}", reason)
         }
+        /// The log service was not reached, so nothing was written.
+        Unreachable(reason: String) {
+            display("not reached: {}", reason)
+        }
         /// The records may stand in the stream.
         Unknown(reason: String) {
             display("not known whether written: {}", reason)
@@ -93,7 +97,7 @@
             .await;
         match answer {
             Ok(AppendAnswer { first_offset }) => Ok(first_offset),
-            Err(err @ HttpFailure::NotSent(_)) => Err(AppendFailure::NotWritten(err.to_string())),
+            Err(err @ HttpFailure::NotSent(_)) => Err(AppendFailure::Unreachable(err.to_string())),
             Err(HttpFailure::Status(status, _)) if is_refusal(status) => Err(
                 AppendFailure::NotWritten(format!("the log service answered {status}")),
             ),
