--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use comfreyhead::process::settings::{LogFormat, RoleSettings, Settings, TargetKind};
+use comfreyhead::version::config::{ConfigChange, ConfigContent, validate};
 use insta::assert_snapshot;
 
 const ENTRY: &str = "\
@@ -90,6 +91,23 @@
     assert!(6 <= files.len(), "found {}", files.len());
 }
 
+#[test]
+fn every_first_version_is_valid() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/settings");
+    for deployment in ["guild", "frontenac"] {
+        let text = std::fs::read_to_string(root.join(deployment).join("first-version.json"));
+        let changes: Vec<ConfigChange> = serde_json::from_str(&text.unwrap()).unwrap();
+        let mut content = ConfigContent::default();
+
+        for change in &changes {
+            change.apply(&mut content).unwrap();
+        }
+
+        assert_eq!(validate(&content), [], "{deployment}");
+        assert_eq!((content.targets.len(), content.accounts.len()), (19, 10));
+    }
+}
+
 #[test]
 fn debug_output_hides_the_token_of_peers() {
     let settings = Settings::parse(Path::new("entry.ini"), ENTRY).unwrap();
