--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -12,7 +12,7 @@
 use tokio::net::ToSocketAddrs;
 use tokio::sync::{Notify, watch};
 
-use crate::cache_event::{PrefixCache, cache_blocks};
+use crate::cache_event::PrefixCache;
 use crate::completion::{AnswerShape, expected_tokens, prompt_text};
 use crate::engine_http::handle_request;
 use crate::lagged_value::LaggedValue;
@@ -89,6 +89,19 @@
     pub map: Value,
 }
 
+/// A request as it comes in.
+#[derive(Debug)]
+pub(crate) struct Submission {
+    /// The request id that the client gives.
+    pub(crate) id: Option<String>,
+    /// The priority; 0 is the most urgent.
+    pub(crate) priority: u32,
+    /// Whether this is a chat completion.
+    pub(crate) is_chat: bool,
+    /// The names of the prompt's cache blocks.
+    pub(crate) blocks: Vec<String>,
+}
+
 /// How far an answer is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AnswerState {
@@ -325,30 +338,25 @@
 
 impl EngineShared {
     /// Takes a request in and returns its id.
-    pub(crate) fn submit(
-        &self,
-        id: Option<String>,
-        priority: u32,
-        is_chat: bool,
-        body: &Value,
-    ) -> String {
+    pub(crate) fn submit(&self, submission: Submission, body: &Value) -> String {
         let mut state = self.state.lock();
         state.n_submitted += 1;
         let number = state.n_submitted;
-        let id = id.unwrap_or_else(|| format!("engine-{number}"));
+        let id = submission.id.unwrap_or_else(|| format!("engine-{number}"));
         let is_crash = prompt_text(body).contains(&state.options.crash_marker);
         let answer = EngineAnswer {
-            shape: AnswerShape::new(id.clone(), is_chat, body),
+            shape: AnswerShape::new(id.clone(), submission.is_chat, body),
             state: AnswerState::Waiting,
             n_tokens: 0,
             tokens: expected_tokens(body).into(),
             is_crash,
-            blocks: cache_blocks(body),
+            blocks: submission.blocks,
         };
         state.waiting.retain(|_, waiting| *waiting != id);
         state.running.retain(|running| *running != id);
         state.answers.insert(id.clone(), answer);
-        state.waiting.insert((priority, number), id.clone());
+        let place = (submission.priority, number);
+        state.waiting.insert(place, id.clone());
         state.known.push_back(id.clone());
         if KEPT_ANSWERS < state.known.len() {
             let oldest = state.known.pop_front().unwrap_or_default();
--- a/standins/src/engine_http.rs
+++ b/standins/src/engine_http.rs
@@ -10,7 +10,8 @@
 use hyper::{Method, Request, Response, StatusCode, header};
 use serde_json::{Value, json};
 
-use crate::engine::{AnswerState, EngineAnswer, EngineShared, ExpertMapOrder};
+use crate::cache_event::cache_blocks;
+use crate::engine::{AnswerState, EngineAnswer, EngineShared, ExpertMapOrder, Submission};
 use crate::server::{
     AnswerResult, DroppedAnswer, error_answer, header_text, json_answer, query_number, read_json,
 };
@@ -58,17 +59,30 @@
 ) -> AnswerResult {
     let id = header_text(&request, "x-request-id");
     let priority = header_text(&request, "x-priority").and_then(|text| text.parse().ok());
+    let blocks = header_text(&request, "x-cache-blocks");
     let body: Value = match read_json(request.into_body()).await {
         Ok(body) => body,
         Err(reason) => return error_answer(StatusCode::BAD_REQUEST, &reason),
     };
-    let id = shared.submit(id, priority.unwrap_or(DEFAULT_PRIORITY), is_chat, &body);
+    let blocks = blocks.map_or_else(|| cache_blocks(&body), |names| named_blocks(&names));
+    let submission = Submission {
+        id,
+        priority: priority.unwrap_or(DEFAULT_PRIORITY),
+        is_chat,
+        blocks,
+    };
+    let id = shared.submit(submission, &body);
     if body["stream"] == true {
         return resume_stream(shared, &id, 0);
     }
     whole_answer(shared, &id).await
 }
 
+/// Reads the block names that the client gives, so that it knows them in the cache events.
+fn named_blocks(names: &str) -> Vec<String> {
+    names.split(',').map(str::trim).map(str::to_owned).collect()
+}
+
 async fn whole_answer(shared: Arc<EngineShared>, id: &str) -> AnswerResult {
     let mut steps = shared.steps.subscribe();
     loop {
