--- /dev/null
+++ b/examples/measure/capacity/config.rs
@@ -0,0 +1,124 @@
+//! Probes of configuration versions.
+
+use comfreyhead::prelude::*;
+use comfreyhead::version::config::{
+    ConfigChange, ConfigFold, ConfigSnapshot, FoldOutcome, ModelConfig,
+};
+use serde_json::Value;
+
+use super::fixtures::{account_name, patch, set_account, target_config, target_name};
+use super::probe::{Probe, ProbeUsage, measure};
+
+/// The changes that a probe of one change makes.
+const CHANGES: usize = 20;
+
+pub(super) fn probes() -> Vec<Probe> {
+    vec![
+        Probe {
+            name: "config-account",
+            per: "client account of the content, in memory and in a snapshot",
+            sizes: &[5_000, 10_000, 15_000, 20_000],
+            run: accounts,
+        },
+        Probe {
+            name: "config-target",
+            per: "target of the content, in memory and in a snapshot",
+            sizes: &[5_000, 10_000, 15_000, 20_000],
+            run: targets,
+        },
+        Probe {
+            name: "config-change",
+            per: "client account of the content, in 20 changes of one account each",
+            sizes: &[2_000, 5_000, 11_000, 20_000],
+            run: changes,
+        },
+        Probe {
+            name: "config-history",
+            per: "change in the history, content of 10 accounts",
+            sizes: &[250, 500, 750, 1_000],
+            run: history,
+        },
+    ]
+}
+
+fn fold_of(changes: Vec<ConfigChange>) -> ConfigFold {
+    let mut fold = ConfigFold::new();
+    apply(&mut fold, &patch(0, changes));
+    fold
+}
+
+fn apply(fold: &mut ConfigFold, record: &Value) {
+    let offset = fold.next_offset().expect("the fold reads on");
+    let outcome = fold.apply(offset, record);
+    assert!(matches!(outcome, FoldOutcome::Accepted(_)), "{outcome}");
+}
+
+/// Measures the fold as a new process holds it, from a peer's snapshot.
+fn installed(changes: Vec<ConfigChange>) -> ProbeUsage {
+    let state = fold_of(changes).snapshot().clone();
+    // The changes themselves leave the history as later versions come.
+    let state = ConfigSnapshot {
+        history: Default::default(),
+        ..state
+    };
+    let text = serde_json::to_string(&state).expect("snapshot encodes");
+    drop(state);
+    let mut usage = measure(|| {
+        let state: ConfigSnapshot = serde_json::from_str(&text).expect("snapshot decodes");
+        let mut fold = ConfigFold::new();
+        assert!(fold.install(state), "the snapshot is ahead");
+        fold
+    });
+    usage.wire_bytes = text.len() as u64;
+    usage
+}
+
+fn accounts(n: usize) -> ProbeUsage {
+    installed((0..n).map(set_account).collect())
+}
+
+fn targets(n: usize) -> ProbeUsage {
+    let models = (0..4).map(|idx| ConfigChange::SetModel {
+        name: format!("model-{idx}").into(),
+        model: ModelConfig {
+            max_tokens: 4_096,
+            timeout_ms: 120_000,
+        },
+    });
+    let targets = (0..n).map(|idx| ConfigChange::SetTarget {
+        name: target_name(idx),
+        target: target_config(idx),
+    });
+    installed(models.chain(targets).collect())
+}
+
+fn changes(n_accounts: usize) -> ProbeUsage {
+    let mut fold = fold_of((0..n_accounts).map(set_account).collect());
+    let records: Vec<Value> = (0..CHANGES).map(|idx| one_change(idx as u64 + 1)).collect();
+    measure(|| records.iter().for_each(|record| apply(&mut fold, record)))
+}
+
+fn history(n: usize) -> ProbeUsage {
+    let mut fold = fold_of((0..10).map(set_account).collect());
+    let records: Vec<Value> = (0..n).map(|idx| one_change(idx as u64 + 1)).collect();
+    let wire_bytes = records
+        .iter()
+        .map(|record| record.to_string().len() as u64)
+        .sum();
+    let mut usage = measure(|| {
+        records.iter().for_each(|record| apply(&mut fold, record));
+        fold
+    });
+    usage.wire_bytes = wire_bytes;
+    usage
+}
+
+/// A patch of one account against version `base`.
+fn one_change(base: u64) -> Value {
+    let ConfigChange::SetAccount { mut account, .. } = set_account(3) else {
+        unreachable!("set_account sets an account");
+    };
+    account.tokens_per_second = 1_000 + base;
+    let name: AccountName = account_name(3);
+    patch(base, vec![ConfigChange::SetAccount { name, account }])
+}
--- /dev/null
+++ b/examples/measure/capacity/fixtures.rs
@@ -0,0 +1,103 @@
+//! Names and values of realistic length.
+
+use comfreyhead::prelude::*;
+use comfreyhead::process::routing::{LoadReport, ServiceTime};
+use comfreyhead::version::config::{
+    AccountConfig, ConfigChange, ConfigRecord, TargetConfig, TargetRole,
+};
+use uuid::Uuid;
+
+/// A point in time that keys and reports start from.
+pub(super) const START: Timestamp = Timestamp::from_millis(1_800_000_000_000);
+
+/// The name of an account.
+pub(super) fn account_name(idx: usize) -> AccountName {
+    format!("account-{idx:05}").into()
+}
+
+/// The name of a target.
+pub(super) fn target_name(idx: usize) -> TargetName {
+    format!("target-{idx:05}").into()
+}
+
+/// The name of an entry VM.
+pub(super) fn entry_name(idx: usize) -> EntryName {
+    format!("entry-{idx:04}").into()
+}
+
+/// One of four models.
+pub(super) fn model_role(idx: usize) -> TargetRole {
+    TargetRole::Model(format!("model-{}", idx % 4).into())
+}
+
+/// A UUIDv7 of `START` plus `millis`, with random bits by `idx`.
+pub(super) fn uuid_v7(millis: u64, idx: usize) -> Uuid {
+    let mut bytes = [0; 10];
+    bytes[2..].copy_from_slice(
+        &(idx as u64)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+            .to_be_bytes(),
+    );
+    uuid::Builder::from_unix_timestamp_millis(START.as_millis() + millis, &bytes).into_uuid()
+}
+
+/// A load report.
+pub(super) fn load_report(sequence: u64) -> LoadReport {
+    LoadReport {
+        incarnation: ProcessIncarnation(START.0),
+        sequence,
+        running: 6,
+        waiting: 1,
+        limit: 8,
+        tokens_per_second: 208,
+        step_time_us: 37_500 + sequence as u32 % 997,
+        service_time: ServiceTime {
+            mean_s: 9.731,
+            mean_cost: 812.5,
+        },
+    }
+}
+
+/// The settings of an account.
+pub(super) fn account_config(idx: usize) -> AccountConfig {
+    AccountConfig {
+        token_sha256: vec![format!("{idx:064x}")],
+        tokens_per_second: 1_000,
+        in_flight: 32,
+        weight: 1,
+    }
+}
+
+/// The settings of a target.
+pub(super) fn target_config(idx: usize) -> TargetConfig {
+    let ip = [10, 10, (idx / 250) as u8, (idx % 250) as u8 + 1];
+    TargetConfig {
+        data_centre: format!("sofia-{}", idx % 6 + 1).into(),
+        agent: format!("agent-{idx:05}").into(),
+        work_address: (ip, 7_002).into(),
+        control_address: (ip, 7_000).into(),
+        serves: model_role(idx),
+        checks_fencing: true,
+        slots: 8,
+    }
+}
+
+/// A patch record.
+pub(super) fn patch(base: u64, changes: Vec<ConfigChange>) -> serde_json::Value {
+    let record = ConfigRecord::Patch {
+        base: VersionNumber(base),
+        batch: format!("batch-{base:06}").into(),
+        author: "operator-1".into(),
+        changes,
+        nonce: uuid_v7(base, base as usize).to_string().into(),
+    };
+    record.encode()
+}
+
+/// The change that sets an account.
+pub(super) fn set_account(idx: usize) -> ConfigChange {
+    ConfigChange::SetAccount {
+        name: account_name(idx),
+        account: account_config(idx),
+    }
+}
