--- a/src/request/answer_buffer.rs
+++ b/src/request/answer_buffer.rs
@@ -107,6 +107,11 @@
             .map(|buffered| &buffered.event))
     }
 
+    /// Returns the point after all payloads so far.
+    pub fn resume_point(&self) -> ResumePoint {
+        self.next
+    }
+
     /// Returns whether the last event was made.
     pub fn is_closed(&self) -> bool {
         matches!(
