--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -60,7 +60,7 @@
             async move { Ok::<_, Infallible>(response.await) }
         });
         let connection = server()
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection_with_upgrades(TokioIo::new(stream), service)
             .into_owned();
         let connection = graceful.watch(connection);
         let log = log.clone();
--- a/src/process/agent/work_api.rs
+++ b/src/process/agent/work_api.rs
@@ -85,6 +85,10 @@
             .await
             .unwrap_or(Err((RefusalReason::Tombstone, Duration::ZERO))),
         OfferResult::Refused(reason, retry_after) => Err((reason, retry_after)),
+        OfferResult::Unproved(reason) => {
+            info!(process.log, "work not known"; "work" => %work, "reason" => %reason);
+            return resume_failure(CancelAnswer::Forgotten);
+        }
     };
     match run {
         Ok(run) => stream_run(serving, &run, from),
--- a/src/process/agent/work_table.rs
+++ b/src/process/agent/work_table.rs
@@ -35,6 +35,8 @@
     Started(StartedWork),
     /// It waits; the receiver tells whether it starts.
     Waiting(oneshot::Receiver<WaitResult>),
+    /// It does not start now, but a copy of the message may have run.
+    Unproved(RefusalReason),
     /// It was refused.
     Refused(RefusalReason, Duration),
 }
@@ -86,6 +88,7 @@
                 reason,
                 retry_after,
             } => OfferResult::Refused(reason, retry_after),
+            AdmissionDecision::Unproved { reason } => OfferResult::Unproved(reason),
             AdmissionDecision::Duplicate => {
                 OfferResult::Refused(RefusalReason::Duplicate, Duration::ZERO)
             }
--- a/src/process/entry/config_tail.rs
+++ b/src/process/entry/config_tail.rs
@@ -5,13 +5,15 @@
 
 use crate::prelude::*;
 use crate::process::operator::{PatchReport, PatchResult, VersionSource};
-use crate::process::platform::{AppendFailure, LogPage};
+use crate::process::platform::{AppendFailure, LogPage, LogRecord};
 use crate::version::config::{ConfigRecord, FoldOutcome, NonceOutcome, RecordNonce};
 
 use super::entry_process::EntryProcess;
 
 /// The stream of the configuration.
 const CONFIG_STREAM: &str = "config";
+/// The offset of the first record of a stream.
+const FIRST_OFFSET: u64 = 1;
 /// The most records of one read.
 const MAX_READ: usize = 256;
 /// How long a read waits for records.
@@ -28,7 +30,7 @@
     let mut from = process.versions.with_fold(|fold| fold.rewind());
     while !process.stop.is_cancelled() {
         let page = tokio::select! {
-            page = process.log_client.read(CONFIG_STREAM, from, MAX_READ, READ_WAIT) => page,
+            page = read_page(&process, from) => page,
             () = process.stop.cancelled() => return,
         };
         match page {
@@ -49,6 +51,30 @@
     }
 }
 
+/// Reads a page. The fold counts its offsets from 0, the log service from 1.
+async fn read_page(process: &EntryProcess, from: LogOffset) -> Result<LogPage> {
+    let wait = match process.source() {
+        VersionSource::Log => READ_WAIT,
+        // The end of the stream is to be known at once.
+        VersionSource::Peers | VersionSource::None => Duration::ZERO,
+    };
+    let page = process
+        .log_client
+        .read(CONFIG_STREAM, from.next(), MAX_READ, wait)
+        .await?;
+    let before = |offset: LogOffset| LogOffset(offset.0.saturating_sub(FIRST_OFFSET));
+    let records = page.records.into_iter().map(|record| LogRecord {
+        offset: before(record.offset),
+        ..record
+    });
+    let records = records.collect();
+    Ok(LogPage {
+        records,
+        tail: before(page.tail),
+        oldest: before(page.oldest),
+    })
+}
+
 /// Folds a page and returns where the next read begins.
 fn take_page(process: &EntryProcess, from: LogOffset, page: &LogPage) -> LogOffset {
     let mut next = from.max(page.oldest);
--- a/src/process/entry/dispatch.rs
+++ b/src/process/entry/dispatch.rs
@@ -73,6 +73,7 @@
         Err(HttpFailure::Status(StatusCode::CONFLICT, body)) => {
             Some(on_refusal(&process, &place, &body))
         }
+        Err(HttpFailure::Status(StatusCode::GONE, body)) => Some(on_gone(&process, &place, &body)),
         Err(err) => {
             debug!(process.log, "work answer lost"; "work" => %place.work, "reason" => %err);
             Some(TrackerEvent::ConnectionLost { attempt })
@@ -95,14 +96,7 @@
     let answer = send(&process, &place, RESUME_PATH, &resume, CANCEL_TIMEOUT).await;
     let event = match answer {
         Ok(response) => copy_lines(&process, &place, response, &events).await,
-        Err(HttpFailure::Status(StatusCode::GONE, body)) => {
-            finish(&process, &place, DispatchResult::Unreachable);
-            let failure = serde_json::from_slice(&body);
-            let answer = failure.map_or(CancelAnswer::Forgotten, |failure: ResumeFailure| {
-                failure.answer
-            });
-            Some(TrackerEvent::CancelAnswered { attempt, answer })
-        }
+        Err(HttpFailure::Status(StatusCode::GONE, body)) => Some(on_gone(&process, &place, &body)),
         Err(err) => {
             debug!(process.log, "resume not answered"; "work" => %place.work, "reason" => %err);
             tokio::time::sleep(RESUME_PAUSE).await;
@@ -194,6 +188,17 @@
     }
 }
 
+/// The agent does not have the work, or not any longer.
+fn on_gone(process: &EntryProcess, place: &AttemptPlace, body: &[u8]) -> TrackerEvent {
+    finish(process, place, DispatchResult::Unreachable);
+    let failure = serde_json::from_slice::<ResumeFailure>(body);
+    let answer = failure.map_or(CancelAnswer::Forgotten, |failure| failure.answer);
+    TrackerEvent::CancelAnswered {
+        attempt: place.work.attempt,
+        answer,
+    }
+}
+
 async fn send(
     process: &EntryProcess,
     place: &AttemptPlace,
