--- a/src/version/config/fold.rs
+++ b/src/version/config/fold.rs
@@ -24,12 +24,20 @@
 #[derive(Clone, Debug)]
 pub struct ConfigFold {
     state: ConfigSnapshot,
-    /// The next offset to fold; none while the fold waits for a snapshot.
-    next: Option<LogOffset>,
+    position: StreamPosition,
     rejections: VecDeque<(RecordNonce, ConfigRejection)>,
     newest_format: u32,
 }
 
+/// Where the fold stands in the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamPosition {
+    /// Everything before this offset is folded.
+    Following(LogOffset),
+    /// Records are missing; those from `first` up to `next` were read since.
+    Awaiting { first: LogOffset, next: LogOffset },
+}
+
 impl Default for ConfigFold {
     fn default() -> Self {
         Self::new()
@@ -52,7 +60,7 @@
         };
         Self {
             state,
-            next: Some(LogOffset(0)),
+            position: StreamPosition::Following(LogOffset(0)),
             rejections: VecDeque::new(),
             newest_format,
         }
@@ -68,14 +76,17 @@
         &self.state.history
     }
 
-    /// Returns the offset to read next; none while a snapshot is needed, which may be anywhere.
+    /// Returns the offset to read next; none while a snapshot is needed.
     pub fn next_offset(&self) -> Option<LogOffset> {
-        self.next
+        match self.position {
+            StreamPosition::Following(next) => Some(next),
+            StreamPosition::Awaiting { .. } => None,
+        }
     }
 
     /// Goes back to the offset after the current version's record, after a gap; returns it.
     pub fn rewind(&mut self) -> LogOffset {
-        self.next = Some(self.state.resume_at);
+        self.position = StreamPosition::Following(self.state.resume_at);
         self.state.resume_at
     }
 
@@ -84,11 +95,12 @@
         &self.state
     }
 
-    /// Returns the record that repeats the state.
-    pub fn snapshot_record(&self) -> ConfigRecord {
-        ConfigRecord::Snapshot {
+    /// Returns the record that repeats the state; none while the fold itself waits for one.
+    pub fn snapshot_record(&self) -> Option<ConfigRecord> {
+        self.next_offset().map(|read_to| ConfigRecord::Snapshot {
             state: Box::new(self.state.clone()),
-        }
+            read_to,
+        })
     }
 
     /// Returns what became of the record with `nonce`, as far as the fold has read.
@@ -114,21 +126,21 @@
                 format: self.state.format,
             };
         }
-        if self.next.is_some_and(|next| offset < next) {
+        if self.next_offset().is_some_and(|next| offset < next) {
             return FoldOutcome::Skipped(SkipReason::Repeated);
         }
-        if self.next != Some(offset) {
-            self.next = None;
-        }
-        let outcome = match ConfigRecord::decode(value, self.state.format) {
-            Ok(ConfigRecord::Snapshot { state }) => return self.apply_snapshot(offset, *state),
-            Ok(_) if self.next.is_none() => FoldOutcome::Skipped(SkipReason::AwaitingSnapshot),
+        self.advance(offset);
+        match ConfigRecord::decode(value, self.state.format) {
+            Ok(ConfigRecord::Snapshot { state, read_to }) => {
+                self.apply_snapshot(offset, *state, read_to)
+            }
+            Ok(_) if self.next_offset().is_none() => {
+                FoldOutcome::Skipped(SkipReason::AwaitingSnapshot)
+            }
             Ok(record) => self.judge(offset, record),
             Err(RecordFault::Corrupt(reason)) => FoldOutcome::Skipped(SkipReason::Corrupt(reason)),
             Err(RecordFault::Format(format)) => FoldOutcome::Skipped(SkipReason::Format(format)),
-        };
-        self.advance(offset);
-        outcome
+        }
     }
 
     /// Takes over the whole state of a peer when it is ahead; returns whether it was.
@@ -141,10 +153,7 @@
         if state.version.number <= self.state.version.number {
             return false;
         }
-        self.next = match self.next {
-            Some(next) => Some(next.max(state.resume_at)),
-            None => Some(state.resume_at),
-        };
+        self.follow(state.resume_at);
         self.state = state;
         true
     }
@@ -169,35 +178,56 @@
             "accepted record is accepted everywhere: {outcome}"
         );
         self.assert_one_content(accepted.number, &accepted.digest);
-        if self.next.is_none_or(|next| next <= accepted.offset) {
-            self.next = Some(accepted.offset.next());
-        }
+        self.follow(accepted.offset.next());
         true
     }
 
+    /// Notes that the record at `offset` was read.
     fn advance(&mut self, offset: LogOffset) {
-        if self.next.is_some() {
-            self.next = Some(offset.next());
-        }
+        let next = offset.next();
+        self.position = match self.position {
+            StreamPosition::Following(expected) if expected == offset => {
+                StreamPosition::Following(next)
+            }
+            StreamPosition::Awaiting {
+                first,
+                next: expected,
+            } if expected == offset => StreamPosition::Awaiting { first, next },
+            _ => StreamPosition::Awaiting {
+                first: offset,
+                next,
+            },
+        };
     }
 
-    fn apply_snapshot(&mut self, offset: LogOffset, state: ConfigSnapshot) -> FoldOutcome {
+    /// Goes on at `next`, but never back.
+    fn follow(&mut self, next: LogOffset) {
+        let present = self.next_offset().unwrap_or_default();
+        self.position = StreamPosition::Following(next.max(present));
+    }
+
+    fn apply_snapshot(
+        &mut self,
+        offset: LogOffset,
+        state: ConfigSnapshot,
+        read_to: LogOffset,
+    ) -> FoldOutcome {
         if !state.is_whole() {
-            self.advance(offset);
             let reason = "snapshot whose content has another digest".to_owned();
             return FoldOutcome::Skipped(SkipReason::Corrupt(reason));
         }
         self.assert_one_content(state.version.number, &state.version.digest);
-        let resume_at = state.resume_at;
-        let ahead = self.state.version.number < state.version.number;
-        let same = self.state.version.number == state.version.number;
-        if ahead || (same && self.next.is_none()) {
-            self.state = state;
-            self.next = Some(resume_at);
-            return FoldOutcome::Loaded { resume_at };
-        }
-        self.advance(offset);
-        FoldOutcome::Skipped(SkipReason::StaleSnapshot)
+        let (number, present) = (state.version.number, self.state.version.number);
+        let resume_at = match self.position {
+            StreamPosition::Following(next) if present < number => next,
+            StreamPosition::Awaiting { first, .. } if first <= read_to && present <= number => {
+                read_to.min(offset.next())
+            }
+            _ => return FoldOutcome::Skipped(SkipReason::StaleSnapshot),
+        };
+        self.state = state;
+        self.position = StreamPosition::Following(resume_at);
+        FoldOutcome::Loaded { resume_at }
     }
 
     fn judge(&mut self, offset: LogOffset, record: ConfigRecord) -> FoldOutcome {
--- a/src/version/config/outcome.rs
+++ b/src/version/config/outcome.rs
@@ -47,8 +47,8 @@
     /// The start of the stream is missing and no snapshot was read yet.
     #[display("waiting for a snapshot")]
     AwaitingSnapshot,
-    /// A snapshot that is not ahead.
-    #[display("snapshot that is not ahead")]
+    /// A snapshot that is not ahead, or whose following records are gone.
+    #[display("snapshot that is not needed or not usable")]
     StaleSnapshot,
 }
 
--- a/src/version/config/record.rs
+++ b/src/version/config/record.rs
@@ -60,6 +60,8 @@
     Snapshot {
         /// The state of the fold.
         state: Box<ConfigSnapshot>,
+        /// The first offset that the writer had not read.
+        read_to: LogOffset,
     },
 }
 
--- a/src/version/config/rejection.rs
+++ b/src/version/config/rejection.rs
@@ -129,5 +129,5 @@
     if LISTED < items.len() {
         texts.push(format!("and {} more", items.len() - LISTED));
     }
-    texts.join(", ")
+    texts.join("; ")
 }
