Add the distribution of configuration versions

A few entry VMs of each data centre read the log; everybody else pulls accepted records from a peer that announces a higher version.

--- /dev/null
+++ b/src/process/distribution/distributor.rs
@@ -0,0 +1,633 @@
+//! The machine that brings versions to a process and passes them on.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand::seq::IteratorRandom;
+use rand_chacha::ChaCha8Rng;
+
+use crate::prelude::*;
+use crate::version::config::{ConfigFold, ConfigVersion, FoldOutcome, SkipReason};
+
+use super::report::data_centres;
+use super::{
+    AnnouncementKind, DataCentreReport, DistributionAction, DistributionEvent, InForceReport,
+    PeerInfo, PeerName, PeerRole, PeerState, PeerTable, StartBasis, VersionAnnouncement,
+    VersionBody, in_force, tail_entries,
+};
+
+/// The mean time between two rounds of announcements.
+const ROUND: Duration = Duration::from_secs(2);
+/// The share by which a round is shortened or lengthened at random, in percent.
+const ROUND_JITTER_PERCENT: u64 = 20;
+/// Peers that are told of a new version at once.
+const FANOUT: usize = 3;
+/// The longest wait for a body.
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a read of the log's tail counts as fresh.
+const TAIL_FRESH: Duration = Duration::from_secs(2);
+/// The longest wait for the answer of a peer at start-up.
+const START_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often a peer is asked at start-up.
+const START_TRIES: u32 = 2;
+/// Peers that are asked in one tick, at start-up or for a report.
+const ASKS_PER_TICK: usize = 4;
+/// Unanswered probes in a row after which a data centre counts as cut off.
+const SILENT_PROBES: u32 = 3;
+/// The longest random delay before a starting process reads the log itself.
+const START_READ_SPREAD: Duration = Duration::from_secs(2);
+
+/// The actions that one event asks for.
+pub type DistributionActions = SmallVec<[DistributionAction; 4]>;
+
+/// Who the process is.
+#[derive(Clone, Debug)]
+pub struct DistributorSettings {
+    /// The process.
+    pub own: PeerInfo,
+    /// Its life.
+    pub incarnation: ProcessIncarnation,
+    /// The source of jitter and of random choices.
+    pub rng: ChaCha8Rng,
+}
+
+/// Brings configuration versions to a process and passes them on.
+///
+/// It holds the fold, reads the log when the process is among the few of its data centre that
+/// should, and otherwise pulls from whoever announces a higher version.
+#[derive(Clone, Debug)]
+pub struct VersionDistributor {
+    settings: DistributorSettings,
+    fold: ConfigFold,
+    installed: VersionNumber,
+    peers: PeerTable,
+    start: StartProgress,
+    log: LogView,
+    pull: Option<PendingPull>,
+    next_round: Timestamp,
+    rounds: u64,
+    silent: BTreeMap<DataCentreName, u32>,
+    survey: Option<VersionSurvey>,
+}
+
+#[derive(Clone, Debug)]
+enum StartProgress {
+    Starting {
+        asked: BTreeMap<PeerName, StartAsk>,
+        read_at: Option<Timestamp>,
+    },
+    Serving(StartBasis),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct StartAsk {
+    tries: u32,
+    at: Timestamp,
+    answered: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LogView {
+    reading: bool,
+    away: bool,
+    tail_at: Option<Timestamp>,
+}
+
+#[derive(Clone, Debug)]
+struct PendingPull {
+    from: PeerName,
+    at: Timestamp,
+}
+
+#[derive(Clone, Debug)]
+struct VersionSurvey {
+    number: VersionNumber,
+    asked: BTreeMap<PeerName, Timestamp>,
+}
+
+impl VersionDistributor {
+    /// Returns the distributor of a process that has just started.
+    pub fn new(settings: DistributorSettings) -> Self {
+        Self {
+            settings,
+            fold: ConfigFold::new(),
+            installed: VersionNumber(0),
+            peers: PeerTable::default(),
+            start: StartProgress::Starting {
+                asked: BTreeMap::new(),
+                read_at: None,
+            },
+            log: LogView::default(),
+            pull: None,
+            next_round: Timestamp(0),
+            rounds: 0,
+            silent: BTreeMap::new(),
+            survey: None,
+        }
+    }
+
+    /// Returns the version in force.
+    pub fn current(&self) -> &Arc<ConfigVersion> {
+        self.fold.current()
+    }
+
+    /// Returns the fold.
+    pub fn fold(&self) -> &ConfigFold {
+        &self.fold
+    }
+
+    /// Returns what is known of the peers.
+    pub fn peers(&self) -> &PeerTable {
+        &self.peers
+    }
+
+    /// Returns on what basis the process takes work; none while it starts.
+    pub fn start_basis(&self) -> Option<&StartBasis> {
+        match &self.start {
+            StartProgress::Serving(basis) => Some(basis),
+            StartProgress::Starting { .. } => None,
+        }
+    }
+
+    /// Returns the announcement that every control message carries.
+    pub fn announcement(&self, now: Timestamp) -> VersionAnnouncement {
+        let version = self.fold.current();
+        VersionAnnouncement {
+            incarnation: self.settings.incarnation,
+            number: version.number,
+            digest: version.digest.clone(),
+            following: self.is_following(now),
+        }
+    }
+
+    /// Whether the process read the log's tail a moment ago.
+    pub fn is_following(&self, now: Timestamp) -> bool {
+        self.log
+            .tail_at
+            .is_some_and(|at| now.since(at) <= TAIL_FRESH)
+    }
+
+    /// Returns what a peer at version `since` lacks.
+    pub fn body_since(&self, since: VersionNumber) -> VersionBody {
+        let history = self.fold.history();
+        let covered = history
+            .oldest()
+            .is_some_and(|oldest| oldest <= since.next());
+        if !covered {
+            return VersionBody::Whole(Box::new(self.fold.snapshot().clone()));
+        }
+        let records = history.since(since).map(|entry| entry.accepted.clone());
+        VersionBody::Records(records.collect())
+    }
+
+    /// Starts to ask every process that is not known to have version `number` in force.
+    pub fn start_survey(&mut self, number: VersionNumber) {
+        self.survey = Some(VersionSurvey {
+            number,
+            asked: BTreeMap::new(),
+        });
+    }
+
+    /// Returns where version `number` is in force, as far as this process knows.
+    pub fn in_force(&self, number: VersionNumber) -> InForceReport {
+        let mut report = in_force(number, &self.peers);
+        let own = self.settings.own.name.clone();
+        if number <= self.installed {
+            report.in_force.push(own);
+        } else {
+            report.lagging.push(super::LaggingPeer {
+                name: own,
+                number: self.installed,
+            });
+        }
+        report
+    }
+
+    /// Returns the other data centres as this process sees them.
+    pub fn data_centres(&self) -> Vec<DataCentreReport> {
+        data_centres(&self.peers, &self.silent, SILENT_PROBES)
+    }
+
+    /// Handles one event.
+    ///
+    /// # Panics
+    ///
+    /// Panics when two contents of one version number meet, or when a version would go back.
+    pub fn on_event(&mut self, now: Timestamp, event: DistributionEvent) -> DistributionActions {
+        let mut actions = DistributionActions::new();
+        match event {
+            DistributionEvent::Tick => self.on_tick(now, &mut actions),
+            DistributionEvent::Members(members) => self.on_members(members),
+            DistributionEvent::Announced {
+                from,
+                announcement,
+                kind,
+            } => {
+                self.on_announced(now, &from, &announcement, &mut actions);
+                if kind == AnnouncementKind::Probe {
+                    self.announce(now, from, AnnouncementKind::Reply, &mut actions);
+                }
+            }
+            DistributionEvent::BodyReceived { from, body } => {
+                self.on_body(now, &from, body, &mut actions);
+            }
+            DistributionEvent::LogRecord { offset, value } => {
+                let outcome = self.fold.apply(offset, &value);
+                self.on_folded(offset, outcome, &mut actions);
+                self.install(now, &mut actions);
+            }
+            DistributionEvent::LogTail => self.on_log_tail(now, &mut actions),
+            DistributionEvent::LogAway => {
+                self.log.away = true;
+                self.log.tail_at = None;
+            }
+        }
+        actions
+    }
+
+    fn on_members(&mut self, mut members: Vec<PeerInfo>) {
+        members.retain(|member| member.name != self.settings.own.name);
+        self.peers.set_members(members);
+    }
+
+    fn on_tick(&mut self, now: Timestamp, actions: &mut DistributionActions) {
+        self.expire_pull(now, actions);
+        self.continue_start(now, actions);
+        self.continue_survey(now, actions);
+        if now < self.next_round {
+            return;
+        }
+        self.next_round = now + self.jittered_round();
+        self.rounds += 1;
+        self.choose_reading(actions);
+        if let Some(peer) = self.local_partner() {
+            self.probe(now, peer, actions);
+        }
+        if let Some(peer) = self.remote_partner() {
+            self.probe(now, peer, actions);
+        }
+    }
+
+    fn on_announced(
+        &mut self,
+        now: Timestamp,
+        from: &PeerName,
+        heard: &VersionAnnouncement,
+        actions: &mut DistributionActions,
+    ) {
+        self.peers.hear(now, from, heard);
+        if let Some(peer) = self.peers.get(from) {
+            self.silent.insert(peer.info.data_centre.clone(), 0);
+        }
+        self.fold.assert_announced(heard.number, &heard.digest);
+        if let StartProgress::Starting { asked, .. } = &mut self.start
+            && let Some(ask) = asked.get_mut(from)
+        {
+            ask.answered = true;
+        }
+        if self.fold.current().number < heard.number {
+            self.pull(now, from.clone(), actions);
+        }
+        self.try_serve(now, actions);
+    }
+
+    fn on_body(
+        &mut self,
+        now: Timestamp,
+        from: &PeerName,
+        body: VersionBody,
+        actions: &mut DistributionActions,
+    ) {
+        if self.pull.as_ref().is_some_and(|pull| &pull.from == from) {
+            self.pull = None;
+        }
+        let waiting = self.fold.next_offset().is_none();
+        match body {
+            VersionBody::Records(records) => {
+                for accepted in &records {
+                    self.fold.replay(accepted);
+                }
+            }
+            VersionBody::Whole(state) if state.is_whole() => {
+                self.fold.install(*state);
+            }
+            VersionBody::Whole(_) => {}
+        }
+        if let (true, true, Some(from)) = (waiting, self.log.reading, self.fold.next_offset()) {
+            actions.push(DistributionAction::ReadLog { from });
+        }
+        self.install(now, actions);
+        self.try_serve(now, actions);
+    }
+
+    fn on_log_tail(&mut self, now: Timestamp, actions: &mut DistributionActions) {
+        self.log.away = false;
+        if self.fold.next_offset().is_none() {
+            return;
+        }
+        self.log.tail_at = Some(now);
+        self.try_serve(now, actions);
+    }
+
+    fn on_folded(
+        &mut self,
+        offset: LogOffset,
+        outcome: FoldOutcome,
+        actions: &mut DistributionActions,
+    ) {
+        match &outcome {
+            FoldOutcome::Loaded { resume_at } => {
+                let from = *resume_at;
+                actions.push(DistributionAction::ReadLog { from });
+            }
+            FoldOutcome::Accepted(_) | FoldOutcome::Skipped(SkipReason::Repeated) => return,
+            _ => {}
+        }
+        actions.push(DistributionAction::Report { offset, outcome });
+    }
+
+    /// Puts the fold's version in force when it is higher, and tells some peers.
+    fn install(&mut self, now: Timestamp, actions: &mut DistributionActions) {
+        let version = self.fold.current().clone();
+        if version.number == self.installed {
+            return;
+        }
+        assert!(
+            self.installed < version.number,
+            "versions never go back: {} after {}",
+            version.number,
+            self.installed
+        );
+        self.installed = version.number;
+        actions.push(DistributionAction::Install(version));
+        for peer in self.peers_behind() {
+            self.announce(now, peer, AnnouncementKind::Reply, actions);
+        }
+    }
+
+    fn peers_behind(&mut self) -> Vec<PeerName> {
+        let number = self.installed;
+        let own = &self.settings.own.data_centre;
+        let behind = self.peers.iter().filter(|peer| {
+            &peer.info.data_centre == own && peer.number().is_none_or(|known| known < number)
+        });
+        let names = behind.map(|peer| peer.info.name.clone());
+        names.sample(&mut self.settings.rng, FANOUT)
+    }
+
+    fn announce(
+        &self,
+        now: Timestamp,
+        to: PeerName,
+        kind: AnnouncementKind,
+        actions: &mut DistributionActions,
+    ) {
+        let announcement = self.announcement(now);
+        actions.push(DistributionAction::Announce {
+            to,
+            announcement,
+            kind,
+        });
+    }
+
+    fn probe(&mut self, now: Timestamp, to: PeerName, actions: &mut DistributionActions) {
+        self.peers.note_probe(&to);
+        if let Some(peer) = self.peers.get(&to) {
+            *self
+                .silent
+                .entry(peer.info.data_centre.clone())
+                .or_default() += 1;
+        }
+        self.announce(now, to, AnnouncementKind::Probe, actions);
+    }
+
+    fn pull(&mut self, now: Timestamp, from: PeerName, actions: &mut DistributionActions) {
+        if self.pull.is_some() {
+            return;
+        }
+        self.pull = Some(PendingPull {
+            from: from.clone(),
+            at: now,
+        });
+        let since = self.fold.current().number;
+        actions.push(DistributionAction::Pull { from, since });
+    }
+
+    fn expire_pull(&mut self, now: Timestamp, actions: &mut DistributionActions) {
+        let expired = |pull: &PendingPull| PULL_TIMEOUT <= now.since(pull.at);
+        if !self.pull.as_ref().is_some_and(expired) {
+            return;
+        }
+        self.pull = None;
+        let current = self.fold.current().number;
+        let ahead = self.peers.iter().filter(|peer| {
+            !peer.is_unreachable() && peer.number().is_some_and(|number| current < number)
+        });
+        let choice = ahead
+            .map(|peer| peer.info.name.clone())
+            .choose(&mut self.settings.rng);
+        if let Some(peer) = choice {
+            self.pull(now, peer, actions);
+        }
+    }
+
+    fn jittered_round(&mut self) -> Duration {
+        let range = 100 - ROUND_JITTER_PERCENT..=100 + ROUND_JITTER_PERCENT;
+        let percent = self.settings.rng.random_range(range);
+        ROUND.mul_f64(percent as f64 / 100.0)
+    }
+
+    /// Starts or stops reading the log, by the process's place among the readers.
+    fn choose_reading(&mut self, actions: &mut DistributionActions) {
+        let own = &self.settings.own;
+        if own.role == PeerRole::Agent {
+            return self.stop_reading(actions);
+        }
+        let readers = tail_entries(&own.data_centre, Some(&own.name), &self.peers);
+        if readers.contains(&own.name) {
+            self.read_log(actions);
+        } else {
+            self.stop_reading(actions);
+        }
+    }
+
+    fn read_log(&mut self, actions: &mut DistributionActions) {
+        if self.log.reading {
+            return;
+        }
+        self.log.reading = true;
+        let from = self.fold.rewind();
+        actions.push(DistributionAction::ReadLog { from });
+    }
+
+    fn stop_reading(&mut self, actions: &mut DistributionActions) {
+        let serving = matches!(self.start, StartProgress::Serving(_));
+        if !self.log.reading || !serving {
+            return;
+        }
+        self.log = LogView::default();
+        actions.push(DistributionAction::StopReading);
+    }
+
+    /// Returns the next peer of the own data centre to exchange announcements with.
+    fn local_partner(&mut self) -> Option<PeerName> {
+        let own = &self.settings.own;
+        let readers = tail_entries(&own.data_centre, None, &self.peers);
+        if self.rounds.is_multiple_of(2) && !readers.is_empty() {
+            return readers.into_iter().choose(&mut self.settings.rng);
+        }
+        let local = |peer: &&PeerState| {
+            peer.info.data_centre == own.data_centre
+                && (own.role == PeerRole::Entry || peer.info.role == PeerRole::Entry)
+        };
+        let names = self.peers.iter().filter(local);
+        let names = names.map(|peer| peer.info.name.clone());
+        names.choose(&mut self.settings.rng)
+    }
+
+    /// Returns an entry VM of another data centre, each data centre in its turn.
+    fn remote_partner(&mut self) -> Option<PeerName> {
+        let own = &self.settings.own;
+        if own.role == PeerRole::Agent {
+            return None;
+        }
+        let remote: Vec<&PeerInfo> = self
+            .peers
+            .iter()
+            .map(|peer| &peer.info)
+            .filter(|info| info.role == PeerRole::Entry && info.data_centre != own.data_centre)
+            .collect();
+        let mut names: Vec<&DataCentreName> = remote.iter().map(|info| &info.data_centre).collect();
+        names.sort();
+        names.dedup();
+        let turn = self.rounds as usize % names.len().max(1);
+        let name = names.get(turn)?;
+        let members = remote.iter().filter(|info| &&info.data_centre == name);
+        let choice = members.choose(&mut self.settings.rng);
+        choice.map(|info| info.name.clone())
+    }
+
+    fn continue_survey(&mut self, now: Timestamp, actions: &mut DistributionActions) {
+        let Some(survey) = &mut self.survey else {
+            return;
+        };
+        let number = survey.number;
+        let due: Vec<PeerName> = self
+            .peers
+            .iter()
+            .filter(|peer| peer.number().is_none_or(|known| known < number))
+            .filter(|peer| !peer.is_unreachable())
+            .map(|peer| peer.info.name.clone())
+            .filter(|name| {
+                let asked = survey.asked.get(name);
+                asked.is_none_or(|at| START_TIMEOUT <= now.since(*at))
+            })
+            .take(ASKS_PER_TICK)
+            .collect();
+        survey
+            .asked
+            .extend(due.iter().map(|name| (name.clone(), now)));
+        for name in due {
+            self.probe(now, name, actions);
+        }
+    }
+
+    /// Asks the peers of the data centre, the readers of the log first, until it may serve.
+    fn continue_start(&mut self, now: Timestamp, actions: &mut DistributionActions) {
+        let due = self.start_asks(now);
+        let StartProgress::Starting { asked, read_at } = &mut self.start else {
+            return;
+        };
+        for name in &due {
+            let ask = asked.entry(name.clone()).or_insert(StartAsk {
+                tries: 0,
+                at: now,
+                answered: false,
+            });
+            ask.tries += 1;
+            ask.at = now;
+        }
+        let spread = START_READ_SPREAD.as_micros() as u64;
+        let rng = &mut self.settings.rng;
+        let read_at = *read_at.get_or_insert_with(|| {
+            let delay = Duration::from_micros(rng.random_range(0..=spread));
+            now + START_TIMEOUT + delay
+        });
+        for name in due {
+            self.probe(now, name, actions);
+        }
+        if read_at <= now {
+            self.read_log(actions);
+        }
+        self.try_serve(now, actions);
+    }
+
+    fn start_asks(&self, now: Timestamp) -> Vec<PeerName> {
+        let StartProgress::Starting { asked, .. } = &self.start else {
+            return Vec::new();
+        };
+        let own = &self.settings.own.data_centre;
+        let readers = tail_entries(own, None, &self.peers);
+        let local = self.peers.iter().map(|peer| &peer.info);
+        let local = local.filter(|info| &info.data_centre == own);
+        let others = local.map(|info| info.name.clone());
+        let others = others.filter(|name| !readers.contains(name));
+        let order = readers.iter().cloned().chain(others);
+        let due = order.filter(|name| asked.get(name).is_none_or(|ask| ask.is_due(now)));
+        due.take(ASKS_PER_TICK).collect()
+    }
+
+    fn try_serve(&mut self, now: Timestamp, actions: &mut DistributionActions) {
+        let Some(basis) = self.find_basis(now) else {
+            return;
+        };
+        self.start = StartProgress::Serving(basis.clone());
+        actions.push(DistributionAction::Serve(basis));
+    }
+
+    fn find_basis(&self, now: Timestamp) -> Option<StartBasis> {
+        let StartProgress::Starting { asked, .. } = &self.start else {
+            return None;
+        };
+        if self.is_following(now) {
+            return Some(StartBasis::OwnTail);
+        }
+        let own = self.fold.current().number;
+        let heard = |name: &PeerName| self.peers.get(name);
+        let answered = asked
+            .iter()
+            .filter(|(_, ask)| ask.answered)
+            .filter_map(|(name, _)| heard(name));
+        let following = answered
+            .clone()
+            .find(|peer| peer.is_following() && peer.number() <= Some(own));
+        if let Some(peer) = following {
+            return Some(StartBasis::PeerTail(peer.info.name.clone()));
+        }
+        let all_asked = self
+            .peers
+            .iter()
+            .filter(|peer| peer.info.data_centre == self.settings.own.data_centre)
+            .all(|peer| {
+                asked
+                    .get(&peer.info.name)
+                    .is_some_and(|ask| ask.is_done(now))
+            });
+        let highest = answered.clone().filter_map(PeerState::number).max()?;
+        let ready = self.log.away && all_asked && self.pull.is_none() && highest <= own;
+        ready.then(|| StartBasis::HighestPeer {
+            asked: asked.len(),
+            answered: answered.count(),
+        })
+    }
+}
+
+impl StartAsk {
+    fn is_due(&self, now: Timestamp) -> bool {
+        !self.answered && self.tries < START_TRIES && START_TIMEOUT <= now.since(self.at)
+    }
+
+    fn is_done(&self, now: Timestamp) -> bool {
+        self.answered || (START_TRIES <= self.tries && START_TIMEOUT <= now.since(self.at))
+    }
+}
--- /dev/null
+++ b/src/process/distribution/tailing.rs
@@ -0,0 +1,37 @@
+//! Who reads the log.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::prelude::*;
+
+use super::{PeerName, PeerRole, PeerTable};
+
+/// The entry VMs of a data centre that read the log.
+pub const TAIL_ENTRIES: usize = 3;
+
+/// Returns the entry VMs of `data_centre` that should read the log, by rendezvous hashing.
+///
+/// Processes that see other members may choose otherwise; then some more or fewer read the
+/// log, which costs messages only.
+pub fn tail_entries(
+    data_centre: &DataCentreName,
+    own: Option<&PeerName>,
+    peers: &PeerTable,
+) -> SmallVec<[PeerName; TAIL_ENTRIES]> {
+    let reachable = peers.iter().filter(|peer| {
+        peer.info.role == PeerRole::Entry
+            && &peer.info.data_centre == data_centre
+            && !peer.is_unreachable()
+    });
+    let names = reachable.map(|peer| &peer.info.name).chain(own);
+    let mut ranked: Vec<(u64, &PeerName)> =
+        names.map(|name| (rank(data_centre, name), name)).collect();
+    ranked.sort_unstable();
+    ranked.dedup();
+    let chosen = ranked.into_iter().take(TAIL_ENTRIES);
+    chosen.map(|(_, name)| name.clone()).collect()
+}
+
+fn rank(data_centre: &DataCentreName, name: &PeerName) -> u64 {
+    xxh3_64(format!("{data_centre}/{name}").as_bytes())
+}
--- a/src/version/config/fold.rs
+++ b/src/version/config/fold.rs
@@ -26,6 +26,7 @@
     state: ConfigSnapshot,
     position: StreamPosition,
     rejections: VecDeque<(RecordNonce, ConfigRejection)>,
+    last_snapshot_at: Option<Timestamp>,
     newest_format: u32,
 }
 
@@ -62,6 +63,7 @@
             state,
             position: StreamPosition::Following(LogOffset(0)),
             rejections: VecDeque::new(),
+            last_snapshot_at: None,
             newest_format,
         }
     }
@@ -96,13 +98,19 @@
     }
 
     /// Returns the record that repeats the state; none while the fold itself waits for one.
-    pub fn snapshot_record(&self) -> Option<ConfigRecord> {
+    pub fn snapshot_record(&self, written_at: Timestamp) -> Option<ConfigRecord> {
         self.next_offset().map(|read_to| ConfigRecord::Snapshot {
             state: Box::new(self.state.clone()),
             read_to,
+            written_at,
         })
     }
 
+    /// Returns when the newest snapshot that was read was written; none when none was read.
+    pub fn last_snapshot_at(&self) -> Option<Timestamp> {
+        self.last_snapshot_at
+    }
+
     /// Returns what became of the record with `nonce`, as far as the fold has read.
     pub fn outcome_of(&self, nonce: &RecordNonce) -> NonceOutcome {
         if let Some(number) = self.state.history.find(nonce) {
@@ -131,7 +139,12 @@
         }
         self.advance(offset);
         match ConfigRecord::decode(value, self.state.format) {
-            Ok(ConfigRecord::Snapshot { state, read_to }) => {
+            Ok(ConfigRecord::Snapshot {
+                state,
+                read_to,
+                written_at,
+            }) => {
+                self.last_snapshot_at = self.last_snapshot_at.max(Some(written_at));
                 self.apply_snapshot(offset, *state, read_to)
             }
             Ok(_) if self.next_offset().is_none() => {
@@ -166,7 +179,7 @@
     pub fn replay(&mut self, accepted: &AcceptedRecord) -> bool {
         let next = self.state.version.number.next();
         if accepted.number < next {
-            self.assert_known(accepted);
+            self.assert_announced(accepted.number, &accepted.digest);
             return false;
         }
         if next < accepted.number || self.newest_format < self.state.format {
@@ -182,6 +195,23 @@
         true
     }
 
+    /// Checks what a peer says about a version against what is known here.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the version has another digest here.
+    pub fn assert_announced(&self, number: VersionNumber, digest: &VersionDigest) {
+        self.assert_one_content(number, digest);
+        let mut entries = self.state.history.entries().rev();
+        let known = entries.find(|entry| entry.accepted.number <= number);
+        if let Some(known) = known.filter(|entry| entry.accepted.number == number) {
+            assert_eq!(
+                &known.accepted.digest, digest,
+                "one content per version number: version {number}"
+            );
+        }
+    }
+
     /// Notes that the record at `offset` was read.
     fn advance(&mut self, offset: LogOffset) {
         let next = offset.next();
@@ -427,20 +457,6 @@
             );
         }
     }
-
-    fn assert_known(&self, accepted: &AcceptedRecord) {
-        let entries = self.state.history.entries();
-        let known = entries
-            .rev()
-            .find(|entry| entry.accepted.number == accepted.number);
-        if let Some(known) = known {
-            assert_eq!(
-                known.accepted.digest, accepted.digest,
-                "one content per version number: version {}",
-                accepted.number
-            );
-        }
-    }
 }
 
 struct VersionDraft {
--- a/src/version/config/record.rs
+++ b/src/version/config/record.rs
@@ -62,6 +62,8 @@
         state: Box<ConfigSnapshot>,
         /// The first offset that the writer had not read.
         read_to: LogOffset,
+        /// When it was written, by the writer's clock.
+        written_at: Timestamp,
     },
 }
 
--- a/tests/config_fold.rs
+++ b/tests/config_fold.rs
@@ -317,7 +317,7 @@
     let mut early = ConfigFold::new();
     fold_all(&mut early, &records);
     records.push(patch(2, "b3", vec![set_account("regie", 3)]));
-    records.push(early.snapshot_record().unwrap().encode());
+    records.push(early.snapshot_record(Timestamp(0)).unwrap().encode());
     records.push(recall(3, "b2"));
     let mut whole = ConfigFold::new();
     let outcomes = fold_all(&mut whole, &records);
@@ -342,9 +342,9 @@
 fn an_idle_stream_that_holds_only_its_last_snapshot_can_be_followed() {
     let mut writer = ConfigFold::new();
     writer.apply(LogOffset(0), &patch(0, "b1", vec![set_account("guild", 1)]));
-    let first = writer.snapshot_record().unwrap().encode();
+    let first = writer.snapshot_record(Timestamp(0)).unwrap().encode();
     writer.apply(LogOffset(1), &first);
-    let second = writer.snapshot_record().unwrap().encode();
+    let second = writer.snapshot_record(Timestamp(0)).unwrap().encode();
     let mut reader = ConfigFold::new();
     let mut late_reader = ConfigFold::new();
 
@@ -382,7 +382,13 @@
     version.content.accounts.insert("guild".into(), account(1));
     let state = Box::new(state);
     let read_to = LogOffset(0);
-    let record = ConfigRecord::Snapshot { state, read_to }.encode();
+    let written_at = Timestamp(0);
+    let record = ConfigRecord::Snapshot {
+        state,
+        read_to,
+        written_at,
+    }
+    .encode();
 
     let outcome = ConfigFold::new().apply(LogOffset(0), &record);
 
@@ -465,7 +471,7 @@
             StreamStep::Recall(lag, batch) => {
                 recall(current.saturating_sub(*lag), &format!("b{batch}"))
             }
-            StreamStep::Snapshot => fold.snapshot_record().unwrap().encode(),
+            StreamStep::Snapshot => fold.snapshot_record(Timestamp(0)).unwrap().encode(),
             StreamStep::Corrupt => json!({"format": 1}),
             StreamStep::Repeat => records.last().cloned().unwrap_or(Value::Null),
         };
