--- a/examples/measure/routing.rs
+++ b/examples/measure/routing.rs
@@ -1,19 +1,118 @@
-//! The `routing` measurement.
+//! The `routing` measurement: waits, goodput and cost of the routing decisions.
+
+mod cost;
+mod engine;
+mod model;
+mod policy;
+mod workload;
 
 use argh::FromArgs;
+use comfy_table::Table;
+use serde::Serialize;
+
+use model::{ModelResult, ModelScenario, ScenarioFault};
+use policy::RoutePolicy;
 
-/// routing
+/// measure the choice of targets in a queue model, and the cost of a decision
 #[derive(FromArgs)]
 #[argh(subcommand, name = "routing")]
 pub(crate) struct RoutingArgs {
     /// print one JSON object a line
     #[argh(switch)]
     json: bool,
+    /// measure only fleets of this many targets (19 or 550)
+    #[argh(option)]
+    targets: Option<usize>,
+    /// the seed of the arrivals
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// One line of the output.
+#[derive(Serialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+enum RoutingLine {
+    Queue(ModelResult),
+    Cost(cost::CostResult),
 }
 
-/// Reports that this measurement does not exist yet.
+/// Runs all scenarios and prints a line for each.
 pub(crate) fn run(args: &RoutingArgs) {
-    let _ = args.json;
-    eprintln!("measure: routing is not built yet");
-    std::process::exit(2);
+    let sizes = [19, 550];
+    let mut lines: Vec<RoutingLine> = sizes
+        .into_iter()
+        .filter(|&size| args.targets.is_none_or(|wanted| wanted == size))
+        .flat_map(|size| scenarios(size, args.seed))
+        .map(|scenario| RoutingLine::Queue(model::run(&scenario)))
+        .collect();
+    if args.targets.is_none() {
+        lines.extend(cost::run().into_iter().map(RoutingLine::Cost));
+    }
+    if args.json {
+        for line in &lines {
+            let text = serde_json::to_string(line).expect("plain values serialize");
+            println!("{text}");
+        }
+        return;
+    }
+    print_tables(&lines);
+}
+
+fn scenarios(n_targets: usize, seed: u64) -> Vec<ModelScenario> {
+    let mut scenarios = Vec::new();
+    for report_lag_s in [0.1, 1.0, 5.0] {
+        for load in [0.5, 0.9, 1.2, 2.0] {
+            scenarios.push((report_lag_s, load, ScenarioFault::None));
+        }
+    }
+    scenarios.push((1.0, 0.9, ScenarioFault::LostSixth));
+    scenarios.push((1.0, 2.0, ScenarioFault::LostSixth));
+    scenarios.push((1.0, 0.5, ScenarioFault::SlowTarget));
+    scenarios.push((1.0, 0.9, ScenarioFault::SlowTarget));
+    scenarios
+        .into_iter()
+        .flat_map(|(report_lag_s, load, fault)| {
+            RoutePolicy::ALL.map(|policy| ModelScenario {
+                n_targets,
+                load,
+                report_lag_s,
+                fault,
+                policy,
+                seed,
+            })
+        })
+        .collect()
+}
+
+fn print_tables(lines: &[RoutingLine]) {
+    let mut queues = Table::new();
+    queues.set_header([
+        "targets",
+        "load",
+        "lag s",
+        "fault",
+        "policy",
+        "wait p50/95/99 ms",
+        "first token p50/95/99 ms",
+        "hit %",
+        "goodput %",
+        "in time %",
+        "refused %",
+        "late %",
+        "tries",
+    ]);
+    let mut costs = Table::new();
+    costs.set_header(["what", "size", "ns", "bytes"]);
+    for line in lines {
+        match line {
+            RoutingLine::Queue(result) => {
+                queues.add_row(result.row());
+            }
+            RoutingLine::Cost(result) => {
+                costs.add_row(result.row());
+            }
+        }
+    }
+    println!("{queues}");
+    println!("{costs}");
 }
--- /dev/null
+++ b/examples/measure/routing/cost.rs
@@ -0,0 +1,247 @@
+//! The cost of one decision and the memory of what it needs.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use comfreyhead::prelude::*;
+use comfreyhead::process::routing::{
+    AccountDemand, AccountLimiter, DemandReport, FairQueue, LoadReport, PrefixHash, QueuedWork,
+    RouteQuery, ServiceTime, TargetEligibility, TargetTable, WorkCost,
+};
+use comfreyhead::version::config::{AccountConfig, TargetRole};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use super::policy::target_name;
+
+/// The decisions that are timed in one go.
+const N_TIMED: u32 = 100_000;
+/// The entry VMs whose demand is known.
+const N_ENTRIES: usize = 18;
+/// The client accounts at the target size.
+const N_ACCOUNTS: usize = 11_000;
+
+/// The cost of one decision at one size.
+#[derive(Serialize)]
+pub(crate) struct CostResult {
+    what: &'static str,
+    size: usize,
+    /// The time of one decision; zero where only bytes are given.
+    ns: f64,
+    /// Resident bytes for each target or account; zero where only time is given.
+    bytes: f64,
+}
+
+impl CostResult {
+    pub(crate) fn row(&self) -> Vec<String> {
+        vec![
+            self.what.to_owned(),
+            self.size.to_string(),
+            format!("{:.0}", self.ns),
+            format!("{:.0}", self.bytes),
+        ]
+    }
+}
+
+/// Times the decisions at today's and at the target sizes.
+pub(crate) fn run() -> Vec<CostResult> {
+    let mut results = Vec::new();
+    for n_targets in [19, 550, 3_300] {
+        results.extend(route_costs(n_targets));
+    }
+    results.extend(limit_costs(10));
+    results.extend(limit_costs(N_ACCOUNTS));
+    results.push(queue_cost(10));
+    results.push(queue_cost(N_ACCOUNTS));
+    results
+}
+
+fn route_costs(n_targets: usize) -> Vec<CostResult> {
+    let role = TargetRole::Model("model".into());
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let before = resident_bytes();
+    let mut table = filled_table(n_targets, &role, &mut rng);
+    let bytes = (resident_bytes() - before) / n_targets as f64;
+    let prefixes: Vec<PrefixHash> = (0..16).map(PrefixHash).collect();
+    let now = Timestamp::from_millis(1_000);
+    let query = RouteQuery {
+        role: &role,
+        prefixes: &[],
+        cost: 200,
+        tried: &[],
+        deadline: now + Duration::from_secs(60),
+    };
+    let plain = time_ns(|_| table.choose(now, &query, &mut rng).is_ok());
+    let with_prompt = RouteQuery {
+        prefixes: &prefixes,
+        ..query
+    };
+    let cached = time_ns(|_| table.choose(now, &with_prompt, &mut rng).is_ok());
+    let names: Vec<_> = (0..n_targets).map(target_name).collect();
+    let observed = time_ns(|round| {
+        let target = round as usize % n_targets;
+        let report = report_of(2 + u64::from(round), &mut rng);
+        table.observe_report(now, &names[target], &report);
+        true
+    });
+    let result = |what, ns, bytes| CostResult {
+        what,
+        size: n_targets,
+        ns,
+        bytes,
+    };
+    vec![
+        result("choose a target", plain, 0.0),
+        result("choose a target, 16 prompt blocks unknown", cached, 0.0),
+        result("take in a load report", observed, 0.0),
+        result("memory of a target", 0.0, bytes),
+    ]
+}
+
+fn filled_table(n_targets: usize, role: &TargetRole, rng: &mut ChaCha8Rng) -> TargetTable {
+    let mut table = TargetTable::new("dc-1".into());
+    for target in 0..n_targets {
+        let name = target_name(target);
+        table.set_target(&name, role, 16, &"dc-1".into());
+        table.set_eligible(&name, TargetEligibility::Eligible);
+        table.observe_report(Timestamp(1), &name, &report_of(1, rng));
+    }
+    table
+}
+
+fn report_of(sequence: u64, rng: &mut ChaCha8Rng) -> LoadReport {
+    LoadReport {
+        incarnation: ProcessIncarnation(1),
+        sequence,
+        running: rng.random_range(0..12),
+        waiting: 0,
+        limit: 16,
+        tokens_per_second: 300,
+        step_time_us: rng.random_range(30_000..38_000),
+        service_time: ServiceTime {
+            mean_s: 7.0,
+            mean_cost: 200.0,
+        },
+    }
+}
+
+fn limit_costs(n_accounts: usize) -> Vec<CostResult> {
+    let config = AccountConfig {
+        token_sha256: Vec::new(),
+        tokens_per_second: 100_000,
+        in_flight: 1_000,
+        weight: 1,
+    };
+    let accounts: Vec<AccountName> = (0..n_accounts)
+        .map(|account| format!("account-{account}").into())
+        .collect();
+    let entries: Vec<EntryName> = (0..N_ENTRIES)
+        .map(|entry| format!("entry-{entry}").into())
+        .collect();
+    let before = resident_bytes();
+    let mut limiter = AccountLimiter::new(entries[0].clone());
+    limiter.set_entries(&entries);
+    for account in &accounts {
+        limiter.set_account(account, &config);
+    }
+    let report = DemandReport {
+        sequence: 1,
+        accounts: accounts
+            .iter()
+            .map(|account| AccountDemand {
+                account: account.clone(),
+                tokens_per_second: 1_000,
+                in_flight: 10,
+            })
+            .collect(),
+    };
+    let report_bytes = serde_json::to_vec(&report).map_or(0, |text| text.len());
+    let now = Timestamp::from_millis(1_000);
+    for entry in &entries[1..] {
+        limiter.observe_demand(now, entry, &report);
+    }
+    let cost = WorkCost { tokens: 1 };
+    let admitted = time_ns(|round| {
+        let account = &accounts[round as usize % n_accounts];
+        let at = now + Duration::from_micros(u64::from(round) * 20);
+        let decision = limiter.admit(at, account, &cost);
+        limiter.finished(account, &cost, &cost);
+        black_box(decision);
+        true
+    });
+    let bytes = (resident_bytes() - before) / n_accounts as f64;
+    vec![
+        CostResult {
+            what: "check an account's limits",
+            size: n_accounts,
+            ns: admitted,
+            bytes: 0.0,
+        },
+        CostResult {
+            what: "memory of an account, active at 18 entries",
+            size: n_accounts,
+            ns: 0.0,
+            bytes,
+        },
+        CostResult {
+            what: "demand report, bytes of an account",
+            size: n_accounts,
+            ns: 0.0,
+            bytes: report_bytes as f64 / n_accounts as f64,
+        },
+    ]
+}
+
+fn queue_cost(n_accounts: usize) -> CostResult {
+    let accounts: Vec<AccountName> = (0..n_accounts)
+        .map(|account| format!("account-{account}").into())
+        .collect();
+    let mut queue = FairQueue::new(2 * n_accounts);
+    for account in &accounts {
+        queue.push(queued(account, 0));
+    }
+    let ns = time_ns(|round| {
+        queue.push(queued(&accounts[round as usize % n_accounts], round));
+        queue.pop().is_some()
+    });
+    CostResult {
+        what: "push to and pop from the fair queue",
+        size: n_accounts,
+        ns,
+        bytes: 0.0,
+    }
+}
+
+fn queued(account: &AccountName, item: u32) -> QueuedWork<u32> {
+    QueuedWork {
+        account: account.clone(),
+        lane: WorkLane::Interactive,
+        weight: 1,
+        cost: 200,
+        deadline: Timestamp::from_millis(60_000),
+        item,
+    }
+}
+
+fn time_ns(mut decide: impl FnMut(u32) -> bool) -> f64 {
+    for round in 0..N_TIMED / 10 {
+        black_box(decide(round));
+    }
+    let start = Instant::now();
+    for round in N_TIMED / 10..N_TIMED / 10 + N_TIMED {
+        black_box(decide(round));
+    }
+    start.elapsed().as_nanos() as f64 / f64::from(N_TIMED)
+}
+
+/// The resident memory of this process, in bytes; zero where the system does not tell.
+fn resident_bytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: f64 = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse().ok())
+        .unwrap_or(0.0);
+    pages * 4_096.0
+}
--- a/src/process/routing/fair_queue.rs
+++ b/src/process/routing/fair_queue.rs
@@ -124,6 +124,7 @@
             return QueuePush::Refused(work);
         }
         let displaced = self.lanes[lane as usize].pop_last(&account);
+        self.len -= 1;
         self.insert(work);
         QueuePush::Displaced(displaced)
     }
@@ -153,6 +154,10 @@
     fn insert(&mut self, work: QueuedWork<T>) {
         self.lanes[work.lane as usize].push(work);
         self.len += 1;
+        assert!(
+            self.len <= self.capacity,
+            "a queue never holds more than its capacity"
+        );
     }
 
     /// The longest account queue of the least urgent lane in use, not more urgent than `lane`.
