--- a/src/process/step_window/group_leader.rs
+++ b/src/process/step_window/group_leader.rs
@@ -284,6 +284,9 @@
         if window_of(self.newest) < window_of(reported) {
             self.newest = reported;
         }
+        if self.contradicts_proposal(reported) {
+            return self.stand_down(self.settings.fencing, actions);
+        }
         self.drop_granted_proposal();
         actions.push(LeaderAction::Leading(self.newest));
         self.recheck_loaded(now);
@@ -303,6 +306,15 @@
         self.newest.is_some() && self.ranks.iter().any(|view| view.granted != self.newest)
     }
 
+    /// Returns whether a rank runs another map in the proposed window. Ranks may have accepted
+    /// the proposal, so that only a leader with a new `Lead` record can repeat what runs.
+    fn contradicts_proposal(&self, reported: Option<WindowMap>) -> bool {
+        let (Some(proposed), Some(reported)) = (self.proposed, reported) else {
+            return false;
+        };
+        proposed.window <= reported.window && proposed != reported
+    }
+
     fn drop_granted_proposal(&mut self) {
         let newest = self.newest.map(|newest| newest.window);
         self.proposed = self
@@ -573,11 +585,15 @@
 
     fn on_later_lead(&mut self, fencing: FencingNumber, actions: &mut LeaderActions) {
         if self.settings.fencing < fencing {
-            self.phase = LeaderPhase::StoodDown;
-            actions.push(LeaderAction::StandDown(fencing));
+            self.stand_down(fencing, actions);
         }
     }
 
+    fn stand_down(&mut self, fencing: FencingNumber, actions: &mut LeaderActions) {
+        self.phase = LeaderPhase::StoodDown;
+        actions.push(LeaderAction::StandDown(fencing));
+    }
+
     fn on_tick(&mut self, now: Timestamp, actions: &mut LeaderActions) {
         if now < self.resend_at {
             return;
--- a/src/process/step_window/leader_event.rs
+++ b/src/process/step_window/leader_event.rs
@@ -48,6 +48,7 @@
     RankRefused(RankId, RefuseReason),
     /// Report the ranks that have not answered for a while; the group waits for them.
     Waiting(RankSet),
-    /// Stop: another leader has this fencing number, or a later one.
+    /// Stop: another leader has this fencing number, or a later one. With the leader's own
+    /// number, it may go on only under a new `Lead` record.
     StandDown(FencingNumber),
 }
