--- a/src/process/step_window/rank_event.rs
+++ b/src/process/step_window/rank_event.rs
@@ -34,8 +34,8 @@
     pub running: Option<WindowMap>,
     /// The window that the target has taken and not yet started.
     pub queued: Option<WindowMap>,
-    /// The maps whose experts the target holds.
-    pub loaded: SmallVec<[MapId; 2]>,
+    /// The maps whose experts the target holds; an engine needs them to send tokens to experts.
+    pub loaded: SmallVec<[Arc<ExpertMap>; 2]>,
 }
 
 /// What a rank's machine asks for.
--- a/src/process/step_window/rank_guard.rs
+++ b/src/process/step_window/rank_guard.rs
@@ -123,8 +123,9 @@
         }
         self.granted = state.queued.or(state.running);
         self.running = state.running.map(|running| running.window);
-        self.loaded = state.loaded.clone();
-        let ids = state
+        self.maps = state.loaded.clone();
+        self.loaded = self.maps.iter().map(|map| map.id()).collect();
+        let ids = self
             .loaded
             .iter()
             .chain(self.granted.iter().map(|granted| &granted.map));
