--- a/examples/measure/capacity/agent.rs
+++ b/examples/measure/capacity/agent.rs
@@ -17,7 +17,7 @@
         Probe {
             name: "agent-work",
             per: "request admitted, ended and remembered",
-            sizes: &[8_000, 16_000, 24_000, 32_000],
+            sizes: &[3_500, 7_000, 14_000, 28_000],
             run: ended_work,
         },
         Probe {
@@ -29,7 +29,7 @@
         Probe {
             name: "order-key",
             per: "order in the window: claim and settlement decoded and folded",
-            sizes: &[10_000, 20_000, 30_000, 40_000],
+            sizes: &[7_000, 14_000, 28_000, 56_000],
             run: order_keys,
         },
     ]
--- a/examples/measure/capacity/config.rs
+++ b/examples/measure/capacity/config.rs
@@ -4,10 +4,13 @@
 use comfreyhead::version::config::{
     ConfigChange, ConfigFold, ConfigSnapshot, FoldOutcome, ModelConfig,
 };
+use serde::Serialize;
 use serde_json::Value;
 
-use super::fixtures::{account_name, patch, set_account, target_config, target_name};
-use super::probe::{Probe, ProbeUsage, measure};
+use super::fixtures::{
+    account_config, account_name, patch, set_account, target_config, target_name,
+};
+use super::probe::{Probe, ProbeUsage, measure, measure_cpu};
 
 /// The changes that a probe of one change makes.
 const CHANGES: usize = 20;
@@ -17,13 +20,13 @@
         Probe {
             name: "config-account",
             per: "client account of the content, in memory and in a snapshot",
-            sizes: &[5_000, 10_000, 15_000, 20_000],
+            sizes: &[10_000, 20_000, 40_000, 80_000],
             run: accounts,
         },
         Probe {
             name: "config-target",
             per: "target of the content, in memory and in a snapshot",
-            sizes: &[5_000, 10_000, 15_000, 20_000],
+            sizes: &[10_000, 20_000, 40_000, 80_000],
             run: targets,
         },
         Probe {
@@ -32,6 +35,12 @@
             sizes: &[2_000, 5_000, 11_000, 20_000],
             run: changes,
         },
+        Probe {
+            name: "config-change-targets",
+            per: "target of the content, in 20 changes of one account each",
+            sizes: &[1_000, 2_000, 3_300, 6_000],
+            run: changes_beside_targets,
+        },
         Probe {
             name: "config-history",
             per: "change in the history, content of 10 accounts",
@@ -54,15 +63,19 @@
 }
 
 /// Measures the fold as a new process holds it, from a peer's snapshot.
-fn installed(changes: Vec<ConfigChange>) -> ProbeUsage {
-    let state = fold_of(changes).snapshot().clone();
-    // The changes themselves leave the history as later versions come.
-    let state = ConfigSnapshot {
-        history: Default::default(),
-        ..state
-    };
-    let text = serde_json::to_string(&state).expect("snapshot encodes");
-    drop(state);
+///
+/// The text of the snapshot is written entry by entry, so that little memory was freed before.
+fn installed(field: &str, entries: impl Iterator<Item = (String, String)>) -> ProbeUsage {
+    let mut state = serde_json::to_string(ConfigFold::new().snapshot()).expect("state encodes");
+    let empty = format!("\"{field}\":{{}}");
+    let at = state.find(&empty).expect("the field is empty") + empty.len() - 1;
+    let tail = state.split_off(at);
+    for (idx, (name, config)) in entries.enumerate() {
+        let comma = if idx == 0 { "" } else { "," };
+        state.push_str(&format!("{comma}\"{name}\":{config}"));
+    }
+    state.push_str(&tail);
+    let text = state.replacen("\"number\":0", "\"number\":1", 1);
     let mut usage = measure(|| {
         let state: ConfigSnapshot = serde_json::from_str(&text).expect("snapshot decodes");
         let mut fold = ConfigFold::new();
@@ -74,10 +87,25 @@
 }
 
 fn accounts(n: usize) -> ProbeUsage {
-    installed((0..n).map(set_account).collect())
+    let entry = |idx| (account_name(idx).to_string(), encoded(&account_config(idx)));
+    installed("accounts", (0..n).map(entry))
 }
 
 fn targets(n: usize) -> ProbeUsage {
+    let entry = |idx| (target_name(idx).to_string(), encoded(&target_config(idx)));
+    installed("targets", (0..n).map(entry))
+}
+
+fn encoded(value: &impl Serialize) -> String {
+    serde_json::to_string(value).expect("settings encode")
+}
+
+fn changes(n_accounts: usize) -> ProbeUsage {
+    let fold = fold_of((0..n_accounts).map(set_account).collect());
+    change_one_account(fold)
+}
+
+fn changes_beside_targets(n_targets: usize) -> ProbeUsage {
     let models = (0..4).map(|idx| ConfigChange::SetModel {
         name: format!("model-{idx}").into(),
         model: ModelConfig {
@@ -85,17 +113,16 @@
             timeout_ms: 120_000,
         },
     });
-    let targets = (0..n).map(|idx| ConfigChange::SetTarget {
+    let targets = (0..n_targets).map(|idx| ConfigChange::SetTarget {
         name: target_name(idx),
         target: target_config(idx),
     });
-    installed(models.chain(targets).collect())
+    change_one_account(fold_of(models.chain(targets).collect()))
 }
 
-fn changes(n_accounts: usize) -> ProbeUsage {
-    let mut fold = fold_of((0..n_accounts).map(set_account).collect());
+fn change_one_account(mut fold: ConfigFold) -> ProbeUsage {
     let records: Vec<Value> = (0..CHANGES).map(|idx| one_change(idx as u64 + 1)).collect();
-    measure(|| records.iter().for_each(|record| apply(&mut fold, record)))
+    measure_cpu(|| records.iter().for_each(|record| apply(&mut fold, record)))
 }
 
 fn history(n: usize) -> ProbeUsage {
--- a/examples/measure/capacity/entry.rs
+++ b/examples/measure/capacity/entry.rs
@@ -15,10 +15,14 @@
 use super::fixtures::{
     START, account_config, account_name, entry_name, load_report, model_role, target_name, uuid_v7,
 };
-use super::probe::{Probe, ProbeUsage, measure};
+use super::probe::{Probe, ProbeUsage, measure, measure_cpu};
 
 /// The targets that an entry subscribes to, in probes that fix their number.
 const SUBSCRIBED: usize = 64;
+/// Sizes at which a hash table is full to the same share, just before it doubles.
+pub(super) const HASH_SIZES: &[usize] = &[14_000, 28_000, 56_000, 112_000];
+/// The accounts of a probe whose shares are computed once each.
+const SHARED_ACCOUNTS: usize = 20_000;
 /// The time that a request has, in probes.
 const REQUEST_TIME: Duration = Duration::from_secs(60);
 
@@ -27,7 +31,7 @@
         Probe {
             name: "entry-target",
             per: "subscribed target with its first report",
-            sizes: &[20_000, 40_000, 60_000, 80_000],
+            sizes: HASH_SIZES,
             run: targets,
         },
         Probe {
@@ -45,31 +49,31 @@
         Probe {
             name: "entry-account",
             per: "client account known, not active",
-            sizes: &[50_000, 100_000, 150_000, 200_000],
+            sizes: HASH_SIZES,
             run: known_accounts,
         },
         Probe {
             name: "entry-active-account",
             per: "client account active",
-            sizes: &[50_000, 100_000, 150_000, 200_000],
+            sizes: HASH_SIZES,
             run: active_accounts,
         },
         Probe {
             name: "entry-admit-by-entries",
-            per: "entry VM, in 10,000 admissions with fresh shares",
+            per: "entry VM, in 20,000 admissions that compute a share",
             sizes: &[18, 128, 256, 384, 530],
             run: admissions_by_entries,
         },
         Probe {
             name: "entry-demand-item",
             per: "account in a peer's demand report, decoded and taken in",
-            sizes: &[50_000, 100_000, 150_000, 200_000],
+            sizes: HASH_SIZES,
             run: demand_items,
         },
         Probe {
             name: "entry-request",
             per: "request in flight",
-            sizes: &[20_000, 40_000, 60_000, 80_000],
+            sizes: HASH_SIZES,
             run: requests_in_flight,
         },
         Probe {
@@ -109,7 +113,7 @@
         .map(|idx| load_report((idx / SUBSCRIBED + 1) as u64))
         .map(|report| serde_json::to_string(&report).expect("report encodes"))
         .collect();
-    measure(|| {
+    measure_cpu(|| {
         for (idx, text) in texts.iter().enumerate() {
             let report = serde_json::from_str(text).expect("report decodes");
             let now = START + Duration::from_secs((idx / SUBSCRIBED) as u64);
@@ -122,7 +126,7 @@
     let mut table = table_of(SUBSCRIBED);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let roles: Vec<_> = (0..4).map(model_role).collect();
-    measure(|| {
+    measure_cpu(|| {
         for idx in 0..n {
             let now = START + Duration::from_millis(idx as u64);
             let query = RouteQuery {
@@ -168,22 +172,20 @@
 }
 
 fn admissions_by_entries(n_entries: usize) -> ProbeUsage {
-    let mut limiter = limiter_of(1, n_entries);
-    let account = account_name(0);
+    let mut limiter = limiter_of(SHARED_ACCOUNTS, n_entries);
     let report = demand_report(1, 1);
     for idx in 1..n_entries {
         limiter.observe_demand(START, &entry_name(idx), &report);
     }
+    let names: Vec<AccountName> = (0..SHARED_ACCOUNTS).map(account_name).collect();
     let cost = WorkCost { tokens: 1 };
-    measure(|| {
-        for idx in 0..10_000 {
-            // The shares are computed anew every 100 ms; peers' reports live for 6 s.
-            let now = START + Duration::from_millis(101 * (idx % 50));
-            let decision = limiter.admit(now, &account, &cost);
-            if decision == LimitDecision::Admitted {
-                limiter.finished(&account, &cost, &cost);
-            }
-        }
+    // The first admission of an account computes its share; others do so every 100 ms.
+    measure_cpu(|| {
+        names
+            .iter()
+            .map(|name| limiter.admit(START, name, &cost))
+            .filter(|decision| *decision == LimitDecision::Admitted)
+            .count()
     })
 }
 
@@ -268,7 +270,7 @@
         .map(|event| serde_json::to_string(&event).expect("event encodes"))
         .collect();
     let wire_bytes = texts.iter().map(|text| text.len() as u64).sum();
-    let mut usage = measure(|| {
+    let mut usage = measure_cpu(|| {
         let mut n_bytes = 0;
         for text in &texts {
             let event = serde_json::from_str(text).expect("event decodes");
--- a/examples/measure/capacity/group.rs
+++ b/examples/measure/capacity/group.rs
@@ -14,7 +14,7 @@
 };
 
 use super::fixtures::START;
-use super::probe::{Probe, ProbeUsage, measure};
+use super::probe::{Probe, ProbeUsage, measure_cpu};
 
 /// The windows of one run of a group.
 const WINDOWS: usize = 500;
@@ -27,6 +27,12 @@
             sizes: &[8, 16, 32, 64],
             run: windows,
         },
+        Probe {
+            name: "group-rank-messages",
+            per: "rank, in 500 windows; wire: number of messages",
+            sizes: &[8, 16, 32, 64],
+            run: window_messages,
+        },
         Probe {
             name: "group-map-load",
             per: "rank, one map sent to each (60 layers, 256 experts)",
@@ -77,6 +83,7 @@
     queue: VecDeque<Envelope>,
     n_windows: usize,
     wire_bytes: u64,
+    n_messages: u64,
 }
 
 impl GroupRun {
@@ -103,6 +110,7 @@
             queue: VecDeque::new(),
             n_windows: 0,
             wire_bytes: 0,
+            n_messages: 0,
         };
         (0..ranks).for_each(|rank| run.rank_event(rank, RankEvent::Start, Place::Leader));
         run.deliver(usize::MAX);
@@ -124,6 +132,7 @@
             };
             let text = serde_json::to_string(&envelope.message).expect("message encodes");
             self.wire_bytes += text.len() as u64;
+            self.n_messages += 1;
             let message = serde_json::from_str(&text).expect("message decodes");
             match envelope.to {
                 Place::Leader => self.leader_event(LeaderEvent::Message(message)),
@@ -178,24 +187,39 @@
     }
 }
 
-fn windows(ranks: usize) -> ProbeUsage {
-    let ranks = ranks as u16;
+/// Starts a group that runs its first window.
+fn running_group(ranks: u16) -> GroupRun {
     let mut run = GroupRun::start(ranks);
     run.switch_map(ExpertMap::even(MapNumber(1), shape(ranks, 1)).expect("the experts fit"));
     run.deliver(1);
     run.wire_bytes = 0;
-    let mut usage = measure(|| run.deliver(WINDOWS + 1));
+    run.n_messages = 0;
+    run
+}
+
+fn windows(ranks: usize) -> ProbeUsage {
+    let mut run = running_group(ranks as u16);
+    let mut usage = measure_cpu(|| run.deliver(WINDOWS + 1));
     assert_eq!(run.n_windows, WINDOWS + 1, "the group runs on");
     usage.wire_bytes = run.wire_bytes;
     usage
 }
 
+fn window_messages(ranks: usize) -> ProbeUsage {
+    let mut run = running_group(ranks as u16);
+    run.deliver(WINDOWS + 1);
+    ProbeUsage {
+        wire_bytes: run.n_messages,
+        ..ProbeUsage::default()
+    }
+}
+
 fn map_loads(ranks: usize) -> ProbeUsage {
     let ranks = ranks as u16;
     let mut run = GroupRun::start(ranks);
     run.wire_bytes = 0;
     let map = ExpertMap::even(MapNumber(1), shape(ranks, 60)).expect("the experts fit");
-    let mut usage = measure(|| {
+    let mut usage = measure_cpu(|| {
         run.switch_map(map);
         run.deliver(1);
     });
@@ -224,7 +248,7 @@
     let texts: Vec<String> = (0..100)
         .map(|idx| serde_json::to_string(&report(idx)).expect("report encodes"))
         .collect();
-    let mut usage = measure(|| {
+    let mut usage = measure_cpu(|| {
         for text in &texts {
             table.on_report(&serde_json::from_str(text).expect("report decodes"));
         }
@@ -246,5 +270,5 @@
         expert_bytes: 40 << 20,
         weights: &PlacementConfig::default(),
     };
-    measure(|| plan(&input))
+    measure_cpu(|| plan(&input))
 }
--- a/examples/measure/capacity/probe.rs
+++ b/examples/measure/capacity/probe.rs
@@ -27,6 +27,14 @@
     pub(super) wire_bytes: u64,
 }
 
+/// Measures the processor time of `work` alone.
+pub(super) fn measure_cpu<T>(work: impl FnOnce() -> T) -> ProbeUsage {
+    ProbeUsage {
+        bytes: 0,
+        ..measure(work)
+    }
+}
+
 /// Measures `work`; what it returns is kept until the memory is read.
 pub(super) fn measure<T>(work: impl FnOnce() -> T) -> ProbeUsage {
     let bytes_before = resident_bytes();
