--- a/src/process/agent/control_api.rs
+++ b/src/process/agent/control_api.rs
@@ -65,11 +65,11 @@
         incarnation: process.incarnation,
         readiness: process.readiness(),
         load: process.serving.get().map(|serving| {
-            serving
-                .table
-                .lock()
-                .admission
-                .next_report(tokens_per_second, step_time)
+            serving.table.lock().admission.next_report(
+                Timestamp::now(),
+                tokens_per_second,
+                step_time,
+            )
         }),
         version: process.versions.mark(),
         suspects: process.suspects.lock().reports(Timestamp::now()),
--- a/src/process/entry/entry_process.rs
+++ b/src/process/entry/entry_process.rs
@@ -238,7 +238,7 @@
                 }
                 .to_owned(),
                 incarnation: agent.and_then(|agent| agent.incarnation),
-                load: targets.estimated_load(target).unwrap_or(0),
+                load: targets.estimated_load(now, target).unwrap_or(0),
                 slow: targets.is_slow(target),
                 version: agent.map_or(VersionNumber(0), |agent| agent.version),
                 silent_ms: agent
