--- /dev/null
+++ b/src/bin/comfrey/client.rs
@@ -0,0 +1,118 @@
+//! Requests to the operators' API.
+
+use std::net::SocketAddr;
+
+use comfreyhead::prelude::*;
+use comfreyhead::process::platform::{HttpClient, HttpFailure};
+use http::Request;
+use http_body_util::Full;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// The longest time for an answer.
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// The environment variable with the operator's token.
+const TOKEN_VARIABLE: &str = "COMFREY_TOKEN";
+/// The environment variable with the address of an entry VM.
+const ENTRY_VARIABLE: &str = "COMFREY_ENTRY";
+
+/// A client of the operators' API that uses the first entry VM that answers.
+pub(crate) struct OperatorClient {
+    client: HttpClient,
+    entries: Vec<SocketAddr>,
+    token: String,
+}
+
+impl OperatorClient {
+    /// Makes a client from the arguments and the environment.
+    ///
+    /// # Errors
+    /// No entry VM or no token is named.
+    pub(crate) fn new(entries: &[SocketAddr]) -> Result<Self> {
+        let missing = |what: &str| Error::Invalid(format!("{what}, see --help"));
+        let token = std::env::var(TOKEN_VARIABLE)
+            .map_err(|_| missing(&format!("{TOKEN_VARIABLE} is not set")))?;
+        let mut entries = entries.to_vec();
+        if entries.is_empty() {
+            let text = std::env::var(ENTRY_VARIABLE).unwrap_or_default();
+            let address = text.parse();
+            entries.push(address.map_err(|_| missing("name an entry VM by --entry"))?);
+        }
+        Ok(Self {
+            client: HttpClient::http1(),
+            entries,
+            token,
+        })
+    }
+
+    /// Gets `path` from the first entry VM that answers.
+    ///
+    /// # Errors
+    /// No entry VM answers, or one refuses.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let mut failure = None;
+        for entry in &self.entries {
+            match self.ask(*entry, path).await {
+                Ok(answer) => return Ok(answer),
+                Err(err @ HttpFailure::Status(..)) if self.entries.len() == 1 => {
+                    return Err(described(*entry, &err));
+                }
+                Err(err) => failure = Some(described(*entry, &err)),
+            }
+        }
+        Err(failure.unwrap_or_else(|| Error::Invalid("no entry VM is named".into())))
+    }
+
+    /// Posts `body` to the first entry VM that can be connected to; never to a second.
+    ///
+    /// # Errors
+    /// No entry VM can be connected to, or one refuses, or its answer was lost.
+    pub(crate) async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T> {
+        let text = serde_json::to_string(body).map_err(|err| Error::Invalid(err.to_string()))?;
+        let mut failure = None;
+        for entry in &self.entries {
+            let request = Request::post(format!("http://{entry}{path}"))
+                .header("content-type", "application/json")
+                .header("authorization", format!("Bearer {}", self.token))
+                .body(Full::from(text.clone()))
+                .map_err(|err| Error::Invalid(err.to_string()))?;
+            match self.client.json(request, TIMEOUT).await {
+                Ok(answer) => return Ok(answer),
+                Err(err @ HttpFailure::NotSent(_)) => failure = Some(described(*entry, &err)),
+                Err(err) => return Err(described(*entry, &err)),
+            }
+        }
+        Err(failure.unwrap_or_else(|| Error::Invalid("no entry VM is named".into())))
+    }
+
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+    ) -> Result<T, HttpFailure> {
+        let request = Request::get(format!("http://{entry}{path}"))
+            .header("authorization", format!("Bearer {}", self.token))
+            .body(Full::default())
+            .map_err(|err| HttpFailure::Decode(err.to_string()))?;
+        self.client.json(request, TIMEOUT).await
+    }
+}
+
+fn described(entry: SocketAddr, failure: &HttpFailure) -> Error {
+    match failure {
+        HttpFailure::Status(status, body) => {
+            let body: Value = serde_json::from_slice(body).unwrap_or_default();
+            let message = body["message"].as_str().unwrap_or("no reason given");
+            Error::Peer(format!("entry VM {entry} answered {status}: {message}"))
+        }
+        HttpFailure::Lost(reason) => Error::Peer(format!(
+            "entry VM {entry}: {reason}; look at the history before you send it again"
+        )),
+        failure => Error::Peer(format!("entry VM {entry}: {failure}")),
+    }
+}
--- /dev/null
+++ b/src/bin/comfrey/commands.rs
@@ -0,0 +1,249 @@
+//! The commands of the tool.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use comfreyhead::prelude::*;
+use comfreyhead::process::operator::{
+    ConfigReport, InForceReport, OpenOrders, PatchOrder, PatchReport, PatchResult, RecallOrder,
+    RequestReport, SettleOrder, SettleReport, StatusReport, TargetReport, VersionReport,
+};
+use comfreyhead::process::orders::{AttemptId, OrderKey};
+use comfreyhead::version::config::{AuthorName, BatchName, ConfigChange, diff};
+use serde::Serialize;
+
+use crate::args::{
+    DiffArgs, ExplainArgs, OrdersCommand, PatchArgs, RecallArgs, SettleArgs, ShowArgs, ToolArgs,
+    ToolCommand, WatchArgs,
+};
+use crate::client::OperatorClient;
+use crate::tables;
+
+/// The exit code of a record that was rejected.
+const REJECTED: u8 = 3;
+/// The exit code of a record of which it is not known whether it was written.
+const UNKNOWN: u8 = 4;
+/// The exit code of a version that was not in force everywhere in time.
+const NOT_IN_FORCE: u8 = 5;
+/// The exit code of a record that was not written.
+const NOT_WRITTEN: u8 = 1;
+/// The pause between two looks at a report.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+
+/// How results are printed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum OutputForm {
+    Text,
+    Json,
+}
+
+/// Carries out the command of the arguments.
+///
+/// # Errors
+/// The command could not be carried out.
+pub(crate) async fn run(args: &ToolArgs) -> Result<ExitCode> {
+    let client = OperatorClient::new(&args.entry)?;
+    let form = if args.json {
+        OutputForm::Json
+    } else {
+        OutputForm::Text
+    };
+    match &args.command {
+        ToolCommand::Status(_) => {
+            let report: StatusReport = client.get("/status").await?;
+            print(form, &report, tables::status)
+        }
+        ToolCommand::Targets(_) => {
+            let report: Vec<TargetReport> = client.get("/targets").await?;
+            print(form, &report, |report| tables::targets(report))
+        }
+        ToolCommand::History(_) => {
+            let report: Vec<VersionReport> = client.get("/history").await?;
+            print(form, &report, |report| tables::history(report))
+        }
+        ToolCommand::Show(args) => show(&client, args).await,
+        ToolCommand::Diff(args) => show_diff(&client, form, args).await,
+        ToolCommand::Watch(args) => watch(&client, args).await,
+        ToolCommand::Explain(args) => explain(&client, form, args).await,
+        ToolCommand::Patch(args) => patch(&client, form, args).await,
+        ToolCommand::Recall(args) => recall(&client, form, args).await,
+        ToolCommand::Orders(args) => match &args.command {
+            OrdersCommand::Open(_) => {
+                let report: OpenOrders = client.get("/orders/open").await?;
+                print(form, &report, tables::open_orders)
+            }
+            OrdersCommand::Settle(args) => settle(&client, form, args).await,
+        },
+    }
+}
+
+async fn show(client: &OperatorClient, args: &ShowArgs) -> Result<ExitCode> {
+    let report = get_version(client, args.version).await?;
+    print(OutputForm::Json, &report, |_| String::new())
+}
+
+async fn show_diff(client: &OperatorClient, form: OutputForm, args: &DiffArgs) -> Result<ExitCode> {
+    let from = get_version(client, Some(args.from)).await?;
+    let to = get_version(client, args.to).await?;
+    let differences: Vec<String> = diff(&from.content, &to.content)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    print(form, &differences, |differences| differences.join("\n"))
+}
+
+async fn get_version(client: &OperatorClient, version: Option<u64>) -> Result<ConfigReport> {
+    match version {
+        Some(version) => client.get(&format!("/config/{version}")).await,
+        None => client.get("/config").await,
+    }
+}
+
+async fn watch(client: &OperatorClient, args: &WatchArgs) -> Result<ExitCode> {
+    let mut last = client.get::<StatusReport>("/status").await?.version;
+    println!("version {last} is in force");
+    let mut n_seen = 0;
+    while args.count.is_none_or(|count| n_seen < count) {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        let Ok(versions) = client.get::<Vec<VersionReport>>("/history").await else {
+            continue;
+        };
+        for version in versions
+            .iter()
+            .filter(|version| last < version.summary.number)
+        {
+            println!("{}", version.summary);
+            n_seen += 1;
+        }
+        last = versions
+            .last()
+            .map_or(last, |version| last.max(version.summary.number));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn explain(
+    client: &OperatorClient,
+    form: OutputForm,
+    args: &ExplainArgs,
+) -> Result<ExitCode> {
+    let report: RequestReport = client.get(&format!("/requests/{}", args.request)).await?;
+    print(form, &report, tables::explanation)
+}
+
+async fn patch(client: &OperatorClient, form: OutputForm, args: &PatchArgs) -> Result<ExitCode> {
+    let order = PatchOrder {
+        base: VersionNumber(args.base),
+        batch: BatchName::from(args.batch.as_str()),
+        author: AuthorName::from(args.author.as_str()),
+        changes: read_changes(&args.file)?,
+    };
+    let report: PatchReport = client.post("/patches", &order).await?;
+    conclude(client, form, &report, args.wait).await
+}
+
+async fn recall(client: &OperatorClient, form: OutputForm, args: &RecallArgs) -> Result<ExitCode> {
+    let order = RecallOrder {
+        base: VersionNumber(args.base),
+        batch: BatchName::from(args.batch.as_str()),
+        author: AuthorName::from(args.author.as_str()),
+    };
+    let report: PatchReport = client.post("/recalls", &order).await?;
+    conclude(client, form, &report, args.wait).await
+}
+
+async fn settle(client: &OperatorClient, form: OutputForm, args: &SettleArgs) -> Result<ExitCode> {
+    let outcome = match args.outcome.as_str() {
+        "answered" => RequestOutcome::Answered,
+        "failed" => RequestOutcome::Failed,
+        "not-run" => RequestOutcome::NotRun,
+        other => {
+            let expected = "expected answered, failed or not-run";
+            return Err(Error::Invalid(format!("--outcome {other}: {expected}")));
+        }
+    };
+    let order = SettleOrder {
+        key: OrderKey {
+            account: AccountName::from(args.account.as_str()),
+            id: args.key,
+        },
+        attempt: AttemptId(args.attempt),
+        outcome,
+        author: AuthorName::from(args.author.as_str()),
+        note: args.note.clone(),
+    };
+    let report: SettleReport = client.post("/orders/settle", &order).await?;
+    print(form, &report, |report| {
+        format!("{}: {}", report.result, report.reason)
+    })?;
+    Ok(exit_code(report.result))
+}
+
+/// Prints what became of a record, and waits for it to be in force where that is asked.
+async fn conclude(
+    client: &OperatorClient,
+    form: OutputForm,
+    report: &PatchReport,
+    wait: Option<u64>,
+) -> Result<ExitCode> {
+    print(form, report, |report| match report.result {
+        PatchResult::Accepted => format!("accepted: version {}", report.version),
+        result => format!("{result}: {} (nonce {})", report.reason, report.nonce),
+    })?;
+    match (report.result, wait) {
+        (PatchResult::Accepted, Some(seconds)) => {
+            await_in_force(client, form, report.version, seconds).await
+        }
+        (result, _) => Ok(exit_code(result)),
+    }
+}
+
+async fn await_in_force(
+    client: &OperatorClient,
+    form: OutputForm,
+    version: VersionNumber,
+    seconds: u64,
+) -> Result<ExitCode> {
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(seconds);
+    loop {
+        let report: InForceReport = client.get(&format!("/in-force/{version}")).await?;
+        let is_everywhere = report.lagging.is_empty() && report.unreachable.is_empty();
+        if is_everywhere || deadline <= tokio::time::Instant::now() {
+            print(form, &report, tables::in_force)?;
+            let code = if is_everywhere { 0 } else { NOT_IN_FORCE };
+            return Ok(ExitCode::from(code));
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+fn read_changes(path: &Path) -> Result<Vec<ConfigChange>> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|err| Error::Io(format!("cannot read {}", path.display()), err))?;
+    serde_json::from_str(&text)
+        .map_err(|err| Error::Invalid(format!("{}: no list of changes: {err}", path.display())))
+}
+
+fn exit_code(result: PatchResult) -> ExitCode {
+    match result {
+        PatchResult::Accepted => ExitCode::SUCCESS,
+        PatchResult::Rejected => ExitCode::from(REJECTED),
+        PatchResult::NotWritten => ExitCode::from(NOT_WRITTEN),
+        PatchResult::Unknown => ExitCode::from(UNKNOWN),
+    }
+}
+
+fn print<T: Serialize>(
+    form: OutputForm,
+    report: &T,
+    text: impl Fn(&T) -> String,
+) -> Result<ExitCode> {
+    match form {
+        OutputForm::Text => println!("{}", text(report)),
+        OutputForm::Json => {
+            let json = serde_json::to_string_pretty(report);
+            println!("{}", json.map_err(|err| Error::Invalid(err.to_string()))?);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/src/bin/comfrey/tables.rs
@@ -0,0 +1,183 @@
+//! Tables for people.
+
+use comfreyhead::prelude::*;
+use comfreyhead::process::operator::{
+    InForceReport, OpenOrders, PeerReport, RequestReport, StatusReport, TargetReport, VersionReport,
+};
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+
+/// Makes the table of peers.
+pub(crate) fn peers(peers: &[PeerReport]) -> String {
+    let mut table = table(&["ENTRY VM", "DATA CENTRE", "CONTROL", "VERSION", "STATE"]);
+    for peer in peers {
+        let state = if peer.reachable {
+            "reachable"
+        } else {
+            "unreachable"
+        };
+        table.add_row([
+            or_dash(peer.name.as_ref()),
+            or_dash(peer.data_centre.as_ref()),
+            peer.control.to_string(),
+            peer.version.to_string(),
+            format!("{state}, heard {}", ago(peer.silent_ms)),
+        ]);
+    }
+    table.to_string()
+}
+
+/// Makes the table of targets.
+pub(crate) fn targets(targets: &[TargetReport]) -> String {
+    let columns = [
+        "TARGET",
+        "DATA CENTRE",
+        "SERVES",
+        "STATE",
+        "LOAD",
+        "VERSION",
+        "HEARD",
+    ];
+    let mut table = table(&columns);
+    for target in targets {
+        let slow = if target.slow { ", slow" } else { "" };
+        table.add_row([
+            target.target.to_string(),
+            target.data_centre.to_string(),
+            target.serves.clone(),
+            format!("{}{slow}", target.state),
+            target.load.to_string(),
+            target.version.to_string(),
+            ago(target.silent_ms),
+        ]);
+    }
+    table.to_string()
+}
+
+/// Makes the page of an entry VM.
+pub(crate) fn status(report: &StatusReport) -> String {
+    let log = if report.log_reachable {
+        "reachable"
+    } else {
+        "away"
+    };
+    format!(
+        "entry VM {} in {}: version {} ({}) from {}, log service {log}, {} requests in flight\n\n\
+         {}\n\n{}",
+        report.name,
+        report.data_centre,
+        report.version,
+        report.digest,
+        report.source,
+        report.in_flight,
+        peers(&report.peers),
+        targets(&report.targets)
+    )
+}
+
+/// Makes the table of versions.
+pub(crate) fn history(versions: &[VersionReport]) -> String {
+    let mut table = table(&["VERSION", "BATCH", "AUTHOR", "RECALLED BY", "CHANGED"]);
+    for version in versions {
+        let paths: Vec<String> = version
+            .summary
+            .paths
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        table.add_row([
+            version.summary.number.to_string(),
+            or_dash(version.summary.batch.as_ref()),
+            or_dash(version.summary.author.as_ref()),
+            or_dash(version.recalled_by.as_ref()),
+            paths.join(", "),
+        ]);
+    }
+    table.to_string()
+}
+
+/// Makes the lines of where a version is in force.
+pub(crate) fn in_force(report: &InForceReport) -> String {
+    let mut lines = vec![format!(
+        "version {}: in force at {} processes, lagging at {}, unreachable {}",
+        report.version,
+        report.in_force,
+        report.lagging.len(),
+        report.unreachable.len()
+    )];
+    for process in &report.lagging {
+        lines.push(format!(
+            "  lagging: {} at version {}",
+            process.process, process.version
+        ));
+    }
+    for process in &report.unreachable {
+        let heard = ago(process.silent_ms);
+        lines.push(format!(
+            "  unreachable: {} last told version {}, heard {heard}",
+            process.process, process.version
+        ));
+    }
+    lines.join("\n")
+}
+
+/// Makes the lines of the decisions on a request.
+pub(crate) fn explanation(report: &RequestReport) -> String {
+    let outcome = report
+        .outcome
+        .map_or("in progress".to_owned(), |outcome| outcome.to_string());
+    let mut lines = vec![format!(
+        "request {} of {}: {outcome}",
+        report.request, report.account
+    )];
+    let start = report
+        .decisions
+        .first()
+        .map_or(0, |decision| decision.at_ms);
+    for decision in &report.decisions {
+        lines.push(format!(
+            "  +{} ms  {}",
+            decision.at_ms - start,
+            decision.decision
+        ));
+    }
+    lines.join("\n")
+}
+
+/// Makes the table of orders without a known outcome.
+pub(crate) fn open_orders(orders: &OpenOrders) -> String {
+    let mut table = table(&["ACCOUNT", "KEY", "ATTEMPT", "TARGET", "AGENT", "AGE"]);
+    for order in &orders.orders {
+        table.add_row([
+            order.key.account.to_string(),
+            order.key.id.to_string(),
+            order.attempt.to_string(),
+            order.target.to_string(),
+            order.agent.to_string(),
+            humantime::format_duration(Duration::from_secs(order.age_s)).to_string(),
+        ]);
+    }
+    table.to_string()
+}
+
+fn table(columns: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(NOTHING);
+    table.set_header(columns);
+    table
+}
+
+fn ago(silent_ms: Option<u64>) -> String {
+    match silent_ms {
+        Some(ms) if ms < 1_000 => "now".to_owned(),
+        Some(ms) => {
+            let time = Duration::from_secs(ms / 1_000);
+            format!("{} ago", humantime::format_duration(time))
+        }
+        None => "never".to_owned(),
+    }
+}
+
+fn or_dash<T: ToString>(value: Option<&T>) -> String {
+    value.map_or("-".to_owned(), T::to_string)
+}
--- a/src/process/entry/operations.rs
+++ b/src/process/entry/operations.rs
@@ -4,9 +4,10 @@
 
 use crate::prelude::*;
 use crate::process::operator::{
-    OpenOrders, PatchOrder, PatchReport, RecallOrder, SettleOrder, SettleReport, VersionReport,
+    ConfigReport, OpenOrders, PatchOrder, PatchReport, RecallOrder, SettleOrder, SettleReport,
+    VersionReport,
 };
-use crate::version::config::{ConfigRecord, EntryStanding, RecordNonce};
+use crate::version::config::{ConfigRecord, EntryStanding, RecordNonce, VersionDigest};
 
 use super::config_tail::submit;
 use super::entry_process::EntryProcess;
@@ -65,6 +66,29 @@
         })
     }
 
+    /// Returns a version that the history still reaches back to, with its content.
+    pub fn version(&self, number: VersionNumber) -> Option<ConfigReport> {
+        let (current, undone) = self.versions.with_fold(|fold| {
+            let since = fold.history().since(number);
+            let undone: Vec<_> = since.map(|entry| Arc::clone(&entry.undo)).collect();
+            (Arc::clone(fold.current()), undone)
+        });
+        let n_later = current.number.0.checked_sub(number.0)?;
+        if n_later != undone.len() as u64 {
+            return None;
+        }
+        let mut content = current.content.clone();
+        for change in undone.iter().rev().flat_map(|undo| undo.iter().rev()) {
+            change.apply(&mut content).ok()?;
+        }
+        let digest = VersionDigest::of(&content);
+        Some(ConfigReport {
+            version: number,
+            digest,
+            content,
+        })
+    }
+
     /// Lists the orders without a known outcome.
     ///
     /// # Errors
--- a/src/process/operator/api.rs
+++ b/src/process/operator/api.rs
@@ -87,6 +87,7 @@
     api.register(show_metrics)?;
     api.register(show_status)?;
     api.register(show_config)?;
+    api.register(show_version)?;
     api.register(list_history)?;
     api.register(in_force)?;
     api.register(patch)?;
@@ -141,6 +142,24 @@
     Ok(HttpResponseOk(entry.config_report()))
 }
 
+/// Shows a version that the history still reaches back to.
+#[endpoint { method = GET, path = "/config/{version}" }]
+async fn show_version(
+    context: Context,
+    path: Path<VersionPath>,
+) -> Result<HttpResponseOk<ConfigReport>, HttpError> {
+    let entry = context.context().authorized(context.request.headers())?;
+    let number = VersionNumber(path.into_inner().version);
+    let unknown = || {
+        let message = format!("version {number} does not exist, or is older than the history");
+        HttpError::for_not_found(None, message)
+    };
+    entry
+        .version(number)
+        .map(HttpResponseOk)
+        .ok_or_else(unknown)
+}
+
 /// Lists the versions that can still be recalled, the oldest first.
 #[endpoint { method = GET, path = "/history" }]
 async fn list_history(context: Context) -> Result<HttpResponseOk<Vec<VersionReport>>, HttpError> {
