--- a/src/process/entry/agent_watch.rs
+++ b/src/process/entry/agent_watch.rs
@@ -48,6 +48,11 @@
                 let leaving = list.vms.iter().filter(|vm| vm.state == VmState::Leaving);
                 let names = leaving.map(|vm| Arc::clone(&vm.name)).collect();
                 process.agents.lock().set_leaving_vms(names);
+                // Routing learns of it at once, not at the next poll of each agent.
+                let targets: Vec<TargetName> = process.agents.lock().targets().collect();
+                for target in &targets {
+                    set_eligibility(&process, target);
+                }
             }
             Err(err) => debug!(process.log, "list of VMs not read"; "error" => %err),
         }
--- a/src/process/entry/known_agents.rs
+++ b/src/process/entry/known_agents.rs
@@ -132,6 +132,11 @@
         self.agents.get(target)
     }
 
+    /// Returns the targets.
+    pub(super) fn targets(&self) -> impl Iterator<Item = TargetName> {
+        self.agents.keys().cloned()
+    }
+
     /// Returns the targets with their agents.
     pub(super) fn iter(&self) -> impl Iterator<Item = (&TargetName, &KnownAgent)> {
         self.agents.iter()
--- /dev/null
+++ b/tests/whole_path/main.rs
@@ -0,0 +1,7 @@
+//! Drives the real daemons over loopback: requests, refusals, graceful stops and kills.
+
+mod caller;
+mod faults;
+mod fleet;
+mod orders;
+mod requests;
