Add membership: the state of targets, subsets, reconnect delays

A report of readiness holds 2.4 s from the heartbeat that it answers, by the receiver's own clock, so a lost or late signal cannot keep work flowing to a target that leaves.

--- a/src/process/membership/mod.rs
+++ b/src/process/membership/mod.rs
@@ -1,1 +1,13 @@
 //! Which targets and peers are present, leaving or gone.
+
+mod backoff;
+mod event;
+mod state;
+mod subset;
+mod table;
+
+pub use backoff::reconnect_delay;
+pub use event::{AgentReadiness, AgentReport, DispatchSign, MembershipEvent, VmState};
+pub use state::{StateReason, TargetState, TargetStatus};
+pub use subset::{subset, subsets};
+pub use table::{HEARTBEAT_INTERVAL, MembershipTable, REPORT_LEASE};
