--- a/src/process/distribution/announcement.rs
+++ b/src/process/distribution/announcement.rs
@@ -18,6 +18,8 @@
     pub digest: VersionDigest,
     /// Whether the process read the log's tail a moment ago.
     pub following: bool,
+    /// Whether the process takes work, so that its version was once confirmed.
+    pub serving: bool,
 }
 
 impl VersionAnnouncement {
--- a/src/process/distribution/distributor.rs
+++ b/src/process/distribution/distributor.rs
@@ -26,6 +26,8 @@
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a read of the log's tail counts as fresh.
 const TAIL_FRESH: Duration = Duration::from_secs(2);
+/// How long what a follower of the log said vouches for a starting process's version.
+const HEARD_FRESH: Duration = Duration::from_secs(2);
 /// The longest wait for the answer of a peer at start-up.
 const START_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a peer is asked at start-up.
@@ -157,6 +159,7 @@
             number: version.number,
             digest: version.digest.clone(),
             following: self.is_following(now),
+            serving: matches!(self.start, StartProgress::Serving(_)),
         }
     }
 
@@ -600,6 +603,7 @@
             .filter_map(|(name, _)| heard(name));
         let following = answered
             .clone()
+            .filter(|peer| peer.heard_at.is_some_and(|at| now.since(at) <= HEARD_FRESH))
             .find(|peer| peer.is_following() && peer.number() <= Some(own));
         if let Some(peer) = following {
             return Some(StartBasis::PeerTail(peer.info.name.clone()));
@@ -613,8 +617,10 @@
                     .get(&peer.info.name)
                     .is_some_and(|ask| ask.is_done(now))
             });
-        let highest = answered.clone().filter_map(PeerState::number).max()?;
-        let ready = self.log.away && all_asked && self.pull.is_none() && highest <= own;
+        let highest = answered.clone().filter_map(PeerState::number).max();
+        let confirmed = self.peers.iter().any(PeerState::is_serving);
+        let caught_up = self.pull.is_none() && highest <= Some(own);
+        let ready = self.log.away && all_asked && confirmed && caught_up;
         ready.then(|| StartBasis::HighestPeer {
             asked: asked.len(),
             answered: answered.count(),
--- a/src/process/distribution/event.rs
+++ b/src/process/distribution/event.rs
@@ -95,7 +95,8 @@
     /// A peer that follows the log's tail has the same version.
     #[display("same version as {_0}, which follows the log")]
     PeerTail(PeerName),
-    /// The log was away; it took the highest version of the peers in its data centre.
+    /// The log was away; it took the highest version of the peers in its data centre, and a
+    /// peer that takes work has no higher one.
     #[display("log away; highest version of {answered} answering peers of {asked}")]
     HighestPeer {
         /// The peers that were asked.
--- a/src/process/distribution/peer.rs
+++ b/src/process/distribution/peer.rs
@@ -80,6 +80,13 @@
         UNREACHABLE_PROBES <= self.unanswered
     }
 
+    /// Whether the peer took work when it was last heard.
+    pub fn is_serving(&self) -> bool {
+        self.announced
+            .as_ref()
+            .is_some_and(|announcement| announcement.serving)
+    }
+
     /// Whether the peer followed the log's tail when it was last heard.
     pub fn is_following(&self) -> bool {
         self.announced
