Weigh cached blocks by what they save, and doubt reports by their age

Own dispatches count in place of old reports by the report's age over the service time; agents keep a quarter of a slot set waiting.

--- a/examples/measure/routing.rs
+++ b/examples/measure/routing.rs
@@ -23,6 +23,9 @@
     /// measure only fleets of this many targets (19 or 550)
     #[argh(option)]
     targets: Option<usize>,
+    /// measure only this load, as a share of capacity
+    #[argh(option)]
+    load: Option<f64>,
     /// the seed of the arrivals
     #[argh(option, default = "1")]
     seed: u64,
@@ -43,9 +46,10 @@
         .into_iter()
         .filter(|&size| args.targets.is_none_or(|wanted| wanted == size))
         .flat_map(|size| scenarios(size, args.seed))
+        .filter(|scenario| args.load.is_none_or(|wanted| wanted == scenario.load))
         .map(|scenario| RoutingLine::Queue(model::run(&scenario)))
         .collect();
-    if args.targets.is_none() {
+    if args.targets.is_none() && args.load.is_none() {
         lines.extend(cost::run().into_iter().map(RoutingLine::Cost));
     }
     if args.json {
--- a/src/process/routing/agent_admission.rs
+++ b/src/process/routing/agent_admission.rs
@@ -16,7 +16,7 @@
 use super::service_time::ServiceTime;
 
 /// The slots of a target for each request that its agent keeps waiting.
-const SLOTS_PER_WAITING: u32 = 2;
+const SLOTS_PER_WAITING: u32 = 4;
 /// The most ended work that an agent remembers.
 const MAX_ENDED: usize = 32_768;
 /// How long an agent remembers ended work at least, unless there is too much of it.
--- a/src/process/routing/target_state.rs
+++ b/src/process/routing/target_state.rs
@@ -17,8 +17,6 @@
 const MIN_SERVICE_S: f32 = 0.001;
 /// The least mean of own dispatches at a target that own dispatches are compared with.
 const MIN_MEAN_OWN: f32 = 0.5;
-/// The weight of own dispatches where a report is too old to count.
-const OWN_WEIGHT: f32 = 0.25;
 /// The failures in a row after which a target is left out for a while.
 const EJECT_FAILURES: u32 = 3;
 /// The first time for which a failing target is left out.
@@ -191,9 +189,9 @@
         let arrived = turnover * mean.load;
         let difference = reported - mean.load;
         let counted = difference.signum() * (difference.abs() - arrived).max(0.0);
-        let doubt = (arrived / difference.abs().max(1.0)).min(1.0);
+        let doubt = turnover.min(1.0);
         let sent = self.n_own as f32 / mean.n_own.max(MIN_MEAN_OWN) - 1.0;
-        (mean.load + counted + doubt * OWN_WEIGHT * sent * mean.load + since).max(0.0)
+        (mean.load + counted + doubt * sent * mean.load + since).max(0.0)
     }
 
     /// The load with one more request as a share of the limit.
--- a/src/process/routing/target_table.rs
+++ b/src/process/routing/target_table.rs
@@ -25,8 +25,10 @@
 const SECOND_LOOK_TARGETS: usize = 16;
 /// The load that a target in the own data centre may have over one elsewhere.
 const FAR_PENALTY: f32 = 0.1;
-/// The load that a target with a cached prefix may have over the best sampled one.
-const AFFINITY_SLACK: f32 = 0.25;
+/// The load that a target may have over the best sampled one, for each cached block.
+const SLACK_PER_BLOCK: f32 = 0.025;
+/// The most load that a target with a cached prefix may have over the best sampled one.
+const MAX_SLACK: f32 = 0.25;
 /// The most that runs or waits at a target, as a multiple of its limit.
 const MAX_LOAD: f32 = 2.0;
 /// The shortest time after which a refused caller may come back.
@@ -379,7 +381,6 @@
         view: &RouteView<'_>,
         candidates: &[RouteCandidate],
     ) -> Option<RouteDecision> {
-        let bound = candidates[0].score + AFFINITY_SLACK;
         for (block_idx, &prefix) in view.query.prefixes.iter().enumerate().rev() {
             let holder = self
                 .prefixes
@@ -388,10 +389,12 @@
                 .filter(|holder| self.is_usable(view, holder))
                 .map(|holder| self.candidate(view, holder.target_idx))
                 .min_by(|a, b| a.score.total_cmp(&b.score));
+            let blocks = block_idx + 1;
+            let slack = (SLACK_PER_BLOCK * blocks as f32).min(MAX_SLACK);
+            let bound = candidates[0].score + slack;
             let Some(holder) = holder.filter(|holder| holder.score <= bound) else {
                 continue;
             };
-            let blocks = block_idx + 1;
             let runner_up = candidates
                 .iter()
                 .find(|candidate| candidate.target_idx != holder.target_idx);
