--- a/examples/measure/routing.rs
+++ b/examples/measure/routing.rs
@@ -26,6 +26,9 @@
     /// measure only this load, as a share of capacity
     #[argh(option)]
     load: Option<f64>,
+    /// measure only the cost of decisions
+    #[argh(switch)]
+    cost: bool,
     /// the seed of the arrivals
     #[argh(option, default = "1")]
     seed: u64,
@@ -44,6 +47,7 @@
     let sizes = [19, 550];
     let mut lines: Vec<RoutingLine> = sizes
         .into_iter()
+        .filter(|_| !args.cost)
         .filter(|&size| args.targets.is_none_or(|wanted| wanted == size))
         .flat_map(|size| scenarios(size, args.seed))
         .filter(|scenario| args.load.is_none_or(|wanted| wanted == scenario.load))
--- a/src/process/routing/agent_admission.rs
+++ b/src/process/routing/agent_admission.rs
@@ -422,12 +422,13 @@
 
     fn has_room(&self) -> bool {
         let n_running = self.running.len() as u32;
-        let runs_alone = || {
-            self.running
-                .values()
-                .any(|running| running.sharing == WorkSharing::Alone)
-        };
-        self.waiting_alone.is_none() && n_running < self.limit.get() && !runs_alone()
+        self.waiting_alone.is_none() && n_running < self.limit.get() && !self.runs_alone()
+    }
+
+    fn runs_alone(&self) -> bool {
+        self.running
+            .values()
+            .any(|running| running.sharing == WorkSharing::Alone)
     }
 
     fn admit_alone(&mut self, now: Timestamp, offer: WorkOffer) -> AdmissionDecision {
@@ -501,6 +502,10 @@
             self.running.len() as u32 <= self.slots,
             "at most as much runs as the target has slots"
         );
+        assert!(
+            self.running.len() == 1 || !self.runs_alone(),
+            "a suspect runs with nothing beside it"
+        );
     }
 
     fn refuse(
