Use a free slot whatever the service time estimate says

A stall that outlasted every deadline drove the estimate over all of them; the agent and the entries then refused everything, and no request came in that could have corrected the estimate. The model gains a surge with callers who return and a stall of all targets.

--- a/examples/measure/routing.rs
+++ b/examples/measure/routing.rs
@@ -75,6 +75,8 @@
     }
     scenarios.push((1.0, 0.9, ScenarioFault::LostSixth));
     scenarios.push((1.0, 2.0, ScenarioFault::LostSixth));
+    scenarios.push((1.0, 2.0, ScenarioFault::Surge));
+    scenarios.push((1.0, 0.9, ScenarioFault::Stall));
     scenarios.push((1.0, 0.5, ScenarioFault::SlowTarget));
     scenarios.push((1.0, 0.9, ScenarioFault::SlowTarget));
     scenarios
--- a/examples/measure/routing/engine.rs
+++ b/examples/measure/routing/engine.rs
@@ -30,7 +30,7 @@
 pub(crate) struct Engine {
     pub(crate) is_alive: bool,
     /// How much slower than others it is; 1.0 is as fast.
-    pub(crate) slowness: f64,
+    slowness: f64,
     /// Changes with each start and end, so that outdated wake-ups are known.
     pub(crate) version: u32,
     /// The steps since the start, in thousandths.
@@ -86,6 +86,13 @@
         (n_cached, evicted)
     }
 
+    /// Changes the speed.
+    pub(crate) fn set_slowness(&mut self, now: Timestamp, slowness: f64) {
+        self.advance(now);
+        self.slowness = slowness;
+        self.version += 1;
+    }
+
     /// Frees the slot of a request that ended or was cancelled.
     pub(crate) fn release(&mut self, now: Timestamp) {
         self.advance(now);
--- a/examples/measure/routing/model.rs
+++ b/examples/measure/routing/model.rs
@@ -35,13 +35,21 @@
 const LOST_EVENTS: f64 = 0.1;
 /// How long after a loss the lists of targets show it.
 const LIST_LAG: Duration = Duration::from_secs(3);
-/// The phases of a run, in seconds: warm-up, measured, and (with a loss) lost and recovered.
+/// The phases of a run, in seconds: warm-up and measured; or the start of a fault, the time
+/// from which it is measured, its end, and the time from which recovery is measured.
 const WARM_UP_S: f64 = 30.0;
 const MEASURED_S: f64 = 60.0;
 const LOST_AT_S: f64 = 30.0;
+const SETTLED_AT_S: f64 = 40.0;
 const BACK_AT_S: f64 = 60.0;
 const RECOVERED_AT_S: f64 = 90.0;
 const LOSS_RUN_S: f64 = 120.0;
+/// The shortest time after which a refused caller may come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// How often a refused caller comes back.
+const MAX_RETURNS: u32 = 3;
+/// How much longer a step takes while the targets stall.
+const STALL_SLOWNESS: u32 = 10;
 /// The mean cost of a request in steps, prompt included, for the stated capacity.
 const MEAN_TOKENS: f64 = 184.0;
 const MEAN_BLOCKS: f64 = 9.5;
@@ -58,6 +66,12 @@
     /// One target in nineteen takes three times as long for a step.
     #[display("slow-target")]
     SlowTarget,
+    /// The load is a quarter of that stated but for half a minute; refused callers return.
+    #[display("surge")]
+    Surge,
+    /// All targets take ten times as long for a step for half a minute.
+    #[display("stall")]
+    Stall,
 }
 
 /// One run.
@@ -82,7 +96,7 @@
     prefix_hit_percent: f64,
     /// Work answered in time, as a share of the capacity of all targets.
     goodput_percent: f64,
-    /// The same while a sixth is lost, of what is left, and after it came back.
+    /// The same during a fault, of what is left, and from half a minute after it.
     goodput_lost_percent: f64,
     goodput_recovered_percent: f64,
     in_time_percent: f64,
@@ -98,11 +112,13 @@
             format!("{p50:.0}/{p95:.0}/{p99:.0}")
         };
         let goodput = match self.scenario.fault {
-            ScenarioFault::LostSixth => format!(
-                "{:.1} lost {:.1} back {:.1}",
-                self.goodput_percent, self.goodput_lost_percent, self.goodput_recovered_percent
+            ScenarioFault::None | ScenarioFault::SlowTarget => {
+                format!("{:.1}", self.goodput_percent)
+            }
+            _ => format!(
+                "in fault {:.1}, after {:.1}",
+                self.goodput_lost_percent, self.goodput_recovered_percent
             ),
-            _ => format!("{:.1}", self.goodput_percent),
         };
         vec![
             self.scenario.n_targets.to_string(),
@@ -134,6 +150,7 @@
     Lose,
     Delist,
     Restore,
+    SetSpeed(u32),
 }
 
 struct ModelRequest {
@@ -142,6 +159,7 @@
     tokens_left: u32,
     attempt: u32,
     tried: SmallVec<[usize; 4]>,
+    n_returns: u32,
     /// Where the present attempt waits or runs.
     at: Option<usize>,
     is_running: bool,
@@ -253,18 +271,12 @@
         let duration_s = self.end_at().0 as f64 / 1e6;
         let sizes = (self.scenario.n_targets, N_ENTRIES);
         for arrival in arrivals(per_second, duration_s, sizes, self.scenario.seed) {
-            let request = self.requests.len();
-            self.push(arrival.at, ModelEvent::Arrive(request));
-            self.requests.push(ModelRequest {
-                deadline: arrival.at + TIMEOUT,
-                tokens_left: arrival.tokens,
-                attempt: 0,
-                tried: SmallVec::new(),
-                at: None,
-                is_running: false,
-                has_ended: false,
-                arrival,
-            });
+            let at_s = arrival.at.0 as f64 / 1e6;
+            let is_calm = !(LOST_AT_S..BACK_AT_S).contains(&at_s);
+            let is_surge = self.scenario.fault == ScenarioFault::Surge;
+            if !is_surge || !is_calm || arrival.at.0 % 4 == 0 {
+                self.add_request(arrival, 0);
+            }
         }
         self.push(Timestamp(1), ModelEvent::Report);
         if self.scenario.fault == ScenarioFault::LostSixth {
@@ -272,6 +284,26 @@
             self.push(seconds(LOST_AT_S) + LIST_LAG, ModelEvent::Delist);
             self.push(seconds(BACK_AT_S), ModelEvent::Restore);
         }
+        if self.scenario.fault == ScenarioFault::Stall {
+            self.push(seconds(LOST_AT_S), ModelEvent::SetSpeed(STALL_SLOWNESS));
+            self.push(seconds(BACK_AT_S), ModelEvent::SetSpeed(1));
+        }
+    }
+
+    fn add_request(&mut self, arrival: Arrival, n_returns: u32) {
+        let request = self.requests.len();
+        self.push(arrival.at, ModelEvent::Arrive(request));
+        self.requests.push(ModelRequest {
+            deadline: arrival.at + TIMEOUT,
+            tokens_left: arrival.tokens,
+            attempt: 0,
+            tried: SmallVec::new(),
+            n_returns,
+            at: None,
+            is_running: false,
+            has_ended: false,
+            arrival,
+        });
     }
 
     /// The steps of requests that all targets do in a second.
@@ -280,9 +312,9 @@
     }
 
     fn end_at(&self) -> Timestamp {
-        match self.scenario.fault {
-            ScenarioFault::LostSixth => seconds(LOSS_RUN_S),
-            _ => seconds(WARM_UP_S + MEASURED_S),
+        match has_phases(&self.scenario) {
+            true => seconds(LOSS_RUN_S),
+            false => seconds(WARM_UP_S + MEASURED_S),
         }
     }
 
@@ -303,6 +335,7 @@
             ModelEvent::Lose => self.lose(),
             ModelEvent::Delist => self.list_lost(TargetEligibility::Down),
             ModelEvent::Restore => self.restore(),
+            ModelEvent::SetSpeed(slowness) => self.set_speed(f64::from(slowness)),
         }
     }
 
@@ -334,7 +367,7 @@
         };
         match choice {
             PolicyChoice::Target(target) => self.dispatch(request, target),
-            PolicyChoice::Refused => self.refuse(request),
+            PolicyChoice::Refused(retry_after) => self.refuse(request, retry_after),
         }
     }
 
@@ -349,7 +382,7 @@
         table.dispatched(&target_name(target), work, &state.arrival.prefixes);
         if !self.targets[target].engine.is_alive {
             table.finished(now, work, DispatchResult::Unreachable);
-            self.retry(request, TryFailure::NotStarted);
+            self.retry(request, TryFailure::NotStarted, MIN_RETRY_AFTER);
             return;
         }
         let admission = &mut self.targets[target].admission;
@@ -366,9 +399,12 @@
                 table.admitted(work, sequence);
                 state.at = Some(target);
             }
-            _ => {
+            AdmissionDecision::Refused { retry_after, .. } => {
                 table.finished(now, work, DispatchResult::Refused);
-                self.retry(request, TryFailure::NotStarted);
+                self.retry(request, TryFailure::NotStarted, retry_after);
+            }
+            AdmissionDecision::Unproved { .. } | AdmissionDecision::Duplicate => {
+                unreachable!("the model loses and doubles no message");
             }
         }
         self.act(target, &actions);
@@ -478,19 +514,21 @@
         for &action in actions {
             match action {
                 AdmissionAction::Start(work) => self.start(request_of(work), target),
-                AdmissionAction::Refuse { work, .. } => {
+                AdmissionAction::Refuse {
+                    work, retry_after, ..
+                } => {
                     let request = request_of(work);
                     self.requests[request].at = None;
                     let entry = self.requests[request].arrival.entry;
                     let table = &mut self.entries[entry].table;
                     table.finished(self.now, work, DispatchResult::Refused);
-                    self.retry(request, TryFailure::NotStarted);
+                    self.retry(request, TryFailure::NotStarted, retry_after);
                 }
             }
         }
     }
 
-    fn retry(&mut self, request: usize, failure: TryFailure) {
+    fn retry(&mut self, request: usize, failure: TryFailure, retry_after: Duration) {
         let state = &self.requests[request];
         if state.has_ended {
             return;
@@ -505,14 +543,21 @@
             RetryDecision::Retry { delay } => {
                 self.push(self.now + delay, ModelEvent::Retry(request));
             }
-            _ => self.refuse(request),
+            _ => self.refuse(request, retry_after),
         }
     }
 
-    fn refuse(&mut self, request: usize) {
+    fn refuse(&mut self, request: usize, retry_after: Duration) {
         let state = &mut self.requests[request];
         state.has_ended = true;
         self.stats.n_refused += u64::from(is_measured(&state.arrival));
+        let returns = self.scenario.fault == ScenarioFault::Surge && state.n_returns < MAX_RETURNS;
+        if returns {
+            let n_returns = state.n_returns + 1;
+            let mut arrival = state.arrival.clone();
+            arrival.at = self.now + retry_after.mul_f64(self.rng.random_range(1.0..1.5));
+            self.add_request(arrival, n_returns);
+        }
     }
 
     fn report(&mut self) {
@@ -577,7 +622,7 @@
             let work = work_id(request, state.attempt);
             let table = &mut self.entries[state.arrival.entry].table;
             table.finished(self.now, work, DispatchResult::Unreachable);
-            self.retry(request, TryFailure::MayHaveRun);
+            self.retry(request, TryFailure::MayHaveRun, MIN_RETRY_AFTER);
         }
     }
 
@@ -597,6 +642,13 @@
         self.list_lost(TargetEligibility::Eligible);
     }
 
+    fn set_speed(&mut self, slowness: f64) {
+        for target in 0..self.scenario.n_targets {
+            self.targets[target].engine.set_slowness(self.now, slowness);
+            self.schedule_wake(target);
+        }
+    }
+
     fn schedule_wake(&mut self, target: usize) {
         let engine = &self.targets[target].engine;
         if let Some(wake_at) = engine.next_wake() {
@@ -616,14 +668,18 @@
         let share = |part: u64| 100.0 * part as f64 / stats.n_measured().max(1) as f64;
         let [useful, useful_lost, useful_recovered] = stats.useful;
         let capacity = self.capacity();
-        let lost_capacity = capacity * 5.0 / 6.0;
+        let lost_capacity = match self.scenario.fault {
+            ScenarioFault::LostSixth => capacity * 5.0 / 6.0,
+            _ => capacity,
+        };
         ModelResult {
             scenario: self.scenario,
             wait_ms: quantiles_ms(&stats.waits),
             first_token_ms: quantiles_ms(&stats.first_tokens),
             prefix_hit_percent: 100.0 * stats.blocks_cached as f64 / stats.blocks.max(1) as f64,
             goodput_percent: 100.0 * useful / (capacity * MEASURED_S),
-            goodput_lost_percent: 100.0 * useful_lost / (lost_capacity * (BACK_AT_S - LOST_AT_S)),
+            goodput_lost_percent: 100.0 * useful_lost
+                / (lost_capacity * (BACK_AT_S - SETTLED_AT_S)),
             goodput_recovered_percent: 100.0 * useful_recovered
                 / (capacity * (LOSS_RUN_S - RECOVERED_AT_S)),
             in_time_percent: share(stats.n_in_time),
@@ -660,13 +716,21 @@
     seconds(WARM_UP_S) <= arrival.at
 }
 
+/// Whether a run has a time before, in and after a fault.
+fn has_phases(scenario: &ModelScenario) -> bool {
+    matches!(
+        scenario.fault,
+        ScenarioFault::LostSixth | ScenarioFault::Surge | ScenarioFault::Stall
+    )
+}
+
 /// The place in the record of useful work for an answer at `now`.
 fn phase_of(scenario: &ModelScenario, now: Timestamp) -> Option<usize> {
     let now_s = now.0 as f64 / 1e6;
-    if scenario.fault != ScenarioFault::LostSixth {
+    if !has_phases(scenario) {
         return (WARM_UP_S <= now_s).then_some(0);
     }
-    if now_s < LOST_AT_S {
+    if now_s < SETTLED_AT_S {
         return None;
     }
     if now_s < BACK_AT_S {
--- a/examples/measure/routing/policy.rs
+++ b/examples/measure/routing/policy.rs
@@ -7,6 +7,9 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
+/// When the baselines let a caller come back.
+const BASELINE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// How a target is chosen.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -39,7 +42,8 @@
 /// A choice by one of the policies.
 pub(crate) enum PolicyChoice {
     Target(usize),
-    Refused,
+    /// The caller may come back after this time.
+    Refused(Duration),
 }
 
 /// Takes the listed targets in turn.
@@ -55,7 +59,7 @@
             return PolicyChoice::Target(target);
         }
     }
-    PolicyChoice::Refused
+    PolicyChoice::Refused(BASELINE_RETRY_AFTER)
 }
 
 /// Takes the target with the least reported load; one at random of equals.
@@ -69,7 +73,10 @@
         .map(|step| (offset + step) % reported.len())
         .filter(|&target| reported[target].is_listed && !tried.contains(&target))
         .min_by_key(|&target| reported[target].load)
-        .map_or(PolicyChoice::Refused, PolicyChoice::Target)
+        .map_or(
+            PolicyChoice::Refused(BASELINE_RETRY_AFTER),
+            PolicyChoice::Target,
+        )
 }
 
 /// Asks the product.
@@ -81,7 +88,7 @@
 ) -> PolicyChoice {
     match view.table.choose(now, query, rng) {
         Ok(decision) => PolicyChoice::Target(target_idx(&decision.target)),
-        Err(_) => PolicyChoice::Refused,
+        Err(refusal) => PolicyChoice::Refused(refusal.retry_after),
     }
 }
 
--- a/src/process/routing/agent_admission.rs
+++ b/src/process/routing/agent_admission.rs
@@ -395,6 +395,8 @@
         is_alone || self.waiting.iter().any(|queued| queued.item.work == *work)
     }
 
+    /// Why an offer is refused. A free slot is used whatever the estimate says, so that an
+    /// estimate which a stall drove over every deadline is corrected.
     fn reason_to_refuse(&self, offer: &WorkOffer) -> Option<(RefusalReason, Duration)> {
         if self.draining == DrainState::Draining {
             return Some((RefusalReason::Draining, Duration::ZERO));
@@ -403,7 +405,11 @@
         if remaining.is_zero() {
             return Some((RefusalReason::Deadline, MIN_RETRY_AFTER));
         }
-        let needed = self.expected_wait(offer.lane) + self.service_time.of_cost(offer.cost);
+        let wait = self.expected_wait(offer.lane);
+        if wait.is_zero() {
+            return None;
+        }
+        let needed = wait + self.service_time.of_cost(offer.cost);
         if remaining < needed {
             let retry_after = (needed - remaining).max(MIN_RETRY_AFTER);
             return Some((RefusalReason::Deadline, retry_after));
--- a/src/process/routing/target_state.rs
+++ b/src/process/routing/target_state.rs
@@ -204,12 +204,18 @@
         self.next_load(now, mean) * self.slowness + SLOW_PENALTY * (self.slowness - 1.0)
     }
 
-    /// The expected time until a request of `cost` has its whole answer.
+    /// The time within which a request of `cost` probably ends; zero where a slot is free.
+    ///
+    /// A free slot is used whatever the estimate says: else an estimate that a stall drove
+    /// over every deadline would keep out the requests that could correct it.
     pub(crate) fn expected_time(&self, now: Timestamp, mean: &PoolMean, cost: u64) -> Duration {
         let Some(report) = &self.report else {
             return Duration::ZERO;
         };
-        let n_ahead = (self.load(now, mean) + 1.0 - self.limit()).max(0.0);
+        let n_ahead = self.load(now, mean) + 1.0 - self.limit();
+        if n_ahead <= 0.0 {
+            return Duration::ZERO;
+        }
         report.service_time.of_wait(n_ahead, self.limit()) + report.service_time.of_cost(cost)
     }
 
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -289,6 +289,37 @@
         .expect("the bounds hold");
 }
 
+#[test]
+fn an_agent_takes_work_again_after_a_stall_that_outlasted_every_deadline() {
+    let mut admission = AgentAdmission::new(ProcessIncarnation(1), 2);
+    let mut at = now();
+    for attempt in 1..200 {
+        admission.admit(at, offer(5 * attempt + 1, 1_000_000));
+        at = at + Duration::from_secs(60);
+        admission.finished(at, work(5 * attempt + 1));
+    }
+
+    let mut fresh = offer(2, 30_000);
+    fresh.accepted_at = at;
+    let (decision, _) = admission.admit(at, fresh);
+
+    assert_eq!(decision, AdmissionDecision::Start);
+}
+
+#[test]
+fn an_idle_target_is_chosen_again_after_such_a_stall() {
+    let mut table = table_of(2);
+    for target_idx in 0..2 {
+        let mut report = report(1, 0);
+        report.service_time.mean_s = 60.0;
+        table.observe_report(now(), &target(target_idx), &report);
+    }
+
+    let decision = choose(&table, &[], 1);
+
+    assert!(decision.is_ok());
+}
+
 #[test]
 fn a_draining_agent_refuses_new_work_and_finishes_the_old() {
     let mut admission = AgentAdmission::new(ProcessIncarnation(1), 2);
