--- a/examples/measure/routing.rs
+++ b/examples/measure/routing.rs
@@ -23,6 +23,12 @@
     /// measure only fleets of this many targets (19 or 550)
     #[argh(option)]
     targets: Option<usize>,
+    /// measure only this load, as a share of capacity
+    #[argh(option)]
+    load: Option<f64>,
+    /// measure only the cost of decisions
+    #[argh(switch)]
+    cost: bool,
     /// the seed of the arrivals
     #[argh(option, default = "1")]
     seed: u64,
@@ -41,11 +47,13 @@
     let sizes = [19, 550];
     let mut lines: Vec<RoutingLine> = sizes
         .into_iter()
+        .filter(|_| !args.cost)
         .filter(|&size| args.targets.is_none_or(|wanted| wanted == size))
         .flat_map(|size| scenarios(size, args.seed))
+        .filter(|scenario| args.load.is_none_or(|wanted| wanted == scenario.load))
         .map(|scenario| RoutingLine::Queue(model::run(&scenario)))
         .collect();
-    if args.targets.is_none() {
+    if args.targets.is_none() && args.load.is_none() {
         lines.extend(cost::run().into_iter().map(RoutingLine::Cost));
     }
     if args.json {
@@ -67,6 +75,8 @@
     }
     scenarios.push((1.0, 0.9, ScenarioFault::LostSixth));
     scenarios.push((1.0, 2.0, ScenarioFault::LostSixth));
+    scenarios.push((1.0, 2.0, ScenarioFault::Surge));
+    scenarios.push((1.0, 0.9, ScenarioFault::Stall));
     scenarios.push((1.0, 0.5, ScenarioFault::SlowTarget));
     scenarios.push((1.0, 0.9, ScenarioFault::SlowTarget));
     scenarios
--- a/src/process/routing/agent_admission.rs
+++ b/src/process/routing/agent_admission.rs
@@ -16,7 +16,7 @@
 use super::service_time::ServiceTime;
 
 /// The slots of a target for each request that its agent keeps waiting.
-const SLOTS_PER_WAITING: u32 = 2;
+const SLOTS_PER_WAITING: u32 = 4;
 /// The most ended work that an agent remembers.
 const MAX_ENDED: usize = 32_768;
 /// How long an agent remembers ended work at least, unless there is too much of it.
@@ -395,6 +395,8 @@
         is_alone || self.waiting.iter().any(|queued| queued.item.work == *work)
     }
 
+    /// Why an offer is refused. A free slot is used whatever the estimate says, so that an
+    /// estimate which a stall drove over every deadline is corrected.
     fn reason_to_refuse(&self, offer: &WorkOffer) -> Option<(RefusalReason, Duration)> {
         if self.draining == DrainState::Draining {
             return Some((RefusalReason::Draining, Duration::ZERO));
@@ -403,7 +405,11 @@
         if remaining.is_zero() {
             return Some((RefusalReason::Deadline, MIN_RETRY_AFTER));
         }
-        let needed = self.expected_wait(offer.lane) + self.service_time.of_cost(offer.cost);
+        let wait = self.expected_wait(offer.lane);
+        if wait.is_zero() {
+            return None;
+        }
+        let needed = wait + self.service_time.of_cost(offer.cost);
         if remaining < needed {
             let retry_after = (needed - remaining).max(MIN_RETRY_AFTER);
             return Some((RefusalReason::Deadline, retry_after));
@@ -422,12 +428,13 @@
 
     fn has_room(&self) -> bool {
         let n_running = self.running.len() as u32;
-        let runs_alone = || {
-            self.running
-                .values()
-                .any(|running| running.sharing == WorkSharing::Alone)
-        };
-        self.waiting_alone.is_none() && n_running < self.limit.get() && !runs_alone()
+        self.waiting_alone.is_none() && n_running < self.limit.get() && !self.runs_alone()
+    }
+
+    fn runs_alone(&self) -> bool {
+        self.running
+            .values()
+            .any(|running| running.sharing == WorkSharing::Alone)
     }
 
     fn admit_alone(&mut self, now: Timestamp, offer: WorkOffer) -> AdmissionDecision {
@@ -501,6 +508,10 @@
             self.running.len() as u32 <= self.slots,
             "at most as much runs as the target has slots"
         );
+        assert!(
+            self.running.len() == 1 || !self.runs_alone(),
+            "a suspect runs with nothing beside it"
+        );
     }
 
     fn refuse(
