--- a/src/process/orders/holder.rs
+++ b/src/process/orders/holder.rs
@@ -20,7 +20,7 @@
 /// The orders of one life of an agent.
 ///
 /// An order runs only after the agent has read its own claim back as the first record of the key
-/// that counts, and only out of the phase [`HeldPhase::Claiming`], which it leaves for good.
+/// that counts, and only out of the phase `Claiming`, which it leaves for good.
 #[derive(Clone, Debug)]
 pub struct OrderHolder {
     identity: HolderIdentity,
