Run the order machines against random faults

10,000 cases from four fixed seeds with a counting target as second witness. A shard now counts as away after two failed reads in a row, and an agent replies 50 ms before the caller's deadline so that its reason arrives.

--- a/src/process/orders/entry.rs
+++ b/src/process/orders/entry.rs
@@ -245,7 +245,7 @@
             digest: request.digest,
             service: request.service.clone(),
             call: request.call.clone(),
-            deadline: request.deadline,
+            deadline: request.deadline - self.settings.reply_margin,
             key_history,
         };
         actions.push(EntryAction::Dispatch {
--- a/src/process/orders/order_log.rs
+++ b/src/process/orders/order_log.rs
@@ -33,6 +33,7 @@
     tail: ShardTail,
     reading: Option<ReadId>,
     not_before: Timestamp,
+    n_failed: u32,
 }
 
 /// Whether the log service answers.
@@ -101,6 +102,7 @@
                 tail: ShardTail::covering(window, since, now),
                 reading: None,
                 not_before: now,
+                n_failed: 0,
             });
         followed.tail.touch(now);
     }
@@ -170,6 +172,7 @@
                 let shard = self.reads.remove(&read)?;
                 let followed = self.tails.get_mut(&shard)?;
                 followed.reading.take_if(|reading| *reading == read)?;
+                followed.n_failed = 0;
                 self.reach = LogReach::Up;
                 let effect = followed.tail.on_page(now, &page);
                 Some(LogNews::KeysChanged {
@@ -181,6 +184,10 @@
                 let shard = self.reads.remove(&read)?;
                 let followed = self.tails.get_mut(&shard)?;
                 followed.reading.take_if(|reading| *reading == read)?;
+                followed.n_failed += 1;
+                if followed.n_failed < self.settings.max_reads {
+                    return None;
+                }
                 followed.not_before = now + self.settings.log_retry_delay;
                 self.reach = LogReach::Down;
                 Some(LogNews::ShardAway(shard))
--- a/src/process/orders/settings.rs
+++ b/src/process/orders/settings.rs
@@ -50,6 +50,10 @@
     pub max_held: usize,
     /// The most appends of one claim or void.
     pub max_appends: u32,
+    /// The number of reads of a shard that fail in a row before the log service counts as away.
+    pub max_reads: u32,
+    /// How long before the caller's deadline an agent replies, so that the reply still arrives.
+    pub reply_margin: Duration,
     /// The most agents that one try is dispatched to.
     pub max_attempts: u32,
     /// How far back a process reads a shard before it takes orders of new keys.
@@ -72,6 +76,8 @@
             log_retry_delay: Duration::from_millis(200),
             max_held: 2_048,
             max_appends: 2,
+            max_reads: 2,
+            reply_margin: Duration::from_millis(50),
             max_attempts: 2,
             first_cover: Duration::from_secs(30),
             follow_idle: Duration::from_secs(600),
--- /dev/null
+++ b/tests/orders_random.rs
@@ -0,0 +1,745 @@
+//! Randomised runs of the order machines against faults of everything around them.
+//!
+//! Each case is a schedule of deliveries, losses, pauses, crashes and outages. The machines assert
+//! at-most-once themselves; a counting target outside is the second witness.
+//! `COMFREYHEAD_CASES` sets the number of cases of each profile for a longer run.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+
+use comfreyhead::prelude::*;
+use comfreyhead::process::orders::{
+    AppendFault, AttemptId, BodyDigest, EntryAction, EntryEvent, EntryOrders, HolderAction,
+    HolderEvent, HolderIdentity, KeyHistory, KeyUse, LogAction, LogEntry, LogEvent, LogPage,
+    OrderAnswer, OrderHolder, OrderKey, OrderReply, OrderRequest, OrderSettings, OrderShard,
+    ReplyReason, TryId, TryRequest,
+};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use uuid::Builder;
+
+const N_AGENTS: usize = 2;
+const N_ENTRIES: usize = 2;
+const CASES_PER_PROFILE: u32 = 2_500;
+const START: Timestamp = Timestamp::from_millis(1_700_000_000_000);
+
+#[derive(Clone, Debug)]
+enum WorldStep {
+    Submit { entry: usize, pick: usize, body: u8 },
+    Deliver(usize),
+    Lose(usize),
+    LoseAnswer(usize),
+    Stale(usize),
+    Advance(u64),
+    CrashAgent(usize),
+    CrashEntry(usize),
+    Pause(usize),
+    Resume(usize),
+    LogDown,
+    LogUp,
+}
+
+/// How often each kind of fault comes.
+#[derive(Clone, Copy)]
+struct FaultProfile {
+    losses: u32,
+    crashes: u32,
+    pauses: u32,
+    outages: u32,
+    max_advance_ms: u64,
+}
+
+const CALM: FaultProfile = FaultProfile {
+    losses: 0,
+    crashes: 0,
+    pauses: 0,
+    outages: 0,
+    max_advance_ms: 1_000,
+};
+
+fn any_step(profile: FaultProfile) -> impl Strategy<Value = WorldStep> {
+    let submit = (0..N_ENTRIES, any::<usize>(), 0..8_u8);
+    let submit = submit.prop_map(|(entry, pick, body)| WorldStep::Submit {
+        entry,
+        pick,
+        body: body / 7,
+    });
+    prop_oneof![
+        12 => submit,
+        100 => any::<usize>().prop_map(WorldStep::Deliver),
+        1 + profile.losses => any::<usize>().prop_map(WorldStep::Lose),
+        1 + profile.losses => any::<usize>().prop_map(WorldStep::LoseAnswer),
+        1 + profile.losses => any::<usize>().prop_map(WorldStep::Stale),
+        20 => (0..=100_u64).prop_map(WorldStep::Advance),
+        2 => (0..=profile.max_advance_ms).prop_map(WorldStep::Advance),
+        1 + profile.crashes => (0..N_AGENTS).prop_map(WorldStep::CrashAgent),
+        1 + profile.crashes => (0..N_ENTRIES).prop_map(WorldStep::CrashEntry),
+        1 + profile.pauses => (0..N_AGENTS).prop_map(WorldStep::Pause),
+        1 + profile.pauses => (0..N_AGENTS).prop_map(WorldStep::Resume),
+        1 + profile.outages => Just(WorldStep::LogDown),
+        3 + 2 * profile.outages => Just(WorldStep::LogUp),
+    ]
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Sender {
+    Agent(usize, u64),
+    Entry(usize, u64),
+}
+
+/// What is on its way.
+#[derive(Clone, Debug)]
+enum Message {
+    Dispatch(Sender, Sender, OrderRequest),
+    Reply(AttemptId, OrderReply),
+    Append(Sender, LogAction, Report),
+    Read(Sender, LogAction),
+    LogAnswer(Sender, LogEvent),
+    Run(Sender, AttemptId, Report),
+    TargetAnswer(Sender, AttemptId),
+}
+
+/// Whether the sender still waits for the result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Report {
+    Awaited,
+    GivenUp,
+}
+
+#[derive(Default)]
+struct FakeLog {
+    streams: BTreeMap<OrderShard, Vec<LogEntry>>,
+    is_down: bool,
+}
+
+struct Caller {
+    key: OrderKey,
+    body: u8,
+    history: KeyHistory,
+    entry: Sender,
+    attempts: Vec<AttemptId>,
+    reply: Option<OrderReply>,
+}
+
+struct Dispatched {
+    order: OrderRequest,
+    entry: Sender,
+    agent: Sender,
+}
+
+struct World {
+    now: Timestamp,
+    agents: Vec<OrderHolder>,
+    entries: Vec<EntryOrders>,
+    agent_lives: [u64; N_AGENTS],
+    entry_lives: [u64; N_ENTRIES],
+    paused: [bool; N_AGENTS],
+    log: FakeLog,
+    messages: Vec<Message>,
+    dispatched: BTreeMap<AttemptId, Dispatched>,
+    callers: BTreeMap<TryId, Caller>,
+    keys: Vec<OrderKey>,
+    ran_by: BTreeMap<OrderKey, AttemptId>,
+    closed: BTreeSet<OrderKey>,
+    outcomes: BTreeMap<String, u64>,
+}
+
+fn entry_orders(entry: usize, life: u64) -> EntryOrders {
+    let rng = ChaCha8Rng::seed_from_u64(life * 100 + entry as u64);
+    let name = EntryName::from(format!("entry-{entry}"));
+    EntryOrders::new(name, OrderSettings::default(), rng)
+}
+
+fn order_holder(agent: usize, life: u64) -> OrderHolder {
+    let identity = HolderIdentity {
+        agent: AgentName::from(format!("agent-{agent}")),
+        incarnation: ProcessIncarnation(life),
+        target: TargetName::from(format!("ledger-{agent}")),
+    };
+    OrderHolder::new(identity, OrderSettings::default())
+}
+
+fn digest_of(body: u8) -> BodyDigest {
+    BodyDigest::of("ledger", "post", &[body])
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            now: START,
+            agents: (0..N_AGENTS).map(|agent| order_holder(agent, 1)).collect(),
+            entries: (0..N_ENTRIES).map(|entry| entry_orders(entry, 1)).collect(),
+            agent_lives: [1; N_AGENTS],
+            entry_lives: [1; N_ENTRIES],
+            paused: [false; N_AGENTS],
+            log: FakeLog::default(),
+            messages: Vec::new(),
+            dispatched: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            keys: Vec::new(),
+            ran_by: BTreeMap::new(),
+            closed: BTreeSet::new(),
+            outcomes: BTreeMap::new(),
+        }
+    }
+
+    /// The clock of a process: the agents' run ahead and behind, within the allowed skew.
+    fn clock(&self, sender: Sender) -> Timestamp {
+        match sender {
+            Sender::Agent(0, _) => self.now + Duration::from_secs(12),
+            Sender::Agent(..) => self.now - Duration::from_secs(12),
+            Sender::Entry(..) => self.now,
+        }
+    }
+
+    fn is_alive(&self, sender: Sender) -> bool {
+        match sender {
+            Sender::Agent(agent, life) => self.agent_lives[agent] == life,
+            Sender::Entry(entry, life) => self.entry_lives[entry] == life,
+        }
+    }
+
+    fn step(&mut self, step: WorldStep) {
+        match step {
+            WorldStep::Submit { entry, pick, body } => self.submit(entry, pick, body),
+            WorldStep::Deliver(pick) => self.with_message(pick, Self::deliver),
+            WorldStep::Lose(pick) => self.with_message(pick, Self::lose),
+            WorldStep::LoseAnswer(pick) => self.with_message(pick, Self::lose_answer),
+            WorldStep::Stale(pick) => self.with_message(pick, |world, message| {
+                world.deliver_lagging(message, 1);
+            }),
+            WorldStep::Advance(millis) => self.advance(Duration::from_millis(millis)),
+            WorldStep::CrashAgent(agent) => {
+                self.crash_agent(agent);
+            }
+            WorldStep::CrashEntry(entry) => {
+                self.entry_lives[entry] += 1;
+                self.entries[entry] = entry_orders(entry, self.entry_lives[entry]);
+            }
+            WorldStep::Pause(agent) => self.paused[agent] = true,
+            WorldStep::Resume(agent) => self.paused[agent] = false,
+            WorldStep::LogDown => self.log.is_down = true,
+            WorldStep::LogUp => self.log.is_down = false,
+        }
+    }
+
+    /// Half of the entries notice at once that the connection is gone.
+    fn crash_agent(&mut self, agent: usize) {
+        let dead = Sender::Agent(agent, self.agent_lives[agent]);
+        self.agent_lives[agent] += 1;
+        self.agents[agent] = order_holder(agent, self.agent_lives[agent]);
+        self.paused[agent] = false;
+        let noticed = |(attempt, sent): (&AttemptId, &Dispatched)| {
+            let notices = sent.agent == dead && attempt.0.as_bytes()[0] % 2 == 0;
+            notices.then_some((sent.entry, *attempt))
+        };
+        let lost: Vec<_> = self.dispatched.iter().filter_map(noticed).collect();
+        for (entry, attempt) in lost {
+            self.entry_event(entry, EntryEvent::AgentLost { attempt });
+        }
+    }
+
+    /// Acts on one of the oldest messages mostly, so that orders come through.
+    fn with_message(&mut self, pick: usize, act: fn(&mut Self, Message)) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let near = pick % self.messages.len().min(4);
+        let any = pick / 8 % self.messages.len();
+        let idx = if pick / 4 % 8 == 0 { any } else { near };
+        let message = self.messages.remove(idx);
+        act(self, message);
+    }
+
+    /// An honest caller that marks the first use of a key then waits for its reply.
+    fn submit(&mut self, entry: usize, pick: usize, body: u8) {
+        let is_new = self.keys.is_empty() || pick % 3 == 0;
+        if is_new {
+            self.keys.push(self.new_key());
+        }
+        let idx = if is_new {
+            self.keys.len() - 1
+        } else {
+            pick / 3 % self.keys.len()
+        };
+        let key = self.keys[idx].clone();
+        let is_waiting = |caller: &Caller| {
+            caller.key == key && caller.history == KeyHistory::FirstUse && caller.reply.is_none()
+        };
+        if self.callers.values().any(is_waiting) {
+            return;
+        }
+        let marks = is_new && pick / 3 % 2 == 0;
+        let history = if marks {
+            KeyHistory::FirstUse
+        } else {
+            KeyHistory::Repeat
+        };
+        let try_id = TryId(self.callers.len() as u64 + 1);
+        let request = TryRequest {
+            key: key.clone(),
+            digest: digest_of(body),
+            service: ServiceName::from("ledger"),
+            call: "post".into(),
+            deadline: self.now + Duration::from_secs(20),
+            key_history: history,
+        };
+        let entry = Sender::Entry(entry, self.entry_lives[entry]);
+        let caller = Caller {
+            key,
+            body,
+            history,
+            entry,
+            attempts: Vec::new(),
+            reply: None,
+        };
+        self.callers.insert(try_id, caller);
+        self.entry_event(entry, EntryEvent::Submitted { try_id, request });
+    }
+
+    /// The callers' clocks differ from the log service's by up to ten seconds.
+    fn new_key(&self) -> OrderKey {
+        let n = self.keys.len() as u64;
+        let millis = self.now.as_millis() + 5_000 * (n % 5) - 10_000;
+        let random = [n as u8, 0, 0, 0, 0, 0, 0, 0, 0, 1];
+        OrderKey {
+            account: AccountName::from("guild"),
+            id: Builder::from_unix_timestamp_millis(millis, &random).into_uuid(),
+        }
+    }
+
+    fn advance(&mut self, by: Duration) {
+        self.now = self.now + by;
+        for agent in 0..N_AGENTS {
+            if !self.paused[agent] {
+                let sender = Sender::Agent(agent, self.agent_lives[agent]);
+                self.agent_event(sender, HolderEvent::Tick);
+            }
+        }
+        for entry in 0..N_ENTRIES {
+            let sender = Sender::Entry(entry, self.entry_lives[entry]);
+            self.entry_event(sender, EntryEvent::Tick);
+        }
+    }
+
+    fn agent_event(&mut self, sender: Sender, event: HolderEvent) {
+        let Sender::Agent(agent, _) = sender else {
+            return;
+        };
+        if !self.is_alive(sender) {
+            return;
+        }
+        let now = self.clock(sender);
+        for action in self.agents[agent].on_event(now, event) {
+            let message = match action {
+                HolderAction::Log(action) => log_message(sender, action),
+                HolderAction::Run { attempt, .. } => Message::Run(sender, attempt, Report::Awaited),
+                HolderAction::Reply { attempt, reply } => {
+                    let key = self.dispatched[&attempt].order.key.clone();
+                    self.note_reply(&key, &reply);
+                    Message::Reply(attempt, reply)
+                }
+            };
+            self.messages.push(message);
+        }
+    }
+
+    fn entry_event(&mut self, sender: Sender, event: EntryEvent) {
+        let Sender::Entry(entry, _) = sender else {
+            return;
+        };
+        if !self.is_alive(sender) {
+            return;
+        }
+        for action in self.entries[entry].on_event(self.now, event) {
+            match action {
+                EntryAction::Log(action) => self.messages.push(log_message(sender, action)),
+                EntryAction::Dispatch {
+                    try_id,
+                    order,
+                    n_earlier,
+                } => {
+                    let agent = (try_id.0 as usize + n_earlier as usize) % N_AGENTS;
+                    self.dispatch(sender, try_id, agent, order);
+                }
+                EntryAction::Answer { try_id, reply } => self.answer(try_id, reply),
+            }
+        }
+    }
+
+    /// Clocks differ, so a deadline travels as the remaining time.
+    fn dispatch(&mut self, entry: Sender, try_id: TryId, agent: usize, order: OrderRequest) {
+        let to = Sender::Agent(agent, self.agent_lives[agent]);
+        let remaining = order.deadline.since(self.now);
+        let deadline = self.clock(to) + remaining;
+        let order = OrderRequest { deadline, ..order };
+        let attempt = order.attempt;
+        let caller = self.callers.get_mut(&try_id).expect("a known try");
+        caller.attempts.push(attempt);
+        let dispatched = Dispatched {
+            order: order.clone(),
+            entry,
+            agent: to,
+        };
+        self.dispatched.insert(attempt, dispatched);
+        self.messages.push(Message::Dispatch(entry, to, order));
+    }
+
+    fn answer(&mut self, try_id: TryId, reply: OrderReply) {
+        let caller = self.callers.get_mut(&try_id).expect("a known try");
+        assert!(caller.reply.is_none(), "a try has one reply");
+        caller.reply = Some(reply.clone());
+        let name = format!("{}/{}", reply.outcome, reply.reason);
+        *self.outcomes.entry(name).or_default() += 1;
+        let key = caller.key.clone();
+        self.note_reply(&key, &reply);
+    }
+
+    /// Checks what a reply says of its key and holds the future to it.
+    fn note_reply(&mut self, key: &OrderKey, reply: &OrderReply) {
+        let ran_by = self.ran_by.get(key);
+        match reply.outcome {
+            RequestOutcome::NotRun if reply.key_use == KeyUse::Closed => {
+                assert!(ran_by.is_none(), "not-run of a key that ran");
+                self.closed.insert(key.clone());
+            }
+            RequestOutcome::Answered | RequestOutcome::Failed => {
+                let answer = reply.answer.as_ref().and_then(|answer| answer.body.clone());
+                let expected = ran_by.map(ToString::to_string);
+                assert_eq!(answer, expected, "the answer is that of the run");
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts a run at the target.
+    fn count_run(&mut self, attempt: AttemptId) {
+        let key = self.dispatched[&attempt].order.key.clone();
+        assert!(!self.closed.contains(&key), "a key ran after not-run");
+        let before = self.ran_by.insert(key, attempt);
+        assert_eq!(before, None, "the target saw an order twice");
+    }
+
+    fn deliver(&mut self, message: Message) {
+        self.deliver_lagging(message, 0);
+    }
+
+    fn deliver_lagging(&mut self, message: Message, n_hidden: usize) {
+        let receiver = match &message {
+            Message::Dispatch(_, to, _)
+            | Message::LogAnswer(to, _)
+            | Message::TargetAnswer(to, _) => Some(*to),
+            _ => None,
+        };
+        if matches!(receiver, Some(Sender::Agent(agent, _)) if self.paused[agent]) {
+            self.messages.push(message);
+            return;
+        }
+        match message {
+            Message::Dispatch(entry, to, order) if self.is_alive(to) => {
+                let _ = entry;
+                self.agent_event(to, HolderEvent::Arrived(order));
+            }
+            Message::Dispatch(entry, _, order) => {
+                // A new life refuses what names an earlier one.
+                let attempt = order.attempt;
+                self.entry_event(entry, EntryEvent::AgentUnreached { attempt });
+            }
+            Message::Reply(attempt, reply) => {
+                let entry = self.dispatched[&attempt].entry;
+                self.entry_event(entry, EntryEvent::AgentReplied { attempt, reply });
+            }
+            Message::Append(from, action, report) => self.append(from, action, report),
+            Message::Read(from, action) => self.read(from, &action, n_hidden),
+            Message::LogAnswer(to, event) => self.log_event(to, event),
+            Message::Run(from, attempt, report) => {
+                self.count_run(attempt);
+                if report == Report::Awaited {
+                    self.messages.push(Message::TargetAnswer(from, attempt));
+                }
+            }
+            Message::TargetAnswer(to, attempt) => {
+                let text = attempt.to_string();
+                let answer = OrderAnswer::bounded(200, "text/plain", text.as_bytes(), 4_096);
+                let event = if text.starts_with(['0', '1', '2']) {
+                    HolderEvent::TargetFailed { attempt, answer }
+                } else {
+                    HolderEvent::TargetAnswered { attempt, answer }
+                };
+                self.agent_event(to, event);
+            }
+        }
+    }
+
+    fn log_event(&mut self, to: Sender, event: LogEvent) {
+        match to {
+            Sender::Agent(..) => self.agent_event(to, HolderEvent::Log(event)),
+            Sender::Entry(..) => self.entry_event(to, EntryEvent::Log(event)),
+        }
+    }
+
+    fn append(&mut self, from: Sender, action: LogAction, report: Report) {
+        let LogAction::Append {
+            batch,
+            shard,
+            records,
+        } = action
+        else {
+            return;
+        };
+        let event = if self.log.is_down {
+            let fault = AppendFault::Unreachable;
+            LogEvent::AppendFailed { batch, fault }
+        } else {
+            let stream = self.log.streams.entry(shard).or_default();
+            let first = LogOffset(stream.len() as u64 + 1);
+            for record in records {
+                // The log service's clock steps back by up to three seconds.
+                let step_back = Duration::from_secs(stream.len() as u64 % 4);
+                stream.push(LogEntry {
+                    offset: LogOffset(stream.len() as u64 + 1),
+                    at: self.now - step_back,
+                    value: record.to_value(),
+                });
+            }
+            LogEvent::Appended { batch, first }
+        };
+        if report == Report::Awaited {
+            self.messages.push(Message::LogAnswer(from, event));
+        }
+    }
+
+    fn read(&mut self, to: Sender, action: &LogAction, n_hidden: usize) {
+        let LogAction::Read {
+            read,
+            shard,
+            from,
+            max,
+            ..
+        } = action
+        else {
+            return;
+        };
+        let read = *read;
+        let stream = self.log.streams.entry(*shard).or_default();
+        let n_seen = stream.len().saturating_sub(n_hidden);
+        let records = stream[..n_seen].iter().skip(from.0 as usize - 1);
+        let page = LogPage {
+            records: records.take(*max).cloned().collect(),
+            oldest: LogOffset(1),
+            tail: LogOffset(n_seen as u64 + 1),
+        };
+        let event = if self.log.is_down {
+            LogEvent::ReadFailed { read }
+        } else {
+            LogEvent::ReadDone { read, page }
+        };
+        self.messages.push(Message::LogAnswer(to, event));
+    }
+
+    /// Loses a message; its sender learns as much as a connection tells.
+    fn lose(&mut self, message: Message) {
+        match message {
+            Message::Dispatch(entry, _, order) => {
+                let attempt = order.attempt;
+                self.entry_event(entry, EntryEvent::AgentUnreached { attempt });
+            }
+            Message::Reply(attempt, _) => {
+                let entry = self.dispatched[&attempt].entry;
+                self.entry_event(entry, EntryEvent::AgentLost { attempt });
+            }
+            Message::Append(from, LogAction::Append { batch, .. }, Report::Awaited) => {
+                let fault = AppendFault::Refused;
+                self.log_event(from, LogEvent::AppendFailed { batch, fault });
+            }
+            Message::Read(from, LogAction::Read { read, .. }) => {
+                self.log_event(from, LogEvent::ReadFailed { read });
+            }
+            Message::LogAnswer(to, event) => self.log_event(to, without_answer(event)),
+            Message::Run(from, attempt, Report::Awaited) => {
+                self.agent_event(from, HolderEvent::TargetUnreached { attempt });
+            }
+            Message::TargetAnswer(to, attempt) => {
+                self.agent_event(to, HolderEvent::TargetLost { attempt });
+            }
+            Message::Append(..) | Message::Read(..) | Message::Run(..) => {}
+        }
+    }
+
+    /// Tells the sender that the answer is lost while the message is still on its way.
+    fn lose_answer(&mut self, message: Message) {
+        match message {
+            Message::Dispatch(entry, to, order) => {
+                let attempt = order.attempt;
+                self.messages.push(Message::Dispatch(entry, to, order));
+                self.entry_event(entry, EntryEvent::AgentLost { attempt });
+            }
+            Message::Append(from, action, Report::Awaited) => {
+                let late = Message::Append(from, action.clone(), Report::GivenUp);
+                self.messages.push(late);
+                if let LogAction::Append { batch, .. } = action {
+                    let fault = AppendFault::Unknown;
+                    self.log_event(from, LogEvent::AppendFailed { batch, fault });
+                }
+            }
+            Message::Run(from, attempt, Report::Awaited) => {
+                self.messages
+                    .push(Message::Run(from, attempt, Report::GivenUp));
+                self.agent_event(from, HolderEvent::TargetLost { attempt });
+            }
+            other => self.messages.push(other),
+        }
+    }
+
+    /// Ends all faults and lets everything come to its end.
+    fn drain(&mut self) {
+        self.log.is_down = false;
+        self.paused.fill(false);
+        for _ in 0..40 {
+            for message in std::mem::take(&mut self.messages) {
+                self.deliver(message);
+            }
+            self.advance(Duration::from_millis(700));
+        }
+    }
+
+    fn check_end(&mut self) {
+        for caller in self.callers.values() {
+            let ran_by = self.ran_by.get(&caller.key);
+            let Some(reply) = &caller.reply else {
+                assert!(!self.is_alive(caller.entry), "every caller gets a reply");
+                continue;
+            };
+            let own_ran = ran_by.is_some_and(|attempt| caller.attempts.contains(attempt));
+            let not_run = reply.outcome == RequestOutcome::NotRun;
+            assert!(!not_run || !own_ran, "an attempt of a not-run try ran");
+            if reply.outcome == RequestOutcome::Answered {
+                let ran = &self.dispatched[ran_by.expect("a run")].order;
+                assert_eq!(
+                    ran.digest,
+                    digest_of(caller.body),
+                    "the answer to its own body"
+                );
+            }
+        }
+    }
+}
+
+fn log_message(from: Sender, action: LogAction) -> Message {
+    match action {
+        LogAction::Append { .. } => Message::Append(from, action, Report::Awaited),
+        LogAction::Read { .. } => Message::Read(from, action),
+    }
+}
+
+fn without_answer(event: LogEvent) -> LogEvent {
+    match event {
+        LogEvent::Appended { batch, .. } => LogEvent::AppendFailed {
+            batch,
+            fault: AppendFault::Unknown,
+        },
+        LogEvent::ReadDone { read, .. } => LogEvent::ReadFailed { read },
+        failed => failed,
+    }
+}
+
+fn n_cases() -> u32 {
+    let cases = std::env::var("COMFREYHEAD_CASES").ok();
+    let cases = cases.and_then(|text| text.parse().ok());
+    cases.unwrap_or(CASES_PER_PROFILE)
+}
+
+/// Runs the cases of a profile and returns how the tries ended.
+fn run_profile(seed: u8, profile: FaultProfile) -> BTreeMap<String, u64> {
+    let config = ProptestConfig {
+        cases: n_cases(),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let totals = RefCell::new(BTreeMap::new());
+    let result = runner.run(&vec(any_step(profile), 40..160), |steps| {
+        let mut world = World::new();
+        for step in steps {
+            world.step(step);
+        }
+        world.drain();
+        world.check_end();
+        let mut totals = totals.borrow_mut();
+        for (outcome, n) in &world.outcomes {
+            *totals.entry(outcome.clone()).or_default() += n;
+        }
+        *totals.entry("runs".to_owned()).or_default() += world.ran_by.len() as u64;
+        Ok(())
+    });
+    if let Err(err) = result {
+        panic!("seed {seed}: {err}");
+    }
+    let totals = totals.into_inner();
+    println!("seed {seed}, {} cases: {totals:#?}", n_cases());
+    totals
+}
+
+fn n_of(totals: &BTreeMap<String, u64>, outcome: RequestOutcome, reason: ReplyReason) -> u64 {
+    let n = totals.get(&format!("{outcome}/{reason}"));
+    n.copied().unwrap_or(0)
+}
+
+#[test]
+fn losses_and_late_appends() {
+    let profile = FaultProfile { losses: 8, ..CALM };
+
+    let totals = run_profile(1, profile);
+
+    assert!(0 < n_of(&totals, RequestOutcome::Answered, ReplyReason::Settled));
+    assert!(0 < n_of(&totals, RequestOutcome::NotRun, ReplyReason::Voided));
+}
+
+#[test]
+fn crashes_of_agents_and_entries() {
+    let profile = FaultProfile {
+        losses: 3,
+        crashes: 3,
+        ..CALM
+    };
+
+    let totals = run_profile(2, profile);
+
+    assert!(0 < n_of(&totals, RequestOutcome::Answered, ReplyReason::Settled));
+    assert!(0 < n_of(&totals, RequestOutcome::Unknown, ReplyReason::ClaimOpen));
+}
+
+#[test]
+fn long_pauses() {
+    let profile = FaultProfile {
+        pauses: 5,
+        max_advance_ms: 300_000,
+        ..CALM
+    };
+
+    let totals = run_profile(3, profile);
+
+    assert!(0 < n_of(&totals, RequestOutcome::Answered, ReplyReason::Settled));
+    assert!(0 < n_of(&totals, RequestOutcome::NotRun, ReplyReason::NotStarted));
+}
+
+#[test]
+fn all_faults_with_expiry() {
+    let profile = FaultProfile {
+        losses: 4,
+        crashes: 1,
+        pauses: 1,
+        outages: 2,
+        max_advance_ms: 2_400_000,
+    };
+
+    let totals = run_profile(4, profile);
+
+    assert!(0 < n_of(&totals, RequestOutcome::Answered, ReplyReason::Settled));
+    assert!(0 < n_of(&totals, RequestOutcome::Unknown, ReplyReason::KeyExpired));
+    assert!(0 < n_of(&totals, RequestOutcome::NotRun, ReplyReason::LogAway));
+}
