--- a/examples/measure/capacity/wire.rs
+++ b/examples/measure/capacity/wire.rs
@@ -3,33 +3,53 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use comfreyhead::connection::ControlPool;
-use jsonrpsee::RpcModule;
-use jsonrpsee::core::client::ClientT;
-use jsonrpsee::rpc_params;
-use jsonrpsee::server::{Server, ServerHandle};
-use serde_json::Value;
+use comfreyhead::connection::{
+    AgentReadiness, AgentReport, ControlClient, ControlPool, ControlServer, ListedState, PeerHello,
+    ReportPoll, VersionDelivery, VersionMark, VersionPull, serve_control,
+};
+use comfreyhead::prelude::*;
+use comfreyhead::process::routing::{AccountDemand, DemandReport};
+use comfreyhead::version::config::{ConfigContent, VersionDigest};
+use jsonrpsee::core::async_trait;
+use jsonrpsee::types::ErrorObjectOwned;
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
-use super::fixtures::load_report;
-use super::probe::{Probe, ProbeUsage, measure};
+use super::fixtures::{START, account_name, entry_name, load_report};
+use super::probe::{Probe, ProbeUsage, measure, thread_cpu_ns};
 
 /// The token that the processes show each other.
 const TOKEN: &str = "a-token-of-the-deployment";
+/// The peers of an entry today, beside itself.
+const PEERS_TODAY: usize = 17;
+/// The exchanges of a probe whose size is that of the message.
+const EXCHANGES: usize = 200;
 
 pub(super) fn probes() -> Vec<Probe> {
     vec![
         Probe {
-            name: "control-message",
-            per: "load report sent as a control message and answered, both ends",
-            sizes: &[5_000, 10_000, 15_000, 20_000],
-            run: load_report_messages,
+            name: "control-report",
+            per: "poll of an agent and its report, both ends",
+            sizes: &[2_000, 4_000, 6_000, 8_000],
+            run: reports,
         },
         Probe {
-            name: "control-message-empty",
-            per: "control message without a payload, sent and answered, both ends",
-            sizes: &[5_000, 10_000, 15_000, 20_000],
-            run: empty_messages,
+            name: "control-exchange",
+            per: "exchange of two entries, 17 peers, no active account, both ends",
+            sizes: &[2_000, 4_000, 6_000, 8_000],
+            run: exchanges,
+        },
+        Probe {
+            name: "control-exchange-peers",
+            per: "known peer, in 200 exchanges, both ends",
+            sizes: &[17, 128, 256, 529],
+            run: exchanges_by_peers,
+        },
+        Probe {
+            name: "control-exchange-accounts",
+            per: "active account, in 200 exchanges, both ends",
+            sizes: &[10, 100, 200, 400],
+            run: exchanges_by_accounts,
         },
         Probe {
             name: "control-connection",
@@ -40,67 +60,156 @@
     ]
 }
 
-fn load_report_messages(n: usize) -> ProbeUsage {
-    let report = serde_json::to_value(load_report(12_345)).expect("report encodes");
-    messages(n, &report)
+/// Answers every message alike.
+#[derive(Clone)]
+struct FixedControl {
+    report: AgentReport,
+    hello: PeerHello,
+}
+
+#[async_trait]
+impl ControlServer for FixedControl {
+    async fn exchange(&self, _hello: PeerHello) -> Result<PeerHello, ErrorObjectOwned> {
+        Ok(self.hello.clone())
+    }
+
+    async fn report(&self, _poll: ReportPoll) -> Result<AgentReport, ErrorObjectOwned> {
+        Ok(self.report.clone())
+    }
+
+    async fn pull(&self, _pull: VersionPull) -> Result<VersionDelivery, ErrorObjectOwned> {
+        Ok(VersionDelivery::Records(Vec::new()))
+    }
+}
+
+/// A kind of message, with what it carries.
+enum Message {
+    Report(ReportPoll),
+    Exchange(PeerHello),
+}
+
+fn version_mark() -> VersionMark {
+    VersionMark {
+        number: VersionNumber(5_900),
+        digest: VersionDigest::of(&ConfigContent::default()),
+    }
 }
 
-fn empty_messages(n: usize) -> ProbeUsage {
-    messages(n, &Value::Null)
+fn control_address(idx: usize) -> SocketAddr {
+    let ip = [10, 10, (idx / 250) as u8 + 1, (idx % 250) as u8 + 1];
+    (ip, 7_000).into()
+}
+
+fn report_poll() -> ReportPoll {
+    ReportPoll {
+        from: entry_name(1),
+        control: control_address(1),
+        version: version_mark(),
+        listed: ListedState::Present,
+        cache_from: 123_456,
+    }
+}
+
+fn agent_report() -> AgentReport {
+    AgentReport {
+        agent: "agent-model-01".into(),
+        incarnation: ProcessIncarnation(START.0),
+        readiness: AgentReadiness::Ready,
+        load: Some(load_report(12_345)),
+        version: version_mark(),
+        suspects: Vec::new(),
+        cache: Vec::new(),
+        cache_next: 123_456,
+    }
 }
 
-fn messages(n: usize, payload: &Value) -> ProbeUsage {
+fn peer_hello(n_peers: usize, n_accounts: usize) -> PeerHello {
+    let demand = |idx| AccountDemand {
+        account: account_name(idx),
+        tokens_per_second: 1_234,
+        in_flight: 12,
+    };
+    PeerHello {
+        from: entry_name(1),
+        data_centre: "sofia-1".into(),
+        control: control_address(1),
+        version: version_mark(),
+        demand: DemandReport {
+            sequence: START.0,
+            accounts: (0..n_accounts).map(demand).collect(),
+        },
+        suspects: Vec::new(),
+        peers: (0..n_peers).map(control_address).collect(),
+    }
+}
+
+fn reports(n: usize) -> ProbeUsage {
+    messages(n, &Message::Report(report_poll()))
+}
+
+fn exchanges(n: usize) -> ProbeUsage {
+    messages(n, &Message::Exchange(peer_hello(PEERS_TODAY, 0)))
+}
+
+fn exchanges_by_peers(n_peers: usize) -> ProbeUsage {
+    messages(EXCHANGES, &Message::Exchange(peer_hello(n_peers, 0)))
+}
+
+fn exchanges_by_accounts(n_accounts: usize) -> ProbeUsage {
+    let hello = peer_hello(PEERS_TODAY, n_accounts);
+    messages(EXCHANGES, &Message::Exchange(hello))
+}
+
+/// Sends `n` messages: once for the processor time, once through a relay that counts bytes.
+fn messages(n: usize, message: &Message) -> ProbeUsage {
     let runtime = runtime();
-    let mut usage = runtime.block_on(async {
-        let (address, _server) = start_server().await;
-        let pool = ControlPool::new(TOKEN);
-        call(&pool, address, payload, 1).await;
-        let cpu_ns = measure_async(call(&pool, address, payload, n)).await;
-        ProbeUsage {
-            cpu_ns,
-            ..ProbeUsage::default()
-        }
+    let address = runtime.block_on(start_server(message));
+    let pool = ControlPool::new(TOKEN);
+    let cpu_ns = runtime.block_on(async {
+        call(&pool, address, message, 1).await;
+        let before = thread_cpu_ns();
+        call(&pool, address, message, n).await;
+        thread_cpu_ns() - before
     });
-    usage.wire_bytes = runtime.block_on(async {
-        let (address, _server) = start_server().await;
+    let wire_bytes = runtime.block_on(async {
         let n_bytes: &'static AtomicU64 = Box::leak(Box::default());
         let relay = start_relay(address, n_bytes).await;
-        let pool = ControlPool::new(TOKEN);
-        call(&pool, relay, payload, 1).await;
+        call(&pool, relay, message, 1).await;
         let before = n_bytes.load(Ordering::SeqCst);
-        call(&pool, relay, payload, n).await;
+        call(&pool, relay, message, n).await;
         n_bytes.load(Ordering::SeqCst) - before
     });
-    usage
-}
-
-/// Measures the processor time of a future on a runtime of one thread.
-async fn measure_async(work: impl Future<Output = ()>) -> u64 {
-    let before = super::probe::thread_cpu_ns();
-    work.await;
-    super::probe::thread_cpu_ns() - before
+    ProbeUsage {
+        bytes: 0,
+        cpu_ns,
+        wire_bytes,
+    }
 }
 
-async fn call(pool: &ControlPool, address: SocketAddr, payload: &Value, n: usize) {
+async fn call(pool: &ControlPool, address: SocketAddr, message: &Message, n: usize) {
     let client = pool.client(address).await.expect("the peer is there");
     for _ in 0..n {
-        let answer: u64 = client
-            .request("control.report", rpc_params![payload])
-            .await
-            .expect("the peer answers");
-        assert_eq!(answer, 1, "the peer's answer");
+        match message {
+            Message::Report(poll) => {
+                client.report(poll.clone()).await.expect("a report");
+            }
+            Message::Exchange(hello) => {
+                client.exchange(hello.clone()).await.expect("a hello");
+            }
+        }
     }
 }
 
 fn connections(n: usize) -> ProbeUsage {
     let runtime = runtime();
-    let (address, _server) = runtime.block_on(start_server());
+    let message = Message::Report(report_poll());
+    let address = runtime.block_on(start_server(&message));
     measure(|| {
         runtime.block_on(async {
             let mut pools = Vec::new();
             for _ in 0..n {
                 let pool = ControlPool::new(TOKEN);
-                call(&pool, address, &Value::Null, 1).await;
+                call(&pool, address, &message, 1).await;
                 pools.push(pool);
             }
             pools
@@ -113,22 +222,26 @@
     builder.enable_all().build().expect("a runtime")
 }
 
-async fn start_server() -> (SocketAddr, ServerHandle) {
-    let config = jsonrpsee::server::ServerConfig::builder().max_connections(10_000);
-    let server = Server::builder()
-        .set_config(config.build())
-        .build("127.0.0.1:0")
-        .await
-        .expect("a free port");
-    let address = server.local_addr().expect("an address");
-    let mut module = RpcModule::new(());
-    module
-        .register_method("control.report", |params, (), _| {
-            let _: Value = params.one().expect("one parameter");
-            1_u64
-        })
-        .expect("a new method");
-    (address, server.start(module))
+/// Starts a process that answers a hello with one of the same size.
+async fn start_server(message: &Message) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let hello = match message {
+        Message::Exchange(hello) => hello.clone(),
+        Message::Report(_) => peer_hello(0, 0),
+    };
+    let control = FixedControl {
+        report: agent_report(),
+        hello,
+    };
+    let methods = control.into_rpc().into();
+    tokio::spawn(serve_control(
+        listener,
+        methods,
+        TOKEN.into(),
+        CancellationToken::new(),
+    ));
+    address
 }
 
 /// Starts a relay that counts the bytes of both directions.
