--- a/src/version/config/record.rs
+++ b/src/version/config/record.rs
@@ -60,6 +60,10 @@
     Snapshot {
         /// The state of the fold.
         state: Box<ConfigSnapshot>,
+        /// The first offset that the writer had not read.
+        read_to: LogOffset,
+        /// When it was written, by the writer's clock.
+        written_at: Timestamp,
     },
 }
 
