--- a/examples/measure/capacity/fixtures.rs
+++ b/examples/measure/capacity/fixtures.rs
@@ -46,6 +46,7 @@
     LoadReport {
         incarnation: ProcessIncarnation(START.0),
         sequence,
+        made_at: START + Duration::from_secs(sequence),
         running: 6,
         waiting: 1,
         limit: 8,
@@ -53,6 +54,7 @@
         step_time_us: 37_500 + sequence as u32 % 997,
         service_time: ServiceTime {
             mean_s: 9.731,
+            deviation_s: 2.113,
             mean_cost: 812.5,
         },
     }
