--- a/examples/measure/capacity/wire.rs
+++ b/examples/measure/capacity/wire.rs
@@ -8,6 +8,7 @@
     ReportPoll, VersionDelivery, VersionMark, VersionPull, serve_control,
 };
 use comfreyhead::prelude::*;
+use comfreyhead::process::platform::{ListedVm, VmList, VmState};
 use comfreyhead::process::routing::{AccountDemand, DemandReport};
 use comfreyhead::version::config::{ConfigContent, VersionDigest};
 use jsonrpsee::core::async_trait;
@@ -15,8 +16,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::fixtures::{START, account_name, entry_name, load_report};
-use super::probe::{Probe, ProbeUsage, measure, thread_cpu_ns};
+use super::fixtures::{START, account_name, entry_name, load_report, target_name};
+use super::probe::{Probe, ProbeUsage, measure, measure_cpu, thread_cpu_ns};
 
 /// The token that the processes show each other.
 const TOKEN: &str = "a-token-of-the-deployment";
@@ -33,6 +34,18 @@
             sizes: &[2_000, 4_000, 6_000, 8_000],
             run: reports,
         },
+        Probe {
+            name: "control-pull",
+            per: "pull of versions without a new one, both ends",
+            sizes: &[2_000, 4_000, 6_000, 8_000],
+            run: pulls,
+        },
+        Probe {
+            name: "vm-list",
+            per: "VM of the platform's list, decoded",
+            sizes: &[1_000, 2_000, 4_000, 8_000],
+            run: vm_lists,
+        },
         Probe {
             name: "control-exchange",
             per: "exchange of two entries, 17 peers, no active account, both ends",
@@ -86,6 +99,7 @@
 enum Message {
     Report(ReportPoll),
     Exchange(PeerHello),
+    Pull(VersionPull),
 }
 
 fn version_mark() -> VersionMark {
@@ -147,6 +161,29 @@
     messages(n, &Message::Report(report_poll()))
 }
 
+fn pulls(n: usize) -> ProbeUsage {
+    let have = VersionNumber(5_900);
+    messages(n, &Message::Pull(VersionPull { have }))
+}
+
+fn vm_lists(n_vms: usize) -> ProbeUsage {
+    let vm = |idx| ListedVm {
+        name: Arc::from(target_name(idx).as_str()),
+        data_centre: "sofia-1".into(),
+        state: VmState::Live,
+    };
+    let list = VmList {
+        as_of_ms: START.as_millis(),
+        vms: (0..n_vms).map(vm).collect(),
+    };
+    let text = serde_json::to_string(&list).expect("list encodes");
+    let decode = || serde_json::from_str::<VmList>(&text).expect("list decodes");
+    ProbeUsage {
+        wire_bytes: text.len() as u64,
+        ..measure_cpu(decode)
+    }
+}
+
 fn exchanges(n: usize) -> ProbeUsage {
     messages(n, &Message::Exchange(peer_hello(PEERS_TODAY, 0)))
 }
@@ -196,6 +233,9 @@
             Message::Exchange(hello) => {
                 client.exchange(hello.clone()).await.expect("a hello");
             }
+            Message::Pull(pull) => {
+                client.pull(pull.clone()).await.expect("the versions");
+            }
         }
     }
 }
@@ -228,7 +268,7 @@
     let address = listener.local_addr().expect("an address");
     let hello = match message {
         Message::Exchange(hello) => hello.clone(),
-        Message::Report(_) => peer_hello(0, 0),
+        Message::Report(_) | Message::Pull(_) => peer_hello(0, 0),
     };
     let control = FixedControl {
         report: agent_report(),
