Bring versions to every process through the distributor

Entries no longer all read the log: up to three of a data centre do, the others and the agents pull from whoever announces a higher version in a control message.

--- a/examples/measure/capacity/wire.rs
+++ b/examples/measure/capacity/wire.rs
@@ -5,9 +5,10 @@
 
 use comfreyhead::connection::{
     AgentReadiness, AgentReport, ControlClient, ControlPool, ControlServer, ListedState, PeerHello,
-    ReportPoll, VersionDelivery, VersionMark, VersionPull, serve_control,
+    ReportPoll, VersionNotice, VersionPull, serve_control,
 };
 use comfreyhead::prelude::*;
+use comfreyhead::process::distribution::{VersionAnnouncement, VersionBody};
 use comfreyhead::process::routing::{AccountDemand, DemandReport};
 use comfreyhead::version::config::{ConfigContent, VersionDigest};
 use jsonrpsee::core::async_trait;
@@ -77,8 +78,12 @@
         Ok(self.report.clone())
     }
 
-    async fn pull(&self, _pull: VersionPull) -> Result<VersionDelivery, ErrorObjectOwned> {
-        Ok(VersionDelivery::Records(Vec::new()))
+    async fn announce(&self, _notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
+        Ok(())
+    }
+
+    async fn pull(&self, _pull: VersionPull) -> Result<VersionBody, ErrorObjectOwned> {
+        Ok(VersionBody::Records(Vec::new()))
     }
 }
 
@@ -88,8 +93,11 @@
     Exchange(PeerHello),
 }
 
-fn version_mark() -> VersionMark {
-    VersionMark {
+fn announcement() -> VersionAnnouncement {
+    VersionAnnouncement {
+        incarnation: ProcessIncarnation(START.0),
+        following: true,
+        serving: true,
         number: VersionNumber(5_900),
         digest: VersionDigest::of(&ConfigContent::default()),
     }
@@ -103,8 +111,9 @@
 fn report_poll() -> ReportPoll {
     ReportPoll {
         from: entry_name(1),
+        data_centre: "sofia-1".into(),
         control: control_address(1),
-        version: version_mark(),
+        announcement: announcement(),
         listed: ListedState::Present,
         cache_from: 123_456,
     }
@@ -116,7 +125,7 @@
         incarnation: ProcessIncarnation(START.0),
         readiness: AgentReadiness::Ready,
         load: Some(load_report(12_345)),
-        version: version_mark(),
+        announcement: announcement(),
         suspects: Vec::new(),
         cache: Vec::new(),
         cache_next: 123_456,
@@ -133,7 +142,7 @@
         from: entry_name(1),
         data_centre: "sofia-1".into(),
         control: control_address(1),
-        version: version_mark(),
+        announcement: announcement(),
         demand: DemandReport {
             sequence: START.0,
             accounts: (0..n_accounts).map(demand).collect(),
--- a/examples/quickstart/fleet.rs
+++ b/examples/quickstart/fleet.rs
@@ -125,7 +125,7 @@
             fleet
                 .entries
                 .iter()
-                .all(|entry| entry.in_force(version).in_force == n_processes)
+                .all(|entry| entry.in_force(version).in_force.len() == n_processes)
         })
         .await?;
         self.wait_for("the targets to be eligible", |fleet| {
--- a/src/bin/comfrey/commands.rs
+++ b/src/bin/comfrey/commands.rs
@@ -4,9 +4,10 @@
 use std::process::ExitCode;
 
 use comfreyhead::prelude::*;
+use comfreyhead::process::distribution::InForceReport;
 use comfreyhead::process::operator::{
-    ConfigReport, InForceReport, OpenOrders, PatchOrder, PatchReport, PatchResult, RecallOrder,
-    RequestReport, SettleOrder, SettleReport, StatusReport, TargetReport, VersionReport,
+    ConfigReport, OpenOrders, PatchOrder, PatchReport, PatchResult, RecallOrder, RequestReport,
+    SettleOrder, SettleReport, StatusReport, TargetReport, VersionReport,
 };
 use comfreyhead::process::orders::{AttemptId, OrderKey};
 use comfreyhead::version::config::{AuthorName, BatchName, ConfigChange, diff};
@@ -207,9 +208,9 @@
     let deadline = tokio::time::Instant::now() + Duration::from_secs(seconds);
     loop {
         let report: InForceReport = client.get(&format!("/in-force/{version}")).await?;
-        let is_everywhere = report.lagging.is_empty() && report.unreachable.is_empty();
+        let is_everywhere = report.is_everywhere();
         if is_everywhere || deadline <= tokio::time::Instant::now() {
-            print(form, &report, tables::in_force)?;
+            print(form, &report, |report| tables::in_force(version, report))?;
             let code = if is_everywhere { 0 } else { NOT_IN_FORCE };
             return Ok(ExitCode::from(code));
         }
--- a/src/bin/comfrey/tables.rs
+++ b/src/bin/comfrey/tables.rs
@@ -1,8 +1,9 @@
 //! Tables for people.
 
 use comfreyhead::prelude::*;
+use comfreyhead::process::distribution::{DataCentreReport, InForceReport};
 use comfreyhead::process::operator::{
-    InForceReport, OpenOrders, PeerReport, RequestReport, StatusReport, TargetReport, VersionReport,
+    OpenOrders, PeerReport, RequestReport, StatusReport, TargetReport, VersionReport,
 };
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
@@ -56,20 +57,21 @@
 
 /// Makes the page of an entry VM.
 pub(crate) fn status(report: &StatusReport) -> String {
-    let log = if report.log_reachable {
-        "reachable"
-    } else {
-        "away"
+    let log = match (report.reads_log, report.log_reachable) {
+        (true, _) => "reads the log service",
+        (false, true) => "does not read the log service",
+        (false, false) => "log service away or not read here",
     };
     format!(
-        "entry VM {} in {}: version {} ({}) from {}, log service {log}, {} requests in flight\n\n\
-         {}\n\n{}",
+        "entry VM {} in {}: version {} ({})\nserves: {}; {log}; {} requests in flight\n\n\
+         {}\n\n{}\n\n{}",
         report.name,
         report.data_centre,
         report.version,
         report.digest,
-        report.source,
+        report.basis.as_deref().unwrap_or("not yet"),
         report.in_flight,
+        data_centres(&report.data_centres),
         peers(&report.peers),
         targets(&report.targets)
     )
@@ -97,30 +99,59 @@
 }
 
 /// Makes the lines of where a version is in force.
-pub(crate) fn in_force(report: &InForceReport) -> String {
+pub(crate) fn in_force(version: VersionNumber, report: &InForceReport) -> String {
     let mut lines = vec![format!(
-        "version {}: in force at {} processes, lagging at {}, unreachable {}",
-        report.version,
-        report.in_force,
+        "version {version}: in force at {} processes, lagging {}, unreachable {}, not asked yet {}",
+        report.in_force.len(),
         report.lagging.len(),
-        report.unreachable.len()
+        report.unreachable.len(),
+        report.pending.len()
     )];
-    for process in &report.lagging {
-        lines.push(format!(
-            "  lagging: {} at version {}",
-            process.process, process.version
-        ));
-    }
-    for process in &report.unreachable {
-        let heard = ago(process.silent_ms);
-        lines.push(format!(
-            "  unreachable: {} last told version {}, heard {heard}",
-            process.process, process.version
-        ));
-    }
+    lines.extend(
+        report
+            .lagging
+            .iter()
+            .map(|peer| format!("  lagging: {peer}")),
+    );
+    lines.extend(report.unreachable.iter().map(|peer| {
+        let number = or_dash(peer.number.as_ref());
+        format!("  unreachable: {}, last told version {number}", peer.name)
+    }));
+    lines.extend(
+        report
+            .pending
+            .iter()
+            .map(|peer| format!("  not asked yet: {peer}")),
+    );
     lines.join("\n")
 }
 
+/// Makes the table of data centres.
+pub(crate) fn data_centres(reports: &[DataCentreReport]) -> String {
+    let mut table = table(&[
+        "DATA CENTRE",
+        "PROCESSES",
+        "UNREACHABLE",
+        "VERSION",
+        "STATE",
+    ]);
+    for report in reports {
+        table.add_row([
+            report.name.to_string(),
+            report.members.to_string(),
+            report.unreachable.to_string(),
+            or_dash(report.highest.as_ref()),
+            if report.cut_off {
+                "cut off"
+            } else {
+                "reachable"
+            }
+            .to_owned(),
+        ]);
+    }
+    table.to_string()
+}
+
 /// Makes the lines of the decisions on a request.
 pub(crate) fn explanation(report: &RequestReport) -> String {
     let outcome = report
--- a/src/connection/control_rpc.rs
+++ b/src/connection/control_rpc.rs
@@ -7,17 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::process::distribution::{AnnouncementKind, PeerInfo, VersionAnnouncement, VersionBody};
 use crate::process::routing::{CacheEvent, DemandReport, LoadReport, SuspectReport};
-use crate::version::config::{AcceptedRecord, ConfigSnapshot, VersionDigest};
-
-/// The version that a process has in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VersionMark {
-    /// Its number.
-    pub number: VersionNumber,
-    /// Its digest.
-    pub digest: VersionDigest,
-}
 
 /// What an entry VM tells another, and gets back.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,7 +20,7 @@
     /// Where it takes control messages.
     pub control: SocketAddr,
     /// The version that it has in force.
-    pub version: VersionMark,
+    pub announcement: VersionAnnouncement,
     /// The demand of client accounts at it.
     pub demand: DemandReport,
     /// The requests that may crash targets; empty between data centres.
@@ -43,10 +34,12 @@
 pub struct ReportPoll {
     /// The entry VM that asks.
     pub from: EntryName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
     /// Where it takes control messages.
     pub control: SocketAddr,
     /// The version that it has in force.
-    pub version: VersionMark,
+    pub announcement: VersionAnnouncement,
     /// What the platform's list says of the agent's VM.
     pub listed: ListedState,
     /// From where cache events are wanted.
@@ -75,7 +68,7 @@
     /// The load, where the agent knows its target.
     pub load: Option<LoadReport>,
     /// The version that it has in force.
-    pub version: VersionMark,
+    pub announcement: VersionAnnouncement,
     /// The requests that may crash targets.
     pub suspects: Vec<SuspectReport>,
     /// Changes of the target's prefix cache.
@@ -99,21 +92,24 @@
     Leaving,
 }
 
+/// The announcement of a version between two processes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionNotice {
+    /// The process that speaks.
+    pub from: PeerInfo,
+    /// Where it takes control messages.
+    pub control: SocketAddr,
+    /// What it announces.
+    pub announcement: VersionAnnouncement,
+    /// Whether an announcement is wanted in return.
+    pub kind: AnnouncementKind,
+}
+
 /// A request for the versions after one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionPull {
     /// The version that the asking process has.
-    pub have: VersionNumber,
-}
-
-/// The versions after one: records where the history reaches back, else the whole state.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum VersionDelivery {
-    /// The accepted records, in the order of their versions.
-    Records(Vec<Arc<AcceptedRecord>>),
-    /// The whole state.
-    State(Box<ConfigSnapshot>),
+    pub since: VersionNumber,
 }
 
 /// The control messages.
@@ -127,7 +123,11 @@
     #[method(name = "report")]
     async fn report(&self, poll: ReportPoll) -> Result<AgentReport, ErrorObjectOwned>;
 
+    /// Announces the version in force.
+    #[method(name = "announce")]
+    async fn announce(&self, notice: VersionNotice) -> Result<(), ErrorObjectOwned>;
+
     /// Asks for the versions after one.
     #[method(name = "pull")]
-    async fn pull(&self, pull: VersionPull) -> Result<VersionDelivery, ErrorObjectOwned>;
+    async fn pull(&self, pull: VersionPull) -> Result<VersionBody, ErrorObjectOwned>;
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -14,7 +14,7 @@
 pub use control_pool::{ControlPool, MAX_CONTROL_BYTES};
 pub use control_rpc::{
     AgentReadiness, AgentReport, ControlClient, ControlServer, ListedState, PeerHello, ReportPoll,
-    VersionDelivery, VersionMark, VersionPull,
+    VersionNotice, VersionPull,
 };
 pub use control_server::serve_control;
 pub use http_server::{bind, serve};
--- a/src/process/agent/agent_process.rs
+++ b/src/process/agent/agent_process.rs
@@ -12,12 +12,13 @@
 
 use crate::connection::{AgentReadiness, ControlPool, WorkKind, bind, serve, serve_control};
 use crate::prelude::*;
+use crate::process::distribution::{PeerInfo, PeerName, PeerRole};
 use crate::process::metrics::ProcessMetrics;
 use crate::process::operator::{HealthProbe, OperatorContext, start_operator_api};
 use crate::process::platform::{EngineClient, LogClient, ServiceClient};
 use crate::process::routing::{CrashSuspects, RequestDigest, TargetCrash};
 use crate::process::settings::{AgentSettings, Settings, TargetKind};
-use crate::process::version_holder::VersionHolder;
+use crate::process::versions::{VersionService, VersionSettings};
 
 use super::order_driver::{OrderInput, drive_orders};
 use super::serving::{AgentServing, own_target};
@@ -49,8 +50,7 @@
     pub(super) incarnation: ProcessIncarnation,
     pub(super) log: Logger,
     pub(super) metrics: ProcessMetrics,
-    pub(super) versions: VersionHolder,
-    pub(super) control: ControlPool,
+    pub(super) versions: Arc<VersionService>,
     pub(super) log_client: LogClient,
     pub(super) engine: EngineClient,
     pub(super) service: ServiceClient,
@@ -87,14 +87,20 @@
     /// The metrics cannot be registered.
     pub fn new(settings: Settings, agent: &AgentSettings, log: Logger) -> Result<Arc<Self>> {
         let now = ProcessIncarnation(Timestamp::now().0);
+        let stop = CancellationToken::new();
+        let name = AgentName::from(Arc::clone(&settings.process.name));
+        let incarnation = settings.process.incarnation.unwrap_or(now);
+        let versions = VersionService::new(
+            version_settings(&settings, &name, incarnation, &log),
+            stop.clone(),
+        );
         let target_url = format!("http://{}", agent.target);
         Ok(Arc::new(Self {
-            name: AgentName::from(Arc::clone(&settings.process.name)),
+            name,
             kind: agent.kind,
-            incarnation: settings.process.incarnation.unwrap_or(now),
+            incarnation,
             metrics: ProcessMetrics::new()?,
-            versions: VersionHolder::default(),
-            control: ControlPool::new(&settings.tokens.peer),
+            versions,
             log_client: LogClient::new(&settings.platform.log),
             engine: EngineClient::new(&target_url),
             service: ServiceClient::new(&target_url),
@@ -105,7 +111,7 @@
             is_target_up: AtomicBool::new(true),
             has_orders: AtomicBool::new(false),
             leave: CancellationToken::new(),
-            stop: CancellationToken::new(),
+            stop,
             settings,
             log,
         }))
@@ -126,6 +132,7 @@
         let handler = move |request| work_api::handle(Arc::clone(&process), request);
         let work = serve(listeners.work, self.stop.clone(), self.log.clone(), handler);
         tokio::spawn(target_watch::watch_target(Arc::clone(self)));
+        tokio::spawn(Arc::clone(&self.versions).run());
         tokio::spawn(Arc::clone(self).follow_versions());
         let drain = Arc::clone(self).drain();
         tokio::join!(control, work, drain);
@@ -283,3 +290,23 @@
         serving.table.lock().admission.is_drained() && !has_orders
     }
 }
+
+fn version_settings(
+    settings: &Settings,
+    name: &AgentName,
+    incarnation: ProcessIncarnation,
+    log: &Logger,
+) -> VersionSettings {
+    VersionSettings {
+        own: PeerInfo {
+            name: PeerName::from(name.as_str()),
+            data_centre: settings.process.data_centre.clone(),
+            role: PeerRole::Agent,
+        },
+        incarnation,
+        control: settings.addresses.control,
+        pool: Arc::new(ControlPool::new(&settings.tokens.peer)),
+        log_client: LogClient::new(&settings.platform.log),
+        log: log.clone(),
+    }
+}
--- a/src/process/agent/control_api.rs
+++ b/src/process/agent/control_api.rs
@@ -1,17 +1,14 @@
 //! The control messages that an agent answers.
 
-use std::net::SocketAddr;
-
 use jsonrpsee::Methods;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::types::ErrorObjectOwned;
-use slog::debug;
 
 use crate::connection::{
-    AgentReport, ControlClient, ControlServer, ListedState, PeerHello, ReportPoll, VersionDelivery,
-    VersionPull,
+    AgentReport, ControlServer, ListedState, PeerHello, ReportPoll, VersionNotice, VersionPull,
 };
 use crate::prelude::*;
+use crate::process::distribution::{AnnouncementKind, PeerInfo, PeerName, PeerRole, VersionBody};
 
 use super::agent_process::AgentProcess;
 
@@ -44,14 +41,27 @@
         if poll.listed == ListedState::Leaving {
             process.leave();
         }
-        if process.versions.mark().number < poll.version.number {
-            tokio::spawn(pull_versions(Arc::clone(process), poll.control));
-        }
+        let from = PeerInfo {
+            name: PeerName::from(poll.from.as_str()),
+            data_centre: poll.data_centre,
+            role: PeerRole::Entry,
+        };
+        process.versions.add_member(&from, poll.control);
+        process
+            .versions
+            .heard(from.name, poll.announcement, AnnouncementKind::Reply);
         Ok(report(process, poll.cache_from))
     }
 
-    async fn pull(&self, pull: VersionPull) -> Result<VersionDelivery, ErrorObjectOwned> {
-        Ok(self.process.versions.delivery_since(pull.have))
+    async fn announce(&self, notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
+        let versions = &self.process.versions;
+        versions.add_member(&notice.from, notice.control);
+        versions.heard(notice.from.name, notice.announcement, notice.kind);
+        Ok(())
+    }
+
+    async fn pull(&self, pull: VersionPull) -> Result<VersionBody, ErrorObjectOwned> {
+        Ok(self.process.versions.body_since(pull.since))
     }
 }
 
@@ -71,24 +81,9 @@
                 step_time,
             )
         }),
-        version: process.versions.mark(),
+        announcement: process.versions.announcement(),
         suspects: process.suspects.lock().reports(Timestamp::now()),
         cache,
         cache_next,
     }
 }
-
-async fn pull_versions(process: Arc<AgentProcess>, peer: SocketAddr) {
-    let have = process.versions.mark().number;
-    let delivery = async {
-        let client = process.control.client(peer).await?;
-        let answer = client.pull(VersionPull { have }).await;
-        answer.map_err(|err| Error::Peer(err.to_string()))
-    };
-    match delivery.await {
-        Ok(delivery) => process.versions.take_delivery(delivery),
-        Err(err) => {
-            debug!(process.log, "pull of versions failed"; "peer" => %peer, "error" => %err)
-        }
-    }
-}
--- a/src/process/entry/agent_watch.rs
+++ b/src/process/entry/agent_watch.rs
@@ -5,6 +5,7 @@
 
 use crate::connection::{AgentReport, ControlClient, ReportPoll};
 use crate::prelude::*;
+use crate::process::distribution::{AnnouncementKind, PeerName};
 use crate::process::platform::VmState;
 use crate::process::routing::TargetEligibility;
 
@@ -68,7 +69,8 @@
     let poll = ReportPoll {
         from: process.name.clone(),
         control: process.settings.addresses.control,
-        version: process.versions.mark(),
+        data_centre: process.settings.process.data_centre.clone(),
+        announcement: process.versions.announcement(),
         listed: process.agents.lock().listed(target),
         cache_from: agent.cache_from,
     };
@@ -86,9 +88,14 @@
     }
 }
 
-fn take_report(process: &EntryProcess, target: &TargetName, report: &AgentReport) {
+fn take_report(process: &Arc<EntryProcess>, target: &TargetName, report: &AgentReport) {
     let now = Timestamp::now();
     process.metrics.control_messages.inc();
+    let from = PeerName::from(report.agent.as_str());
+    let announcement = report.announcement.clone();
+    process
+        .versions
+        .heard(from, announcement, AnnouncementKind::Reply);
     process.agents.lock().observe(now, target, report);
     set_eligibility(process, target);
     {
--- /dev/null
+++ b/src/process/entry/config_submit.rs
@@ -0,0 +1,113 @@
+//! Appends records to the configuration stream and finds out their verdict.
+
+use slog::info;
+
+use crate::prelude::*;
+use crate::process::operator::{PatchReport, PatchResult};
+use crate::process::platform::{AppendFailure, ConfigLog};
+use crate::version::config::{ConfigFold, ConfigRecord, FoldOutcome, NonceOutcome, RecordNonce};
+
+use super::entry_process::EntryProcess;
+
+/// How long an operator waits for the verdict on a record.
+const VERDICT_WAIT: Duration = Duration::from_secs(8);
+/// The most records of one read.
+const MAX_READ: usize = 256;
+/// How long a read waits for records.
+const READ_WAIT: Duration = Duration::from_millis(500);
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Appends a record and reads the stream until the fold has judged it.
+///
+/// An append whose answer was lost is looked for by its nonce and never repeated.
+pub(super) async fn submit(process: &Arc<EntryProcess>, record: &ConfigRecord) -> PatchReport {
+    let nonce = record
+        .nonce()
+        .cloned()
+        .unwrap_or_else(|| RecordNonce::from(""));
+    let config_log = ConfigLog::new(process.log_client.clone());
+    // Taken before the append, so that a verdict which is overtaken by others is not missed.
+    let fold = process.versions.fold();
+    let appended = config_log.append(&record.encode()).await;
+    count_append(process, &appended);
+    match appended {
+        Ok(()) => {}
+        Err(AppendFailure::Unknown(reason)) => {
+            info!(process.log, "append answer lost"; "nonce" => %nonce, "reason" => %reason);
+        }
+        Err(err) => {
+            let reason = format!("{err}; nothing was written, send it again");
+            return report(process, PatchResult::NotWritten, &nonce, reason);
+        }
+    }
+    let verdict = tokio::time::timeout(VERDICT_WAIT, judge(&config_log, fold, &nonce)).await;
+    match verdict {
+        Ok(NonceOutcome::Accepted(version)) => PatchReport {
+            result: PatchResult::Accepted,
+            version,
+            nonce: nonce.to_string(),
+            reason: String::new(),
+        },
+        Ok(NonceOutcome::Rejected(rejection)) => report(
+            process,
+            PatchResult::Rejected,
+            &nonce,
+            rejection.to_string(),
+        ),
+        Ok(NonceOutcome::NotSeen) | Err(_) => {
+            let reason = "the record was not read back in time; look for it in the history \
+                          before you send it again";
+            report(process, PatchResult::Unknown, &nonce, reason.to_owned())
+        }
+    }
+}
+
+/// Folds the stream until it holds the record with `nonce`.
+async fn judge(config_log: &ConfigLog, mut fold: ConfigFold, nonce: &RecordNonce) -> NonceOutcome {
+    let mut next = fold.rewind();
+    loop {
+        let Ok(page) = config_log.read(next, MAX_READ, READ_WAIT).await else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        next = next.max(page.oldest);
+        for record in &page.records {
+            next = match fold.apply(record.offset, &record.value) {
+                FoldOutcome::Loaded { resume_at } => resume_at,
+                _ => record.offset.next(),
+            };
+            if next <= record.offset {
+                break;
+            }
+        }
+        match fold.outcome_of(nonce) {
+            NonceOutcome::NotSeen => {}
+            outcome => return outcome,
+        }
+    }
+}
+
+fn count_append(process: &EntryProcess, appended: &Result<(), AppendFailure>) {
+    let result = match appended {
+        Ok(()) => "written",
+        Err(AppendFailure::Unknown(_)) => "unknown",
+        Err(_) => "not-written",
+    };
+    process.metrics.appends.with_label_values(&[result]).inc();
+}
+
+fn report(
+    process: &EntryProcess,
+    result: PatchResult,
+    nonce: &RecordNonce,
+    reason: String,
+) -> PatchReport {
+    let version = process.versions.current().number;
+    PatchReport {
+        result,
+        version,
+        nonce: nonce.to_string(),
+        reason,
+    }
+}
--- a/src/process/entry/control_api.rs
+++ b/src/process/entry/control_api.rs
@@ -5,9 +5,10 @@
 use jsonrpsee::types::ErrorObjectOwned;
 
 use crate::connection::{
-    AgentReport, ControlServer, PeerHello, ReportPoll, VersionDelivery, VersionPull,
+    AgentReport, ControlServer, PeerHello, ReportPoll, VersionNotice, VersionPull,
 };
 use crate::prelude::*;
+use crate::process::distribution::VersionBody;
 
 use super::entry_process::EntryProcess;
 use super::peer_watch::{own_hello, take_hello};
@@ -40,7 +41,13 @@
         Err(ErrorObjectOwned::owned(WRONG_ROLE, message, None::<()>))
     }
 
-    async fn pull(&self, pull: VersionPull) -> Result<VersionDelivery, ErrorObjectOwned> {
-        Ok(self.process.versions.delivery_since(pull.have))
+    async fn announce(&self, notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
+        let versions = &self.process.versions;
+        versions.heard(notice.from.name, notice.announcement, notice.kind);
+        Ok(())
+    }
+
+    async fn pull(&self, pull: VersionPull) -> Result<VersionBody, ErrorObjectOwned> {
+        Ok(self.process.versions.body_since(pull.since))
     }
 }
--- a/src/process/entry/entry_process.rs
+++ b/src/process/entry/entry_process.rs
@@ -1,7 +1,6 @@
 //! The process of one entry VM.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -12,17 +11,18 @@
 
 use crate::connection::{ControlPool, bind, serve, serve_control};
 use crate::prelude::*;
+use crate::process::distribution::{InForceReport, PeerInfo, PeerName, PeerRole};
 use crate::process::metrics::ProcessMetrics;
 use crate::process::operator::{
-    ConfigReport, HealthProbe, InForceReport, OperatorContext, ProcessVersion, RequestReport,
-    StatusReport, TargetReport, VersionSource, start_operator_api,
+    ConfigReport, HealthProbe, OperatorContext, RequestReport, StatusReport, TargetReport,
+    start_operator_api,
 };
 use crate::process::platform::{HttpClient, LogClient, VmListClient};
 use crate::process::routing::{
     AccountLimiter, CrashSuspects, HedgeTimer, RetryBudget, TargetEligibility, TargetTable,
 };
 use crate::process::settings::{EntrySettings, Settings};
-use crate::process::version_holder::VersionHolder;
+use crate::process::versions::{VersionService, VersionSettings};
 use crate::version::config::{ConfigVersion, RetryConfig, TargetRole};
 
 use super::decision_journal::DecisionJournal;
@@ -30,10 +30,7 @@
 use super::known_peers::KnownPeers;
 use super::order_driver::{EntryInput, drive_orders};
 use super::version_index::VersionIndex;
-use super::{agent_watch, caller_api, config_tail, control_api, peer_watch};
-
-/// A process that was silent for longer counts as unreachable.
-const SILENT_AFTER: Duration = Duration::from_secs(5);
+use super::{agent_watch, caller_api, control_api, peer_watch};
 
 /// The bound listeners of an entry VM.
 #[derive(Debug)]
@@ -56,9 +53,9 @@
     pub(super) incarnation: ProcessIncarnation,
     pub(super) log: Logger,
     pub(super) metrics: ProcessMetrics,
-    pub(super) versions: VersionHolder,
+    pub(super) versions: Arc<VersionService>,
     pub(super) index: ArcSwap<VersionIndex>,
-    pub(super) control: ControlPool,
+    pub(super) control: Arc<ControlPool>,
     pub(super) log_client: LogClient,
     pub(super) vm_list: VmListClient,
     pub(super) work_client: HttpClient,
@@ -72,8 +69,6 @@
     pub(super) journal: Mutex<DecisionJournal>,
     pub(super) orders: mpsc::UnboundedSender<EntryInput>,
     order_inputs: Mutex<Option<mpsc::UnboundedReceiver<EntryInput>>>,
-    source: Mutex<VersionSource>,
-    is_log_reachable: AtomicBool,
     /// Cancelled when the entry VM is told to leave.
     pub(super) leave: CancellationToken,
     /// Cancelled when the last request has ended.
@@ -108,13 +103,29 @@
             .unwrap_or(ProcessIncarnation(now.0));
         let own = settings.addresses.control;
         let (orders, order_inputs) = mpsc::unbounded_channel();
+        let control = Arc::new(ControlPool::new(&settings.tokens.peer));
+        let log_client = LogClient::new(&settings.platform.log);
+        let stop = CancellationToken::new();
+        let version_settings = VersionSettings {
+            own: PeerInfo {
+                name: PeerName::from(name.as_str()),
+                data_centre: settings.process.data_centre.clone(),
+                role: PeerRole::Entry,
+            },
+            incarnation,
+            control: own,
+            pool: Arc::clone(&control),
+            log_client: log_client.clone(),
+            log: log.clone(),
+        };
+        let versions = VersionService::new(version_settings, stop.clone());
         Ok(Arc::new(Self {
             incarnation,
             metrics: ProcessMetrics::new()?,
-            versions: VersionHolder::default(),
+            versions,
             index: ArcSwap::default(),
-            control: ControlPool::new(&settings.tokens.peer),
-            log_client: LogClient::new(&settings.platform.log),
+            control,
+            log_client,
             vm_list: VmListClient::new(&settings.platform.vms),
             work_client: HttpClient::http2(),
             limiter: Mutex::new(AccountLimiter::new(name.clone())),
@@ -127,10 +138,8 @@
             journal: Mutex::default(),
             orders,
             order_inputs: Mutex::new(Some(order_inputs)),
-            source: Mutex::new(VersionSource::None),
-            is_log_reachable: AtomicBool::new(false),
             leave: CancellationToken::new(),
-            stop: CancellationToken::new(),
+            stop,
             name,
             settings,
             log,
@@ -182,7 +191,7 @@
 
     /// Returns whether the process serves callers.
     pub fn is_ready(&self) -> bool {
-        *self.source.lock() != VersionSource::None && !self.leave.is_cancelled()
+        self.versions.start_basis().is_some() && !self.leave.is_cancelled()
     }
 
     /// Returns the version in force with its content.
@@ -202,16 +211,18 @@
 
     /// Reports the state of this entry VM and what it sees of the others.
     pub fn status(&self) -> StatusReport {
-        let mark = self.versions.mark();
+        let mark = self.versions.announcement();
         StatusReport {
             name: self.name.clone(),
             data_centre: self.settings.process.data_centre.clone(),
             version: mark.number,
             digest: mark.digest,
-            source: *self.source.lock(),
-            log_reachable: self.is_log_reachable.load(Ordering::SeqCst),
+            basis: self.versions.start_basis().map(|basis| basis.to_string()),
+            reads_log: self.versions.is_following(),
+            log_reachable: self.versions.is_log_reachable(),
             in_flight: self.metrics.in_flight.get(),
             peers: self.peers.lock().reports(Timestamp::now()),
+            data_centres: self.versions.data_centres(),
             targets: self.target_reports(),
         }
     }
@@ -251,70 +262,7 @@
 
     /// Reports where a version is in force, as far as this entry VM knows.
     pub fn in_force(&self, version: VersionNumber) -> InForceReport {
-        let mut report = InForceReport {
-            version,
-            in_force: 0,
-            lagging: Vec::new(),
-            unreachable: Vec::new(),
-        };
-        let own = ProcessVersion {
-            process: self.name.to_string(),
-            version: self.versions.mark().number,
-            silent_ms: Some(0),
-        };
-        let peers = self
-            .peers
-            .lock()
-            .reports(Timestamp::now())
-            .into_iter()
-            .map(|peer| {
-                let name = peer.name.map(|name| name.to_string());
-                ProcessVersion {
-                    process: name.unwrap_or_else(|| peer.control.to_string()),
-                    version: peer.version,
-                    silent_ms: peer.silent_ms,
-                }
-            });
-        let agents = self
-            .target_reports()
-            .into_iter()
-            .map(|target| ProcessVersion {
-                process: target.target.to_string(),
-                version: target.version,
-                silent_ms: target.silent_ms,
-            });
-        for process in std::iter::once(own).chain(peers).chain(agents) {
-            let silent_after = SILENT_AFTER.as_millis() as u64;
-            if version <= process.version {
-                report.in_force += 1;
-            } else if process
-                .silent_ms
-                .is_some_and(|silent_ms| silent_ms < silent_after)
-            {
-                report.lagging.push(process);
-            } else {
-                report.unreachable.push(process);
-            }
-        }
-        report
-    }
-
-    /// Notes that the log service answered, or did not.
-    pub(super) fn log_answered(&self, is_reachable: bool) {
-        let was_reachable = self.is_log_reachable.swap(is_reachable, Ordering::SeqCst);
-        if was_reachable != is_reachable {
-            info!(self.log, "log service"; "reachable" => is_reachable);
-        }
-    }
-
-    /// Notes from where the version in force is.
-    pub(super) fn set_source(&self, source: VersionSource) {
-        *self.source.lock() = source;
-    }
-
-    /// Returns from where the version in force is.
-    pub(super) fn source(&self) -> VersionSource {
-        *self.source.lock()
+        self.versions.in_force(version)
     }
 
     /// Notes a decision on a request, for the log and for `explain`.
@@ -335,7 +283,7 @@
 
     fn spawn_tasks(self: &Arc<Self>) {
         tokio::spawn(Arc::clone(self).follow_versions());
-        tokio::spawn(config_tail::tail_config(Arc::clone(self)));
+        tokio::spawn(Arc::clone(&self.versions).run());
         tokio::spawn(peer_watch::watch_peers(Arc::clone(self)));
         tokio::spawn(agent_watch::watch_agents(Arc::clone(self)));
         tokio::spawn(agent_watch::watch_vm_list(Arc::clone(self)));
@@ -349,6 +297,7 @@
         loop {
             let version = versions.borrow_and_update().clone();
             self.put_in_force(&version);
+            peer_watch::set_members(&self);
             tokio::select! {
                 changed = versions.changed() => if changed.is_err() { return },
                 () = self.stop.cancelled() => return,
--- a/src/process/entry/known_agents.rs
+++ b/src/process/entry/known_agents.rs
@@ -61,7 +61,7 @@
             self.cache_from = 0;
         }
         self.incarnation = Some(report.incarnation);
-        self.version = report.version.number;
+        self.version = report.announcement.number;
         self.heard_at = Some(now);
         self.cache_from = report.cache_next;
         self.readiness = report.readiness;
--- a/src/process/entry/known_peers.rs
+++ b/src/process/entry/known_peers.rs
@@ -5,6 +5,7 @@
 
 use crate::connection::PeerHello;
 use crate::prelude::*;
+use crate::process::distribution::{PeerInfo, PeerName, PeerRole};
 use crate::process::operator::PeerReport;
 
 /// The time without an answer after which a peer is forgotten, unless it is a seed.
@@ -60,7 +61,7 @@
         if let Some(peer) = self.peers.get_mut(&hello.control) {
             peer.name = Some(hello.from.clone());
             peer.data_centre = Some(hello.data_centre.clone());
-            peer.version = hello.version.number;
+            peer.version = hello.announcement.number;
             peer.heard_at = Some(now);
             peer.is_reachable = true;
         }
@@ -92,6 +93,19 @@
         reachable.map(|(&address, _)| address).collect()
     }
 
+    /// Returns the peers that have told who they are, with their addresses.
+    pub(super) fn members(&self) -> Vec<(PeerInfo, SocketAddr)> {
+        let members = self.peers.iter().filter_map(|(&control, peer)| {
+            let info = PeerInfo {
+                name: PeerName::from(peer.name.as_ref()?.as_str()),
+                data_centre: peer.data_centre.clone()?,
+                role: PeerRole::Entry,
+            };
+            Some((info, control))
+        });
+        members.collect()
+    }
+
     /// Returns the names of all peers that have told theirs.
     pub(super) fn names(&self) -> Vec<EntryName> {
         self.peers
--- a/src/process/entry/mod.rs
+++ b/src/process/entry/mod.rs
@@ -3,7 +3,7 @@
 mod agent_watch;
 mod answer_resume;
 mod caller_api;
-mod config_tail;
+mod config_submit;
 mod control_api;
 mod decision_journal;
 mod dispatch;
--- a/src/process/entry/operations.rs
+++ b/src/process/entry/operations.rs
@@ -9,7 +9,7 @@
 };
 use crate::version::config::{ConfigRecord, EntryStanding, RecordNonce, VersionDigest};
 
-use super::config_tail::submit;
+use super::config_submit::submit;
 use super::entry_process::EntryProcess;
 use super::order_review;
 
@@ -50,29 +50,30 @@
 
     /// Lists the versions that can still be recalled, the oldest first.
     pub fn history(&self) -> Vec<VersionReport> {
-        self.versions.with_fold(|fold| {
-            let reports = fold.history().entries().map(|entry| VersionReport {
-                summary: entry.summary(),
-                changes: match &entry.accepted.record {
-                    ConfigRecord::Patch { changes, .. } => changes.clone(),
-                    _ => Vec::new(),
-                },
-                recalled_by: match entry.standing {
-                    EntryStanding::Recalled(by) => Some(by),
-                    EntryStanding::Standing | EntryStanding::Partial => None,
-                },
-            });
-            reports.collect()
-        })
+        let fold = self.versions.fold();
+        let reports = fold.history().entries().map(|entry| VersionReport {
+            summary: entry.summary(),
+            changes: match &entry.accepted.record {
+                ConfigRecord::Patch { changes, .. } => changes.clone(),
+                _ => Vec::new(),
+            },
+            recalled_by: match entry.standing {
+                EntryStanding::Recalled(by) => Some(by),
+                EntryStanding::Standing | EntryStanding::Partial => None,
+            },
+        });
+        reports.collect()
     }
 
     /// Returns a version that the history still reaches back to, with its content.
     pub fn version(&self, number: VersionNumber) -> Option<ConfigReport> {
-        let (current, undone) = self.versions.with_fold(|fold| {
-            let since = fold.history().since(number);
-            let undone: Vec<_> = since.map(|entry| Arc::clone(&entry.undo)).collect();
-            (Arc::clone(fold.current()), undone)
-        });
+        let fold = self.versions.fold();
+        let current = fold.current();
+        let undone: Vec<_> = fold
+            .history()
+            .since(number)
+            .map(|entry| &entry.undo)
+            .collect();
         let n_later = current.number.0.checked_sub(number.0)?;
         if n_later != undone.len() as u64 {
             return None;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -14,4 +14,4 @@
 pub mod settings;
 pub mod step_window;
 pub mod timestamp;
-pub mod version_holder;
+pub mod versions;
--- a/src/process/operator/api.rs
+++ b/src/process/operator/api.rs
@@ -15,10 +15,12 @@
 
 use crate::prelude::*;
 
+use crate::process::distribution::InForceReport;
+
 use super::context::OperatorContext;
 use super::report::{
-    ConfigReport, InForceReport, OpenOrders, PatchOrder, PatchReport, RecallOrder, RequestReport,
-    SettleOrder, SettleReport, StatusReport, TargetReport, VersionReport,
+    ConfigReport, OpenOrders, PatchOrder, PatchReport, RecallOrder, RequestReport, SettleOrder,
+    SettleReport, StatusReport, TargetReport, VersionReport,
 };
 
 /// The largest body of an operator's request, in bytes.
--- a/src/process/operator/mod.rs
+++ b/src/process/operator/mod.rs
@@ -7,7 +7,7 @@
 pub use api::{openapi_document, start_operator_api};
 pub use context::{HealthProbe, OperatorContext};
 pub use report::{
-    ConfigReport, DecisionReport, InForceReport, OpenOrder, OpenOrders, PatchOrder, PatchReport,
-    PatchResult, PeerReport, ProcessVersion, RecallOrder, RequestReport, SettleOrder, SettleReport,
-    StatusReport, TargetReport, VersionReport, VersionSource,
+    ConfigReport, DecisionReport, OpenOrder, OpenOrders, PatchOrder, PatchReport, PatchResult,
+    PeerReport, RecallOrder, RequestReport, SettleOrder, SettleReport, StatusReport, TargetReport,
+    VersionReport,
 };
--- a/src/process/operator/report.rs
+++ b/src/process/operator/report.rs
@@ -6,28 +6,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::process::distribution::DataCentreReport;
 use crate::process::orders::{AttemptId, OrderKey};
 use crate::version::config::{
     AuthorName, BatchName, ChangeSummary, ConfigChange, ConfigContent, VersionDigest,
 };
 
-/// Where a process has its version from.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema, derive_more::Display,
-)]
-#[serde(rename_all = "kebab-case")]
-pub enum VersionSource {
-    /// It has read the log service's stream to its end.
-    #[display("log")]
-    Log,
-    /// The log service is away; the version is the highest among the peers that it reached.
-    #[display("peers")]
-    Peers,
-    /// It has not yet found a version.
-    #[display("none")]
-    None,
-}
-
 /// The state of an entry VM and what it sees of the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct StatusReport {
@@ -39,14 +23,18 @@
     pub version: VersionNumber,
     /// The digest of the version.
     pub digest: VersionDigest,
-    /// Where the version is from.
-    pub source: VersionSource,
-    /// Whether the log service answered last.
+    /// On what basis it serves; none while it starts.
+    pub basis: Option<String>,
+    /// Whether it read the log service's tail a moment ago.
+    pub reads_log: bool,
+    /// Whether the log service answered last, where it reads it.
     pub log_reachable: bool,
     /// Requests in progress here.
     pub in_flight: i64,
     /// The other entry VMs that this one knows.
     pub peers: Vec<PeerReport>,
+    /// The data centres, with what they serve at least.
+    pub data_centres: Vec<DataCentreReport>,
     /// The targets, by what this entry VM knows of them.
     pub targets: Vec<TargetReport>,
 }
@@ -172,30 +160,6 @@
     pub reason: String,
 }
 
-/// A process with the version in force at it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct ProcessVersion {
-    /// The process.
-    pub process: String,
-    /// The version that it last told.
-    pub version: VersionNumber,
-    /// The time since it last answered, in milliseconds; none if it never did.
-    pub silent_ms: Option<u64>,
-}
-
-/// Where a version is in force, as one entry VM knows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct InForceReport {
-    /// The version asked for.
-    pub version: VersionNumber,
-    /// The number of processes that have it or a later one in force.
-    pub in_force: usize,
-    /// The processes that answer and have an earlier version.
-    pub lagging: Vec<ProcessVersion>,
-    /// The processes that do not answer.
-    pub unreachable: Vec<ProcessVersion>,
-}
-
 /// Why a request was routed as it was.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct RequestReport {
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Adapters for the platform and the targets: one thin module for each outside interface.
 
+mod config_log;
 mod http_client;
 mod log_service;
 mod model_engine;
@@ -7,6 +8,7 @@
 mod vm_list;
 mod weight_store;
 
+pub use config_log::{CONFIG_STREAM, ConfigLog};
 pub use http_client::{HttpClient, HttpFailure};
 pub use log_service::{AppendFailure, LogClient, LogPage, LogRecord};
 pub use model_engine::{
--- /dev/null
+++ b/src/process/versions/log_reader.rs
@@ -0,0 +1,109 @@
+//! Reads the configuration stream of the log service, and repeats the state in time.
+
+use rand::RngExt;
+use serde_json::Value;
+use slog::{info, warn};
+use tokio_util::sync::CancellationToken;
+
+use crate::prelude::*;
+use crate::process::distribution::{DistributionEvent, SnapshotClock, snapshot_due};
+use crate::process::platform::{CONFIG_STREAM, ConfigLog, LogClient, LogPage};
+
+use super::service::VersionService;
+
+/// The most records of one read.
+const MAX_READ: usize = 256;
+/// How long a read at the end of the stream waits for records.
+const READ_WAIT: Duration = Duration::from_millis(1_500);
+/// The mean pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How long the log service keeps records, at least.
+const RETENTION: Duration = Duration::from_secs(24 * 3_600);
+
+/// Reads the stream from `from` on until `stop`.
+pub(super) async fn read_log(
+    service: Arc<VersionService>,
+    log_client: LogClient,
+    from: LogOffset,
+    stop: CancellationToken,
+) {
+    let config_log = ConfigLog::new(log_client);
+    let mut clock = SnapshotClock {
+        reading_since: Timestamp::now(),
+        last_written: None,
+        retention: RETENTION,
+        share: rand::rng().random_range(0.0..1.0),
+    };
+    let mut next = from;
+    let mut wait = Duration::ZERO;
+    while !stop.is_cancelled() {
+        let page = tokio::select! {
+            page = config_log.read(next, MAX_READ, wait) => page,
+            () = stop.cancelled() => return,
+        };
+        match page {
+            Ok(page) => {
+                service.log_answered(true);
+                next = pass_on(&service, next, &page, &mut clock);
+                wait = if page.tail <= next {
+                    READ_WAIT
+                } else {
+                    Duration::ZERO
+                };
+                if page.tail <= next {
+                    service.take(DistributionEvent::LogTail);
+                    repeat_state(&service, &config_log, &mut clock).await;
+                }
+            }
+            Err(err) => {
+                warn!(service.log(), "read of the configuration failed"; "error" => %err);
+                service.log_answered(false);
+                service.take(DistributionEvent::LogAway);
+                let pause = RETRY_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5));
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+}
+
+/// Passes the records of a page on; returns where the next read begins.
+fn pass_on(
+    service: &Arc<VersionService>,
+    from: LogOffset,
+    page: &LogPage,
+    clock: &mut SnapshotClock,
+) -> LogOffset {
+    for record in &page.records {
+        if is_snapshot(&record.value) {
+            clock.last_written = Some(Timestamp::from_millis(record.at_ms));
+        }
+        let (offset, value) = (record.offset, record.value.clone());
+        service.take(DistributionEvent::LogRecord { offset, value });
+    }
+    let last = page.records.last().map(|record| record.offset.next());
+    last.unwrap_or(from).max(page.oldest)
+}
+
+/// Appends the state again well before the retention ends.
+async fn repeat_state(
+    service: &Arc<VersionService>,
+    config_log: &ConfigLog,
+    clock: &mut SnapshotClock,
+) {
+    let now = Timestamp::now();
+    let fold = service.fold();
+    if fold.current().number == VersionNumber(0) || !snapshot_due(now, clock) {
+        return;
+    }
+    let Some(record) = fold.snapshot_record(now) else {
+        return;
+    };
+    clock.last_written = Some(now);
+    let appended = config_log.append(&record.encode()).await;
+    info!(service.log(), "snapshot appended"; "version" => fold.current().number.0,
+        "stream" => CONFIG_STREAM, "written" => appended.is_ok());
+}
+
+fn is_snapshot(value: &Value) -> bool {
+    value["kind"] == "snapshot"
+}
