Never call a written claim unwritten

give_up took a claim whose append had been answered for one that was never written: with the first use marked, a try was told not-run with a reusable key while its claim stood in the stream.

--- a/src/process/orders/append_queue.rs
+++ b/src/process/orders/append_queue.rs
@@ -75,23 +75,18 @@
         self.in_flight.take_if(|sent| sent.batch == batch)
     }
 
-    /// Returns whether the append in flight has a record of an attempt.
-    pub fn is_sent(&self, attempt: AttemptId) -> bool {
-        let is_own = |record: &OrderRecord| record.attempt == attempt;
-        let sent = self.in_flight.as_ref();
-        sent.is_some_and(|sent| sent.records.iter().any(is_own))
-    }
-
     /// Holds the queue until a time.
     pub fn hold_until(&mut self, time: Timestamp) {
         self.not_before = time;
     }
 
-    /// Drops the waiting records for which a test is false.
-    pub fn retain(&mut self, keep: impl FnMut(&OrderRecord) -> bool) {
-        self.waiting.retain(keep);
+    /// Drops the waiting records of an attempt; returns whether there were any.
+    pub fn withdraw(&mut self, attempt: AttemptId) -> bool {
+        let n_before = self.waiting.len();
+        self.waiting.retain(|record| record.attempt != attempt);
         if self.waiting.is_empty() {
             self.oldest = None;
         }
+        self.waiting.len() < n_before
     }
 }
--- a/src/process/orders/batch_pacing.rs
+++ b/src/process/orders/batch_pacing.rs
@@ -8,22 +8,31 @@
 /// The share of the average by which the floor rises with each append, as a divisor.
 const FLOOR_DIVISOR: u32 = 256;
 
+/// How long a record waits for others before its append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BatchDelay {
+    /// Always as long.
+    Fixed(Duration),
+    /// As the log service's answers ask for, up to a limit.
+    Adaptive(Duration),
+}
+
 /// Adapts the delay of appends to how busy the log service is.
 ///
-/// The delay is the time that appends now spend waiting in the log service: their average time
+/// The adaptive delay is the time that appends now spend waiting in the log service: their average time
 /// beyond the shortest. An idle log service is used at once; a busy one gets fewer, larger appends.
 #[derive(Clone, Debug)]
 pub struct BatchPacing {
-    max_delay: Duration,
+    batch_delay: BatchDelay,
     floor: Option<Duration>,
     average: Duration,
 }
 
 impl BatchPacing {
-    /// Creates the pacing with its longest delay.
-    pub fn up_to(max_delay: Duration) -> Self {
+    /// Creates the pacing.
+    pub fn new(batch_delay: BatchDelay) -> Self {
         Self {
-            max_delay,
+            batch_delay,
             floor: None,
             average: Duration::ZERO,
         }
@@ -45,6 +54,9 @@
     /// Returns how long the oldest record of a batch waits.
     pub fn delay(&self) -> Duration {
         let floor = self.floor.unwrap_or(Duration::ZERO);
-        self.average.saturating_sub(floor).min(self.max_delay)
+        match self.batch_delay {
+            BatchDelay::Fixed(delay) => delay,
+            BatchDelay::Adaptive(longest) => self.average.saturating_sub(floor).min(longest),
+        }
     }
 }
--- a/src/process/orders/holder.rs
+++ b/src/process/orders/holder.rs
@@ -470,10 +470,14 @@
             self.log.push(now, record);
             return;
         }
-        match fault {
-            AppendFault::Unknown => {}
-            AppendFault::Refused => self.give_up(attempt, ReplyReason::LogBusy, actions),
-            AppendFault::Unreachable => self.give_up(attempt, ReplyReason::LogAway, actions),
+        let reason = match fault {
+            AppendFault::Unknown => return,
+            AppendFault::Refused => ReplyReason::LogBusy,
+            AppendFault::Unreachable => ReplyReason::LogAway,
+        };
+        match held.append_doubt {
+            AppendDoubt::None => self.refuse(attempt, reason, actions),
+            AppendDoubt::MayStand => self.bury(attempt, reason, actions),
         }
     }
 
@@ -485,33 +489,33 @@
 
     /// Answers an attempt that is not started and now never starts.
     fn give_up(&mut self, attempt: AttemptId, reason: ReplyReason, actions: &mut HolderActions) {
-        let Some(held) = self.held.get_mut(&attempt) else {
+        let Some(held) = self.held.get(&attempt) else {
             return;
         };
-        let written = match held.phase {
-            HeldPhase::Waiting => false,
-            HeldPhase::Claiming => !self.is_unwritten(attempt),
-            HeldPhase::Following => true,
-            _ => return,
-        };
-        if !written {
-            self.refuse(attempt, reason, actions);
-            return;
-        }
-        if let Some(held) = self.held.get_mut(&attempt) {
-            held.phase = HeldPhase::Dead;
+        match held.phase {
+            HeldPhase::Waiting => self.refuse(attempt, reason, actions),
+            HeldPhase::Claiming => {
+                // A claim that waits for its append was not written, nor was an earlier copy.
+                let withdrawn = self.log.withdraw(&held.request.key, attempt);
+                if withdrawn && held.append_doubt == AppendDoubt::None {
+                    self.refuse(attempt, reason, actions);
+                } else {
+                    self.bury(attempt, reason, actions);
+                }
+            }
+            HeldPhase::Following => self.bury(attempt, reason, actions),
+            _ => {}
         }
-        let reply = OrderReply::unknown(reason, self.settings.retry_after);
-        actions.push(HolderAction::Reply { attempt, reply });
     }
 
-    /// Returns whether no copy of the claim was or will be written, after withdrawing a waiting one.
-    fn is_unwritten(&mut self, attempt: AttemptId) -> bool {
-        let Some(held) = self.held.get(&attempt) else {
-            return false;
+    /// Answers an attempt whose claim, or another's, may stand; it never starts.
+    fn bury(&mut self, attempt: AttemptId, reason: ReplyReason, actions: &mut HolderActions) {
+        let Some(held) = self.held.get_mut(&attempt) else {
+            return;
         };
-        self.log.withdraw(&held.request.key, attempt);
-        held.append_doubt == AppendDoubt::None && !self.log.is_sent(&held.request.key, attempt)
+        held.phase = HeldPhase::Dead;
+        let reply = OrderReply::unknown(reason, self.settings.retry_after);
+        actions.push(HolderAction::Reply { attempt, reply });
     }
 
     /// Answers an attempt of which nothing was or will be written.
--- a/src/process/orders/mod.rs
+++ b/src/process/orders/mod.rs
@@ -12,6 +12,7 @@
 mod holder;
 mod key;
 mod log_event;
+mod operator_finding;
 mod order_log;
 mod order_try;
 mod record;
@@ -23,7 +24,7 @@
 
 pub use answer::OrderAnswer;
 pub use append_queue::{AppendQueue, SentBatch};
-pub use batch_pacing::BatchPacing;
+pub use batch_pacing::{BatchDelay, BatchPacing};
 pub use digest::BodyDigest;
 pub use entry::{EntryAction, EntryActions, EntryEvent, EntryOrders, TryId};
 pub use fold::{KeyState, OpenClaim, RecordEffect, ShardFold};
@@ -32,6 +33,7 @@
 };
 pub use key::{KeyError, OrderKey};
 pub use log_event::{AppendFault, BatchId, LogAction, LogEntry, LogEvent, LogPage, ReadId};
+pub use operator_finding::{FindingOutcome, OperatorFinding, SettleError};
 pub use order_log::{LogNews, LogReach, OrderLog};
 pub use order_try::{OrderTry, TryAction, TryEvent, TryRequest};
 pub use record::{
--- a/src/process/orders/order_log.rs
+++ b/src/process/orders/order_log.rs
@@ -70,7 +70,7 @@
     /// Creates the streams' side of a process, which follows no shard yet.
     pub fn new(settings: OrderSettings) -> Self {
         Self {
-            pacing: BatchPacing::up_to(settings.max_batch_delay),
+            pacing: BatchPacing::new(settings.batch_delay),
             settings,
             tails: BTreeMap::new(),
             queues: BTreeMap::new(),
@@ -139,17 +139,10 @@
         queue.push(now, record);
     }
 
-    /// Drops the records of an attempt that wait for their append.
-    pub fn withdraw(&mut self, key: &OrderKey, attempt: AttemptId) {
-        if let Some(queue) = self.queues.get_mut(&key.shard()) {
-            queue.retain(|record| record.attempt != attempt);
-        }
-    }
-
-    /// Returns whether an append with a record of an attempt is in flight.
-    pub fn is_sent(&self, key: &OrderKey, attempt: AttemptId) -> bool {
-        let queue = self.queues.get(&key.shard());
-        queue.is_some_and(|queue| queue.is_sent(attempt))
+    /// Drops the records of an attempt that wait for their append; returns whether there were any.
+    pub fn withdraw(&mut self, key: &OrderKey, attempt: AttemptId) -> bool {
+        let queue = self.queues.get_mut(&key.shard());
+        queue.is_some_and(|queue| queue.withdraw(attempt))
     }
 
     /// Returns whether nothing waits for its append and no append is in flight.
--- a/src/process/orders/settings.rs
+++ b/src/process/orders/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::prelude::*;
 
+use super::batch_pacing::BatchDelay;
 use super::key::OrderKey;
 use super::reply::ReplyReason;
 
@@ -38,8 +39,8 @@
     pub answer_limit: usize,
     /// The most records of one append.
     pub max_batch: usize,
-    /// The longest time that a record waits for others before its append.
-    pub max_batch_delay: Duration,
+    /// How long a record waits for others before its append.
+    pub batch_delay: BatchDelay,
     /// The most records of one read.
     pub max_read: usize,
     /// How long a read at the end of a stream may wait for records.
@@ -70,7 +71,7 @@
             window: OrderWindow::default(),
             answer_limit: 4_096,
             max_batch: 256,
-            max_batch_delay: Duration::from_millis(50),
+            batch_delay: BatchDelay::Adaptive(Duration::from_millis(50)),
             max_read: 1_024,
             read_wait: Duration::from_secs(5),
             log_retry_delay: Duration::from_millis(200),
--- a/tests/orders_random.rs
+++ b/tests/orders_random.rs
@@ -202,8 +202,8 @@
         }
     }
 
-    fn step(&mut self, step: WorldStep) {
-        match step {
+    fn step(&mut self, step: &WorldStep) {
+        match *step {
             WorldStep::Submit { entry, pick, body } => self.submit(entry, pick, body),
             WorldStep::Deliver(pick) => self.with_message(pick, Self::deliver),
             WorldStep::Lose(pick) => self.with_message(pick, Self::lose),
@@ -249,14 +249,18 @@
         }
         let near = pick % self.messages.len().min(4);
         let any = pick / 8 % self.messages.len();
-        let idx = if pick / 4 % 8 == 0 { any } else { near };
+        let idx = if (pick / 4).is_multiple_of(8) {
+            any
+        } else {
+            near
+        };
         let message = self.messages.remove(idx);
         act(self, message);
     }
 
     /// An honest caller that marks the first use of a key then waits for its reply.
     fn submit(&mut self, entry: usize, pick: usize, body: u8) {
-        let is_new = self.keys.is_empty() || pick % 3 == 0;
+        let is_new = self.keys.is_empty() || pick.is_multiple_of(3);
         if is_new {
             self.keys.push(self.new_key());
         }
@@ -272,7 +276,7 @@
         if self.callers.values().any(is_waiting) {
             return;
         }
-        let marks = is_new && pick / 3 % 2 == 0;
+        let marks = is_new && (pick / 3).is_multiple_of(2);
         let history = if marks {
             KeyHistory::FirstUse
         } else {
@@ -365,7 +369,7 @@
                     let agent = (try_id.0 as usize + n_earlier as usize) % N_AGENTS;
                     self.dispatch(sender, try_id, agent, order);
                 }
-                EntryAction::Answer { try_id, reply } => self.answer(try_id, reply),
+                EntryAction::Answer { try_id, reply } => self.answer(try_id, &reply),
             }
         }
     }
@@ -388,14 +392,14 @@
         self.messages.push(Message::Dispatch(entry, to, order));
     }
 
-    fn answer(&mut self, try_id: TryId, reply: OrderReply) {
+    fn answer(&mut self, try_id: TryId, reply: &OrderReply) {
         let caller = self.callers.get_mut(&try_id).expect("a known try");
         assert!(caller.reply.is_none(), "a try has one reply");
         caller.reply = Some(reply.clone());
         let name = format!("{}/{}", reply.outcome, reply.reason);
         *self.outcomes.entry(name).or_default() += 1;
         let key = caller.key.clone();
-        self.note_reply(&key, &reply);
+        self.note_reply(&key, reply);
     }
 
     /// Checks what a reply says of its key and holds the future to it.
@@ -606,7 +610,17 @@
         }
     }
 
-    fn check_end(&mut self) {
+    /// Returns the attempts of which the streams have a record.
+    fn recorded(&self) -> BTreeSet<AttemptId> {
+        let records = self.log.streams.values().flatten();
+        let attempts = records.map(|entry| entry.value["attempt"].clone());
+        attempts
+            .filter_map(|attempt| serde_json::from_value(attempt).ok())
+            .collect()
+    }
+
+    fn check_end(&self) {
+        let recorded = self.recorded();
         for caller in self.callers.values() {
             let ran_by = self.ran_by.get(&caller.key);
             let Some(reply) = &caller.reply else {
@@ -614,6 +628,9 @@
                 continue;
             };
             let own_ran = ran_by.is_some_and(|attempt| caller.attempts.contains(attempt));
+            let own_stands = caller.attempts.iter().any(|own| recorded.contains(own));
+            let reusable = reply.key_use == KeyUse::Reusable;
+            assert!(!reusable || !own_stands, "a reusable key has a record");
             let not_run = reply.outcome == RequestOutcome::NotRun;
             assert!(!not_run || !own_ran, "an attempt of a not-run try ran");
             if reply.outcome == RequestOutcome::Answered {
@@ -664,7 +681,7 @@
     let totals = RefCell::new(BTreeMap::new());
     let result = runner.run(&vec(any_step(profile), 40..160), |steps| {
         let mut world = World::new();
-        for step in steps {
+        for step in &steps {
             world.step(step);
         }
         world.drain();
