--- a/src/process/distribution/distributor.rs
+++ b/src/process/distribution/distributor.rs
@@ -21,7 +21,7 @@
 /// The share by which a round is shortened or lengthened at random, in percent.
 const ROUND_JITTER_PERCENT: u64 = 20;
 /// Peers that are told of a new version at once.
-const FANOUT: usize = 3;
+const FANOUT: usize = 6;
 /// The longest wait for a body.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a read of the log's tail counts as fresh.
