--- a/examples/measure/capacity/wire.rs
+++ b/examples/measure/capacity/wire.rs
@@ -5,9 +5,12 @@
 
 use comfreyhead::connection::{
     AgentReadiness, AgentReport, ControlClient, ControlPool, ControlServer, ListedState, PeerHello,
-    ReportPoll, VersionDelivery, VersionMark, VersionPull, serve_control,
+    ReportPoll, VersionNotice, VersionPull, serve_control,
 };
 use comfreyhead::prelude::*;
+use comfreyhead::process::distribution::{
+    AnnouncementKind, PeerInfo, PeerRole, VersionAnnouncement, VersionBody,
+};
 use comfreyhead::process::platform::{ListedVm, VmList, VmState};
 use comfreyhead::process::routing::{AccountDemand, DemandReport};
 use comfreyhead::version::config::{ConfigContent, VersionDigest};
@@ -40,6 +43,12 @@
             sizes: &[2_000, 4_000, 6_000, 8_000],
             run: pulls,
         },
+        Probe {
+            name: "control-announce",
+            per: "announcement of a version, both ends",
+            sizes: &[2_000, 4_000, 6_000, 8_000],
+            run: announcements,
+        },
         Probe {
             name: "vm-list",
             per: "VM of the platform's list, decoded",
@@ -90,8 +99,12 @@
         Ok(self.report.clone())
     }
 
-    async fn pull(&self, _pull: VersionPull) -> Result<VersionDelivery, ErrorObjectOwned> {
-        Ok(VersionDelivery::Records(Vec::new()))
+    async fn announce(&self, _notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
+        Ok(())
+    }
+
+    async fn pull(&self, _pull: VersionPull) -> Result<VersionBody, ErrorObjectOwned> {
+        Ok(VersionBody::Records(Vec::new()))
     }
 }
 
@@ -100,10 +113,14 @@
     Report(ReportPoll),
     Exchange(PeerHello),
     Pull(VersionPull),
+    Announce(VersionNotice),
 }
 
-fn version_mark() -> VersionMark {
-    VersionMark {
+fn announcement() -> VersionAnnouncement {
+    VersionAnnouncement {
+        incarnation: ProcessIncarnation(START.0),
+        following: true,
+        serving: true,
         number: VersionNumber(5_900),
         digest: VersionDigest::of(&ConfigContent::default()),
     }
@@ -117,8 +134,9 @@
 fn report_poll() -> ReportPoll {
     ReportPoll {
         from: entry_name(1),
+        data_centre: "sofia-1".into(),
         control: control_address(1),
-        version: version_mark(),
+        announcement: announcement(),
         listed: ListedState::Present,
         cache_from: 123_456,
     }
@@ -130,7 +148,7 @@
         incarnation: ProcessIncarnation(START.0),
         readiness: AgentReadiness::Ready,
         load: Some(load_report(12_345)),
-        version: version_mark(),
+        announcement: announcement(),
         suspects: Vec::new(),
         cache: Vec::new(),
         cache_next: 123_456,
@@ -147,7 +165,7 @@
         from: entry_name(1),
         data_centre: "sofia-1".into(),
         control: control_address(1),
-        version: version_mark(),
+        announcement: announcement(),
         demand: DemandReport {
             sequence: START.0,
             accounts: (0..n_accounts).map(demand).collect(),
@@ -162,8 +180,22 @@
 }
 
 fn pulls(n: usize) -> ProbeUsage {
-    let have = VersionNumber(5_900);
-    messages(n, &Message::Pull(VersionPull { have }))
+    let since = VersionNumber(5_900);
+    messages(n, &Message::Pull(VersionPull { since }))
+}
+
+fn announcements(n: usize) -> ProbeUsage {
+    let notice = VersionNotice {
+        from: PeerInfo {
+            name: entry_name(1).as_str().into(),
+            data_centre: "sofia-1".into(),
+            role: PeerRole::Entry,
+        },
+        control: control_address(1),
+        announcement: announcement(),
+        kind: AnnouncementKind::Probe,
+    };
+    messages(n, &Message::Announce(notice))
 }
 
 fn vm_lists(n_vms: usize) -> ProbeUsage {
@@ -236,6 +268,9 @@
             Message::Pull(pull) => {
                 client.pull(pull.clone()).await.expect("the versions");
             }
+            Message::Announce(notice) => {
+                client.announce(notice.clone()).await.expect("an answer");
+            }
         }
     }
 }
@@ -268,7 +303,7 @@
     let address = listener.local_addr().expect("an address");
     let hello = match message {
         Message::Exchange(hello) => hello.clone(),
-        Message::Report(_) | Message::Pull(_) => peer_hello(0, 0),
+        Message::Report(_) | Message::Pull(_) | Message::Announce(_) => peer_hello(0, 0),
     };
     let control = FixedControl {
         report: agent_report(),
