Take membership from all sources by leases, and subscribe to a subset of targets

Each subscribed agent has a heartbeat of its own, so that one that hangs delays no other; a target is eligible only within the lease of a report, and while neither the platform's list nor an own dispatch speaks against it.

--- a/src/process/entry/agent_watch.rs
+++ b/src/process/entry/agent_watch.rs
@@ -1,41 +1,65 @@
-//! Polls the agents for their reports, and the platform for its list of VMs.
+//! Sends heartbeats to the agents, and reads the platform's list of VMs.
+
+use std::collections::{HashMap, HashSet};
 
 use rand::RngExt;
 use slog::{debug, info};
+use tokio_util::sync::CancellationToken;
 
 use crate::connection::{AgentReport, ControlClient, ReportPoll};
 use crate::prelude::*;
 use crate::process::distribution::{AnnouncementKind, PeerName};
-use crate::process::platform::VmState;
+use crate::process::membership::{HEARTBEAT_INTERVAL, subset};
 use crate::process::routing::TargetEligibility;
+use crate::version::config::TargetRole;
 
 use super::entry_process::EntryProcess;
 use super::known_agents::KnownAgent;
 
-/// The mean pause between two polls of an agent.
-const POLL_PERIOD: Duration = Duration::from_millis(500);
-/// The longest time for the answer to a poll.
-const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The targets of one model or service that an entry VM subscribes to, at most.
+const SUBSET_TARGETS: usize = 64;
+/// The pause between two looks at leases and subscriptions.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
+/// The longest time for the answer to a heartbeat.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The mean pause between two reads of the list of VMs.
 const LIST_PERIOD: Duration = Duration::from_secs(2);
 
-/// Polls the agents until the process stops.
+/// What the subscription was computed from: the version, and the entry VMs that are known.
+type SubscriptionBasis = (VersionNumber, Vec<EntryName>);
+
+/// Keeps a heartbeat going to each subscribed agent until the process stops.
 pub(super) async fn watch_agents(process: Arc<EntryProcess>) {
+    let mut heartbeats: HashMap<TargetName, CancellationToken> = HashMap::new();
+    let mut basis = None;
     while !process.stop.is_cancelled() {
-        let agents: Vec<(TargetName, KnownAgent)> = {
-            let known = process.agents.lock();
-            known
-                .iter()
-                .map(|(target, agent)| (target.clone(), agent.clone()))
-                .collect()
-        };
-        let polls = agents
-            .iter()
-            .map(|(target, agent)| poll_agent(&process, target, agent));
-        futures::future::join_all(polls).await;
-        let pause = POLL_PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
+        refresh_subscription(&process, &mut basis);
+        let subscribed: Vec<TargetName> = process.agents.lock().subscribed().cloned().collect();
+        heartbeats.retain(|target, heartbeat| {
+            let is_kept = subscribed.contains(target);
+            if !is_kept {
+                heartbeat.cancel();
+                process
+                    .targets
+                    .lock()
+                    .set_eligible(target, TargetEligibility::Down);
+            }
+            is_kept
+        });
+        for target in subscribed {
+            set_eligibility(&process, &target);
+            heartbeats.entry(target.clone()).or_insert_with(|| {
+                let heartbeat = process.stop.child_token();
+                tokio::spawn(keep_heartbeat(
+                    Arc::clone(&process),
+                    target,
+                    heartbeat.clone(),
+                ));
+                heartbeat
+            });
+        }
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            () = tokio::time::sleep(LOOK_PERIOD) => {}
             () = process.stop.cancelled() => return,
         }
     }
@@ -45,18 +69,14 @@
 pub(super) async fn watch_vm_list(process: Arc<EntryProcess>) {
     while !process.stop.is_cancelled() {
         match process.vm_list.read().await {
-            Ok(list) => {
-                let leaving = list.vms.iter().filter(|vm| vm.state == VmState::Leaving);
-                let names = leaving.map(|vm| Arc::clone(&vm.name)).collect();
-                process.agents.lock().set_leaving_vms(names);
-                // Routing learns of it at once, not at the next poll of each agent.
-                let targets: Vec<TargetName> = process.agents.lock().targets().collect();
-                for target in &targets {
-                    set_eligibility(&process, target);
-                }
-            }
+            Ok(list) => process.agents.lock().set_list(&list),
             Err(err) => debug!(process.log, "list of VMs not read"; "error" => %err),
         }
+        // Routing learns of it at once, not at the next heartbeat of each agent.
+        let subscribed: Vec<TargetName> = process.agents.lock().subscribed().cloned().collect();
+        for target in &subscribed {
+            set_eligibility(&process, target);
+        }
         let pause = LIST_PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
@@ -65,30 +85,88 @@
     }
 }
 
-async fn poll_agent(process: &Arc<EntryProcess>, target: &TargetName, agent: &KnownAgent) {
+/// Computes the subscription again where the version or the entry VMs have changed.
+fn refresh_subscription(process: &EntryProcess, basis: &mut Option<SubscriptionBasis>) {
+    let version = process.versions.current();
+    let mut entries = process.peers.lock().names();
+    entries.push(process.name.clone());
+    entries.sort();
+    let present = (version.number, entries);
+    if basis.as_ref() == Some(&present) {
+        return;
+    }
+    let mut targets_by_name: HashMap<ModelName, Vec<TargetName>> = HashMap::new();
+    for (target, config) in &version.content.targets {
+        let name = match &config.serves {
+            TargetRole::Model(model) => model.clone(),
+            TargetRole::Service(service) => ModelName::from(service.as_str()),
+        };
+        targets_by_name
+            .entry(name)
+            .or_default()
+            .push(target.clone());
+    }
+    let entries = &present.1;
+    let subscribed: HashSet<TargetName> = targets_by_name
+        .iter()
+        .flat_map(|(name, targets)| subset(&process.name, name, entries, targets, SUBSET_TARGETS))
+        .collect();
+    info!(process.log, "subscribed to targets"; "targets" => subscribed.len(),
+        "version" => version.number.0, "entries" => entries.len());
+    process.agents.lock().set_subscribed(subscribed);
+    *basis = Some(present);
+}
+
+async fn keep_heartbeat(
+    process: Arc<EntryProcess>,
+    target: TargetName,
+    heartbeat: CancellationToken,
+) {
+    while !heartbeat.is_cancelled() {
+        let agent = process.agents.lock().get(&target).cloned();
+        if let Some(agent) = agent {
+            send_heartbeat(&process, &target, &agent).await;
+        }
+        let pause = HEARTBEAT_INTERVAL.mul_f64(rand::rng().random_range(0.8..1.0));
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = heartbeat.cancelled() => return,
+        }
+    }
+}
+
+async fn send_heartbeat(process: &Arc<EntryProcess>, target: &TargetName, agent: &KnownAgent) {
     let poll = ReportPoll {
         from: process.name.clone(),
-        control: process.settings.addresses.control,
         data_centre: process.settings.process.data_centre.clone(),
+        control: process.settings.addresses.control,
         announcement: process.versions.announcement(),
-        listed: process.agents.lock().listed(target),
+        listed: agent.listed(),
         cache_from: agent.cache_from,
     };
-    let answer = tokio::time::timeout(POLL_TIMEOUT, async {
+    let sent_at = Timestamp::now();
+    let answer = tokio::time::timeout(HEARTBEAT_TIMEOUT, async {
         let client = process.control.client(agent.control_address).await?;
         client
             .report(poll)
             .await
             .map_err(|err| Error::Peer(err.to_string()))
     });
-    match answer.await {
-        Ok(Ok(report)) => take_report(process, target, &report),
-        Ok(Err(err)) => poll_failed(process, target, agent, &err.to_string()),
-        Err(_) => poll_failed(process, target, agent, "no answer in time"),
-    }
+    let failure = match answer.await {
+        Ok(Ok(report)) => return take_report(process, target, sent_at, &report),
+        Ok(Err(err)) => err.to_string(),
+        Err(_) => "no answer in time".to_owned(),
+    };
+    debug!(process.log, "agent did not answer"; "agent" => %agent.agent, "reason" => failure);
+    process.control.forget(agent.control_address);
 }
 
-fn take_report(process: &Arc<EntryProcess>, target: &TargetName, report: &AgentReport) {
+fn take_report(
+    process: &Arc<EntryProcess>,
+    target: &TargetName,
+    sent_at: Timestamp,
+    report: &AgentReport,
+) {
     let now = Timestamp::now();
     process.metrics.control_messages.inc();
     let from = PeerName::from(report.agent.as_str());
@@ -96,7 +174,7 @@
     process
         .versions
         .heard(from, announcement, AnnouncementKind::Reply);
-    process.agents.lock().observe(now, target, report);
+    process.agents.lock().observe(now, sent_at, target, report);
     set_eligibility(process, target);
     {
         let mut targets = process.targets.lock();
@@ -113,27 +191,17 @@
     }
 }
 
-fn poll_failed(process: &EntryProcess, target: &TargetName, agent: &KnownAgent, reason: &str) {
-    debug!(process.log, "agent did not answer"; "agent" => %agent.agent, "reason" => reason);
-    process.control.forget(agent.control_address);
-    process.agents.lock().poll_failed(target);
-    set_eligibility(process, target);
-}
-
+/// Tells routing whether a target may take new work.
 fn set_eligibility(process: &EntryProcess, target: &TargetName) {
-    let eligibility = process.agents.lock().eligibility(target);
+    let now = Timestamp::now();
+    let (eligibility, status) = {
+        let agents = process.agents.lock();
+        (agents.eligibility(now, target), agents.status(now, target))
+    };
     let mut targets = process.targets.lock();
-    let earlier = targets
-        .targets()
-        .find(|(name, _)| *name == target)
-        .map(|(_, state)| state);
-    if earlier != Some(eligibility) {
-        let state = match eligibility {
-            TargetEligibility::Eligible => "eligible",
-            TargetEligibility::Leaving => "leaving",
-            TargetEligibility::Down => "down",
-        };
-        info!(process.log, "target state"; "target" => %target, "state" => state);
+    if targets.eligibility(target) != Some(eligibility) {
+        info!(process.log, "target state"; "target" => %target, "state" => %eligibility,
+            "reason" => %status.reason);
+        targets.set_eligible(target, eligibility);
     }
-    targets.set_eligible(target, eligibility);
 }
--- a/src/process/entry/dispatch.rs
+++ b/src/process/entry/dispatch.rs
@@ -16,6 +16,7 @@
     WorkRequest, WorkResume,
 };
 use crate::prelude::*;
+use crate::process::membership::DispatchSign;
 use crate::process::platform::HttpFailure;
 use crate::process::routing::{CancelAnswer, DispatchResult, RefusalReason, WorkCancel};
 use crate::request::{EventBody, TrackerEvent, WorkId};
@@ -52,16 +53,19 @@
     events: UnboundedSender<TrackerEvent>,
 ) {
     let timeout = Duration::from_millis(request.offer.remaining_ms);
+    let sent_at = Timestamp::now();
     let answer = send(&process, &place, WORK_PATH, &request, timeout).await;
     let attempt = place.work.attempt;
     let event = match answer {
         Ok(response) => {
             let sequence = report_sequence(&response);
             process.targets.lock().admitted(place.work, sequence);
+            note_sign(&process, &place, sent_at, DispatchSign::Accepted);
             copy_lines(&process, &place, response, &events).await
         }
         Err(HttpFailure::NotSent(reason)) => {
             debug!(process.log, "agent not reached"; "work" => %place.work, "reason" => reason);
+            note_sign(&process, &place, sent_at, DispatchSign::Unreachable);
             finish(&process, &place, DispatchResult::Unreachable);
             let reason = RefusalReason::NoTarget;
             Some(TrackerEvent::Refused {
@@ -125,6 +129,12 @@
     let _ = events.send(TrackerEvent::CancelAnswered { attempt, answer });
 }
 
+/// Notes what a dispatch showed of an agent.
+fn note_sign(process: &EntryProcess, place: &AttemptPlace, sent_at: Timestamp, sign: DispatchSign) {
+    let mut agents = process.agents.lock();
+    agents.note_dispatch(&place.target, place.incarnation, sent_at, sign);
+}
+
 /// Notes the end of an attempt for the load estimate.
 pub(super) fn finish(process: &EntryProcess, place: &AttemptPlace, result: DispatchResult) {
     process
@@ -179,6 +189,14 @@
         // The agent has this attempt from an earlier message; its events are to be had.
         return TrackerEvent::ConnectionLost { attempt };
     }
+    if refusal.reason == RefusalReason::Draining {
+        note_sign(
+            process,
+            place,
+            Timestamp::now(),
+            DispatchSign::RefusedLeaving,
+        );
+    }
     finish(process, place, DispatchResult::Refused);
     let retry_after = Duration::from_millis(refusal.retry_after_ms);
     TrackerEvent::Refused {
--- a/src/process/entry/entry_process.rs
+++ b/src/process/entry/entry_process.rs
@@ -242,12 +242,8 @@
                     TargetRole::Model(model) => format!("model {model}"),
                     TargetRole::Service(service) => format!("service {service}"),
                 },
-                state: match agents.eligibility(target) {
-                    TargetEligibility::Eligible => "eligible",
-                    TargetEligibility::Leaving => "leaving",
-                    TargetEligibility::Down => "down",
-                }
-                .to_owned(),
+                state: agents.eligibility(now, target).to_string(),
+                reason: agents.status(now, target).reason.to_string(),
                 incarnation: agent.and_then(|agent| agent.incarnation),
                 load: targets.estimated_load(now, target).unwrap_or(0),
                 slow: targets.is_slow(target),
--- a/src/process/entry/known_agents.rs
+++ b/src/process/entry/known_agents.rs
@@ -1,15 +1,16 @@
 //! What an entry VM knows of the agents.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use crate::connection::{AgentReadiness, AgentReport, ListedState};
 use crate::prelude::*;
+use crate::process::membership::{
+    self, DispatchSign, MembershipEvent, MembershipTable, TargetState, TargetStatus,
+};
+use crate::process::platform::{VmList, VmState};
 use crate::process::routing::TargetEligibility;
 
-/// The failed polls after which an agent counts as down.
-const MAX_FAILED_POLLS: u32 = 2;
-
 /// What is known of one agent.
 #[derive(Clone, Debug)]
 pub(super) struct KnownAgent {
@@ -28,16 +29,17 @@
     /// From where its next cache events are wanted.
     pub(super) cache_from: u64,
     readiness: AgentReadiness,
-    n_failed_polls: u32,
+    listed: ListedState,
 }
 
-/// The agents by target, and what the platform's list says of their VMs.
+/// The agents by target, and what all sources say of their presence.
 ///
 /// Its lock is a leaf of the lock order.
 #[derive(Debug, Default)]
 pub(super) struct KnownAgents {
     agents: HashMap<TargetName, KnownAgent>,
-    leaving_vms: Vec<Arc<str>>,
+    subscribed: HashSet<TargetName>,
+    membership: MembershipTable,
 }
 
 impl KnownAgent {
@@ -52,10 +54,15 @@
             heard_at: None,
             cache_from: 0,
             readiness: AgentReadiness::NotReady,
-            n_failed_polls: 0,
+            listed: ListedState::Present,
         }
     }
 
+    /// Returns what the platform's list says of the agent's VM.
+    pub(super) fn listed(&self) -> ListedState {
+        self.listed
+    }
+
     fn observe(&mut self, now: Timestamp, report: &AgentReport) {
         if self.incarnation != Some(report.incarnation) {
             self.cache_from = 0;
@@ -65,7 +72,6 @@
         self.heard_at = Some(now);
         self.cache_from = report.cache_next;
         self.readiness = report.readiness;
-        self.n_failed_polls = 0;
     }
 }
 
@@ -78,52 +84,101 @@
             let known = known.filter(|known| known.work_address == agent.work_address);
             self.agents.insert(target, known.unwrap_or(agent));
         }
+        self.membership.set_targets(self.agents.keys().cloned());
     }
 
-    /// Takes over the VMs that the platform's list shows as leaving.
-    pub(super) fn set_leaving_vms(&mut self, vms: Vec<Arc<str>>) {
-        self.leaving_vms = vms;
+    /// Sets which targets this entry VM subscribes to.
+    pub(super) fn set_subscribed(&mut self, targets: HashSet<TargetName>) {
+        self.subscribed = targets;
     }
 
-    /// Returns what the platform's list says of the VM of a target.
-    pub(super) fn listed(&self, target: &TargetName) -> ListedState {
-        let is_leaving = self.leaving_vms.iter().any(|vm| **vm == *target.as_str());
-        if is_leaving {
-            ListedState::Leaving
-        } else {
-            ListedState::Present
-        }
+    /// Returns the targets that this entry VM subscribes to.
+    pub(super) fn subscribed(&self) -> impl Iterator<Item = &TargetName> {
+        self.subscribed.iter()
     }
 
-    /// Takes in an agent's report.
-    pub(super) fn observe(&mut self, now: Timestamp, target: &TargetName, report: &AgentReport) {
-        if let Some(agent) = self.agents.get_mut(target) {
-            agent.observe(now, report);
+    /// Takes over the platform's list of VMs.
+    pub(super) fn set_list(&mut self, list: &VmList) {
+        let state = |state| match state {
+            VmState::Live => membership::VmState::Live,
+            VmState::Leaving => membership::VmState::Leaving,
+        };
+        let vms = list.vms.iter();
+        let vms = vms.map(|vm| (TargetName::from(Arc::clone(&vm.name)), state(vm.state)));
+        let vms: Vec<_> = vms.collect();
+        for (target, agent) in &mut self.agents {
+            let is_leaving = vms
+                .iter()
+                .any(|(name, state)| name == target && *state == membership::VmState::Leaving);
+            agent.listed = if is_leaving {
+                ListedState::Leaving
+            } else {
+                ListedState::Present
+            };
         }
+        self.membership.on_event(MembershipEvent::VmList(vms));
     }
 
-    /// Notes a poll without an answer.
-    pub(super) fn poll_failed(&mut self, target: &TargetName) {
-        if let Some(agent) = self.agents.get_mut(target) {
-            agent.n_failed_polls += 1;
-        }
+    /// Takes in an agent's answer to the heartbeat that was sent at `heartbeat_at`.
+    pub(super) fn observe(
+        &mut self,
+        now: Timestamp,
+        heartbeat_at: Timestamp,
+        target: &TargetName,
+        report: &AgentReport,
+    ) {
+        let Some(agent) = self.agents.get_mut(target) else {
+            return;
+        };
+        agent.observe(now, report);
+        let readiness = match report.readiness {
+            AgentReadiness::Ready => membership::AgentReadiness::Ready,
+            AgentReadiness::Leaving => membership::AgentReadiness::Leaving,
+            AgentReadiness::NotReady => return,
+        };
+        self.membership
+            .on_event(MembershipEvent::Report(membership::AgentReport {
+                target: target.clone(),
+                incarnation: report.incarnation,
+                readiness,
+                heartbeat_at,
+            }));
+    }
+
+    /// Notes what an own dispatch showed of an agent.
+    pub(super) fn note_dispatch(
+        &mut self,
+        target: &TargetName,
+        incarnation: ProcessIncarnation,
+        sent_at: Timestamp,
+        sign: DispatchSign,
+    ) {
+        let target = target.clone();
+        self.membership.on_event(MembershipEvent::Dispatch {
+            target,
+            incarnation,
+            sent_at,
+            sign,
+        });
+    }
+
+    /// Returns the state of a target and what it rests on.
+    pub(super) fn status(&self, now: Timestamp, target: &TargetName) -> TargetStatus {
+        self.membership.status(target, now)
     }
 
     /// Returns whether a target may take new work.
-    pub(super) fn eligibility(&self, target: &TargetName) -> TargetEligibility {
-        let Some(agent) = self.agents.get(target) else {
-            return TargetEligibility::Down;
-        };
-        if self.listed(target) == ListedState::Leaving {
-            return TargetEligibility::Leaving;
-        }
-        if MAX_FAILED_POLLS <= agent.n_failed_polls {
-            return TargetEligibility::Down;
-        }
-        match agent.readiness {
-            AgentReadiness::Ready => TargetEligibility::Eligible,
-            AgentReadiness::Leaving => TargetEligibility::Leaving,
-            AgentReadiness::NotReady => TargetEligibility::Down,
+    pub(super) fn eligibility(&self, now: Timestamp, target: &TargetName) -> TargetEligibility {
+        let is_ready = self
+            .agents
+            .get(target)
+            .is_some_and(|agent| agent.readiness != AgentReadiness::NotReady);
+        match self.status(now, target).state {
+            TargetState::Leaving => TargetEligibility::Leaving,
+            TargetState::Eligible if is_ready => TargetEligibility::Eligible,
+            TargetState::Eligible | TargetState::Down | TargetState::Unknown => {
+                TargetEligibility::Down
+            }
         }
     }
 
@@ -131,14 +186,4 @@
     pub(super) fn get(&self, target: &TargetName) -> Option<&KnownAgent> {
         self.agents.get(target)
     }
-
-    /// Returns the targets.
-    pub(super) fn targets(&self) -> impl Iterator<Item = TargetName> {
-        self.agents.keys().cloned()
-    }
-
-    /// Returns the targets with their agents.
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&TargetName, &KnownAgent)> {
-        self.agents.iter()
-    }
 }
--- a/src/process/entry/order_driver.rs
+++ b/src/process/entry/order_driver.rs
@@ -175,12 +175,13 @@
     /// Chooses the agent that ranks first for the key's shard and was not tried.
     fn choose(&self, try_id: TryId, order: &OrderRequest) -> Option<(AgentName, String)> {
         let index = self.process.index.load();
+        let now = Timestamp::now();
         let known = self.process.agents.lock();
         let tried = &self.pending.get(&try_id)?.tried;
         let eligible: Vec<(TargetName, AgentName)> = index
             .service_agents(&order.service)
             .into_iter()
-            .filter(|(target, _)| known.eligibility(target) == TargetEligibility::Eligible)
+            .filter(|(target, _)| known.eligibility(now, target) == TargetEligibility::Eligible)
             .filter(|(_, agent)| !tried.contains(agent))
             .collect();
         let agents: Vec<AgentName> = eligible.iter().map(|(_, agent)| agent.clone()).collect();
--- a/src/process/operator/report.rs
+++ b/src/process/operator/report.rs
@@ -67,6 +67,8 @@
     pub serves: String,
     /// Whether it takes new work.
     pub state: String,
+    /// What the state rests on.
+    pub reason: String,
     /// The incarnation of its agent.
     pub incarnation: Option<ProcessIncarnation>,
     /// The estimated requests that run or wait there.
--- a/src/process/routing/target_state.rs
+++ b/src/process/routing/target_state.rs
@@ -1,5 +1,7 @@
 //! What an entry VM knows of one target.
 
+use derive_more::Display;
+
 use crate::prelude::*;
 
 use super::load_report::LoadReport;
@@ -25,13 +27,16 @@
 const EJECT_MAX: Duration = Duration::from_secs(30);
 
 /// Whether membership lets a target take new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum TargetEligibility {
     /// It may take new work.
+    #[display("eligible")]
     Eligible,
     /// It is leaving: it takes no new work.
+    #[display("leaving")]
     Leaving,
     /// It is down or not known.
+    #[display("down")]
     Down,
 }
 
--- a/src/process/routing/target_table.rs
+++ b/src/process/routing/target_table.rs
@@ -130,6 +130,12 @@
             .map(|state| (&state.name, state.eligibility))
     }
 
+    /// Returns whether a target may take new work; none for an unknown one.
+    pub fn eligibility(&self, target: &TargetName) -> Option<TargetEligibility> {
+        let target_idx = *self.by_name.get(target)?;
+        Some(self.targets[target_idx as usize].eligibility)
+    }
+
     /// Returns the estimated load of a target: requests that run or wait there.
     pub fn estimated_load(&self, now: Timestamp, target: &TargetName) -> Option<u32> {
         let target_idx = *self.by_name.get(target)?;
