Resume through another entry, spread refusals, share news of suspects

An entry that takes over a caller's answer tracks it as possibly run, so that it never ends as not-run. Refusals by agents reach callers spread over half their time to come back. Suspects are told once, the worst first, so that sharing stays small. The first request of an idle account with a small in-flight limit is admitted at any entry: rounding the equal share refused it at some.

--- a/src/process/routing/account_limiter.rs
+++ b/src/process/routing/account_limiter.rs
@@ -235,7 +235,9 @@
             view.peer_in_flight,
             view.n_visible,
         );
-        state.allowance = round_by_rank(allowance, view.own_rank, view.n_visible);
+        let is_free = own_in_flight + view.peer_in_flight < in_flight;
+        let least = u32::from(is_free);
+        state.allowance = round_by_rank(allowance, view.own_rank, view.n_visible).max(least);
     }
 }
 
--- a/src/process/routing/crash_suspects.rs
+++ b/src/process/routing/crash_suspects.rs
@@ -1,5 +1,6 @@
 //! Requests that may crash the targets that run them.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 
 use derive_more::Display;
@@ -96,6 +97,14 @@
     shared: BTreeSet<TargetCrash>,
     alone: BTreeSet<TargetCrash>,
     until: Timestamp,
+    news: SuspectNews,
+}
+
+/// Whether the other processes were told of the latest change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SuspectNews {
+    Untold,
+    Told,
 }
 
 impl CrashSuspects {
@@ -115,6 +124,7 @@
                 false => &mut suspect.shared,
             };
             insert_bounded(crashes, crash);
+            suspect.news = SuspectNews::Untold;
             suspect.extend_life(now);
         }
         self.drop_surplus();
@@ -149,16 +159,30 @@
         SuspectDecision::RunAlone
     }
 
-    /// Returns what is held against requests, for the other processes of the data centre.
+    /// Returns all that is held against requests, for a process that starts.
     pub fn reports(&self, now: Timestamp) -> Vec<SuspectReport> {
         self.suspects
             .iter()
             .filter(|(_, suspect)| now < suspect.until)
-            .map(|(digest, suspect)| SuspectReport {
-                digest: digest.clone(),
-                shared: suspect.shared.iter().cloned().collect(),
-                alone: suspect.alone.iter().cloned().collect(),
-                remaining_ms: suspect.until.since(now).as_millis() as u64,
+            .map(|(digest, suspect)| suspect.report(now, digest))
+            .collect()
+    }
+
+    /// Takes up to `n_wanted` changes that the other processes were not told of, the worst
+    /// first; what is left comes with the next call.
+    pub fn take_news(&mut self, now: Timestamp, n_wanted: usize) -> Vec<SuspectReport> {
+        let mut untold: Vec<_> = self
+            .suspects
+            .iter_mut()
+            .filter(|(_, suspect)| suspect.news == SuspectNews::Untold)
+            .collect();
+        untold.sort_by_key(|(_, suspect)| Reverse(suspect.weight()));
+        untold
+            .into_iter()
+            .take(n_wanted)
+            .map(|(digest, suspect)| {
+                suspect.news = SuspectNews::Told;
+                suspect.report(now, digest)
             })
             .collect()
     }
@@ -195,6 +219,7 @@
                 shared: BTreeSet::new(),
                 alone: BTreeSet::new(),
                 until: now,
+                news: SuspectNews::Untold,
             })
     }
 
@@ -226,6 +251,15 @@
         ALONE_CRASHES <= targets.len()
     }
 
+    fn report(&self, now: Timestamp, digest: &RequestDigest) -> SuspectReport {
+        SuspectReport {
+            digest: digest.clone(),
+            shared: self.shared.iter().cloned().collect(),
+            alone: self.alone.iter().cloned().collect(),
+            remaining_ms: self.until.since(now).as_millis() as u64,
+        }
+    }
+
     fn life(&self) -> Duration {
         match self.is_refused() {
             true => REFUSAL_LIFE,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -14,7 +14,7 @@
 pub use answer_assembler::{AnswerAssembler, AssemblyStep, BrokenAnswer};
 pub use answer_buffer::{AnswerBuffer, ResumeRefusal};
 pub use answer_digest::{AnswerDigest, ResumePoint};
-pub use request_tracker::RequestTracker;
+pub use request_tracker::{RequestTracker, ResumedRequest, TrackerActions};
 pub use tracker_event::{EndReason, RequestEnd, TrackerAction, TrackerEvent};
 pub use work_event::{AnswerEnd, EventBody, TargetFailure, WorkEvent};
 pub use work_id::WorkId;
--- a/src/request/request_tracker.rs
+++ b/src/request/request_tracker.rs
@@ -1,6 +1,6 @@
 //! One request at its entry VM, from its acceptance to its outcome.
 
-use rand::Rng;
+use rand::{Rng, RngExt};
 
 use crate::prelude::*;
 use crate::process::routing::{
@@ -34,9 +34,32 @@
     attempts: SmallVec<[TrackedAttempt; 3]>,
     assembler: AnswerAssembler,
     phase: TrackerPhase,
+    origin: RequestOrigin,
     outcome: Option<RequestOutcome>,
 }
 
+/// A request that another entry VM dispatched, as its caller names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumedRequest {
+    /// The attempt that answered last.
+    pub work: WorkId,
+    /// Its target.
+    pub target: TargetName,
+    /// Whether the work may run more than once.
+    pub repetition: WorkRepetition,
+    /// When the answer is due.
+    pub deadline: Timestamp,
+    /// Up to where the caller has the answer.
+    pub from: ResumePoint,
+}
+
+/// Which entry VM dispatched a request first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestOrigin {
+    ThisEntry,
+    AnotherEntry,
+}
+
 #[derive(Debug)]
 struct TrackedAttempt {
     target: TargetName,
@@ -80,12 +103,47 @@
             attempts: SmallVec::new(),
             assembler: AnswerAssembler::new(ResumePoint::default()),
             phase: TrackerPhase::Routing,
+            origin: RequestOrigin::ThisEntry,
             outcome: None,
         };
         let actions = SmallVec::from_iter([tracker.route()]);
         (tracker, actions)
     }
 
+    /// Takes over a request whose caller comes back through this entry VM, and resumes its
+    /// answer. What earlier attempts did is not known here, so it never ends as `NotRun`.
+    pub fn resume(resumed: &ResumedRequest) -> (Self, TrackerActions) {
+        let attempt = resumed.work.attempt.max(1);
+        let attempts = (1..=attempt)
+            .map(|number| TrackedAttempt {
+                target: resumed.target.clone(),
+                state: match number == attempt {
+                    true => AttemptState::InFlight,
+                    false => AttemptState::Lost,
+                },
+                n_idle_resumes: 0,
+            })
+            .collect();
+        let mut assembler = AnswerAssembler::new(resumed.from);
+        assembler.bind(attempt);
+        let tracker = Self {
+            request: resumed.work.request,
+            repetition: resumed.repetition,
+            deadline: resumed.deadline,
+            attempts,
+            assembler,
+            phase: TrackerPhase::InFlight,
+            origin: RequestOrigin::AnotherEntry,
+            outcome: None,
+        };
+        let action = TrackerAction::Resume {
+            work: tracker.work(attempt),
+            target: resumed.target.clone(),
+            from: resumed.from,
+        };
+        (tracker, SmallVec::from_iter([action]))
+    }
+
     /// Returns the outcome, once there is one.
     pub fn outcome(&self) -> Option<RequestOutcome> {
         self.outcome
@@ -124,7 +182,7 @@
                 deadline: self.deadline,
             };
             let decision = budget.decide(now, &query, rng);
-            self.after_failure(failure, decision, &mut actions);
+            self.after_failure(failure.spread(rng), decision, &mut actions);
         }
         actions
     }
@@ -415,9 +473,11 @@
     }
 
     fn is_proved_not_run(&self) -> bool {
-        self.attempts
-            .iter()
-            .all(|attempt| attempt.state == AttemptState::NotStarted)
+        self.origin == RequestOrigin::ThisEntry
+            && self
+                .attempts
+                .iter()
+                .all(|attempt| attempt.state == AttemptState::NotStarted)
     }
 
     fn is_in_flight(&self, attempt: u32) -> bool {
@@ -505,6 +565,20 @@
         }
     }
 
+    /// Spreads the time to come back, so that callers who failed together do not return so.
+    fn spread(self, rng: &mut impl Rng) -> Self {
+        match self {
+            Self::NotStarted(refusal) => Self::NotStarted(RouteRefusal {
+                reason: refusal.reason,
+                retry_after: refusal
+                    .retry_after
+                    .max(MIN_RETRY_AFTER)
+                    .mul_f64(rng.random_range(1.0..1.5)),
+            }),
+            Self::Lost => Self::Lost,
+        }
+    }
+
     fn end(self) -> (EndReason, Duration) {
         match self {
             Self::NotStarted(refusal) => (EndReason::Refused(refusal.reason), refusal.retry_after),
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -10,7 +10,8 @@
 };
 use comfreyhead::request::{
     AnswerAssembler, AnswerBuffer, AnswerEnd, AssemblyStep, BrokenAnswer, EventBody, RequestEnd,
-    RequestTracker, ResumePoint, ResumeRefusal, TrackerAction, TrackerEvent, WorkEvent, WorkId,
+    RequestTracker, ResumePoint, ResumeRefusal, ResumedRequest, TrackerAction, TrackerEvent,
+    WorkEvent, WorkId,
 };
 use comfreyhead::version::config::RetryConfig;
 use proptest::prelude::*;
@@ -214,6 +215,33 @@
     assert_eq!(end.outcome, RequestOutcome::Unknown);
 }
 
+#[test]
+fn a_request_resumed_through_another_entry_is_whole_and_never_not_run() {
+    let events = answer_events(2, ResumePoint::default(), &["a", "b"]);
+    let from = ResumePoint::default().extend("a");
+    let resumed = ResumedRequest {
+        work: WorkId {
+            request: request_id(1),
+            attempt: 2,
+        },
+        target: target_name(0),
+        repetition: WorkRepetition::Repeatable,
+        deadline: Timestamp::from_millis(10_000),
+        from,
+    };
+
+    let (mut tracker, actions) = RequestTracker::resume(&resumed);
+    let delivered = step(&mut tracker, TrackerEvent::Received(events[1].clone()));
+    let end = last_end(&mut tracker, TrackerEvent::Received(events[2].clone()));
+    let (mut other, _) = RequestTracker::resume(&resumed);
+    let late = last_end(&mut other, TrackerEvent::DeadlinePassed);
+
+    assert!(matches!(&actions[0], TrackerAction::Resume { from: point, .. } if *point == from));
+    assert_eq!(delivered, [TrackerAction::Deliver(events[1].clone())]);
+    assert_eq!(end.outcome, RequestOutcome::Answered);
+    assert_eq!(late.outcome, RequestOutcome::Unknown);
+}
+
 #[test]
 fn a_caller_that_goes_away_cancels_its_work() {
     let mut tracker = new_tracker(WorkRepetition::Repeatable);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -100,6 +100,28 @@
     assert_within_tenth(rates.mean_in_flight, f64::from(IN_FLIGHT));
 }
 
+#[test]
+fn the_first_request_of_a_small_account_is_admitted_at_any_entry() {
+    let config = AccountConfig {
+        in_flight: 3,
+        ..account_config()
+    };
+
+    let decisions: Vec<_> = (0..N_ENTRIES)
+        .map(|entry| {
+            let mut limiter = limiter_of(entry);
+            limiter.set_account(&account(), &config);
+            let now = Timestamp::from_millis(1_000);
+            for peer in entry_names() {
+                limiter.observe_demand(now, &peer, &DemandReport::default());
+            }
+            limiter.admit(now, &account(), &WorkCost { tokens: 10 })
+        })
+        .collect();
+
+    assert_eq!(decisions, [LimitDecision::Admitted; N_ENTRIES]);
+}
+
 #[test]
 fn an_unknown_account_is_refused() {
     let mut limiter = AccountLimiter::new("entry-0".into());
@@ -393,6 +415,22 @@
     assert_eq!(there.check(later, &digest(0)), SuspectDecision::Clear);
 }
 
+#[test]
+fn news_of_suspects_is_told_once_and_the_worst_first() {
+    let mut suspects = CrashSuspects::new();
+    let now = Timestamp::from_millis(1_000);
+    suspects.crashed(now, &crash(0), &[digest(1), digest(2)]);
+    suspects.crashed(now, &crash(1), &[digest(0)]);
+
+    let first = suspects.take_news(now, 1);
+    let rest = suspects.take_news(now, 10);
+    let none = suspects.take_news(now, 10);
+
+    assert_eq!(first[0].digest, digest(0));
+    assert_eq!(rest.len(), 2);
+    assert!(none.is_empty());
+}
+
 #[test]
 fn suspects_are_bounded_and_the_worst_are_kept() {
     let mut suspects = CrashSuspects::new();
