--- a/examples/measure/routing/cost.rs
+++ b/examples/measure/routing/cost.rs
@@ -5,8 +5,8 @@
 
 use comfreyhead::prelude::*;
 use comfreyhead::process::routing::{
-    AccountDemand, AccountLimiter, DemandReport, FairQueue, LoadReport, PrefixHash, QueuedWork,
-    RouteQuery, ServiceTime, TargetEligibility, TargetTable, WorkCost,
+    AccountDemand, AccountLimiter, CacheEvent, DemandReport, FairQueue, LimitDecision, LoadReport,
+    PrefixHash, QueuedWork, RouteQuery, ServiceTime, TargetEligibility, TargetTable, WorkCost,
 };
 use comfreyhead::version::config::{AccountConfig, TargetRole};
 use rand::{RngExt, SeedableRng};
@@ -17,8 +17,19 @@
 
 /// The decisions that are timed in one go.
 const N_TIMED: u32 = 100_000;
+/// The targets at the target size, and the tables that are made to measure their memory.
+const N_TARGETS: usize = 3_300;
+const N_TABLES: usize = 20;
+/// The prefixes that an index holds at most.
+const N_PREFIXES: u64 = 65_536;
+/// The entry VMs, the requests a second at one of them and their tokens, at the target size.
+const TARGET_ENTRIES: usize = 530;
+const TARGET_REQUESTS_PER_SECOND: u64 = 17;
+const TARGET_TOKENS: u64 = 363;
 /// The entry VMs whose demand is known.
 const N_ENTRIES: usize = 18;
+/// When the limiters hear of their peers.
+const LIMITER_START: Timestamp = Timestamp::from_millis(1_000);
 /// The client accounts at the target size.
 const N_ACCOUNTS: usize = 11_000;
 
@@ -46,7 +57,12 @@
 
 /// Times the decisions at today's and at the target sizes.
 pub(crate) fn run() -> Vec<CostResult> {
-    let mut results = Vec::new();
+    let mut results = vec![
+        target_memory(),
+        account_memory(),
+        prefix_memory(),
+        demand_at_target_size(),
+    ];
     for n_targets in [19, 550, 3_300] {
         results.extend(route_costs(n_targets));
     }
@@ -60,9 +76,7 @@
 fn route_costs(n_targets: usize) -> Vec<CostResult> {
     let role = TargetRole::Model("model".into());
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let before = resident_bytes();
     let mut table = filled_table(n_targets, &role, &mut rng);
-    let bytes = (resident_bytes() - before) / n_targets as f64;
     let prefixes: Vec<PrefixHash> = (0..16).map(PrefixHash).collect();
     let now = Timestamp::from_millis(1_000);
     let query = RouteQuery {
@@ -85,20 +99,109 @@
         table.observe_report(now, &names[target], &report);
         true
     });
-    let result = |what, ns, bytes| CostResult {
+    let result = |what, ns| CostResult {
         what,
         size: n_targets,
         ns,
-        bytes,
+        bytes: 0.0,
     };
     vec![
-        result("choose a target", plain, 0.0),
-        result("choose a target, 16 prompt blocks unknown", cached, 0.0),
-        result("take in a load report", observed, 0.0),
-        result("memory of a target", 0.0, bytes),
+        result("choose a target", plain),
+        result("choose a target, 16 prompt blocks unknown", cached),
+        result("take in a load report", observed),
     ]
 }
 
+/// The memory of a target; the tables stay, so that no later measurement reuses it.
+fn target_memory() -> CostResult {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let role = TargetRole::Model("model".into());
+    let before = resident_bytes();
+    for _ in 0..N_TABLES {
+        std::mem::forget(filled_table(N_TARGETS, &role, &mut rng));
+    }
+    CostResult {
+        what: "memory of a target",
+        size: N_TARGETS,
+        ns: 0.0,
+        bytes: (resident_bytes() - before) / (N_TARGETS * N_TABLES) as f64,
+    }
+}
+
+/// The memory of an account that is active at every entry.
+fn account_memory() -> CostResult {
+    let before = resident_bytes();
+    let (mut limiter, accounts, _) = filled_limiter(N_ACCOUNTS);
+    for account in &accounts {
+        limiter.admit(LIMITER_START, account, &WorkCost { tokens: 1 });
+    }
+    let bytes = (resident_bytes() - before) / N_ACCOUNTS as f64;
+    std::mem::forget(limiter);
+    CostResult {
+        what: "memory of an account, active at 18 entries",
+        size: N_ACCOUNTS,
+        ns: 0.0,
+        bytes,
+    }
+}
+
+/// The memory of the index of prefixes when it is full.
+fn prefix_memory() -> CostResult {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let role = TargetRole::Model("model".into());
+    let mut table = filled_table(19, &role, &mut rng);
+    let before = resident_bytes();
+    for block in 0..N_PREFIXES {
+        let event = CacheEvent::Stored(vec![PrefixHash(block)]);
+        table.observe_cache_event(&target_name(block as usize % 19), &event);
+    }
+    CostResult {
+        what: "memory of a known prefix",
+        size: table.n_prefixes(),
+        ns: 0.0,
+        bytes: (resident_bytes() - before) / N_PREFIXES as f64,
+    }
+}
+
+/// The demand report of one of many entries, its accounts drawn by popularity.
+fn demand_at_target_size() -> CostResult {
+    let config = AccountConfig {
+        token_sha256: Vec::new(),
+        tokens_per_second: 300,
+        in_flight: 10,
+        weight: 1,
+    };
+    let entries: Vec<EntryName> = (0..TARGET_ENTRIES)
+        .map(|entry| format!("entry-{entry}").into())
+        .collect();
+    let mut limiter = AccountLimiter::new(entries[0].clone());
+    limiter.set_entries(&entries);
+    for account in 0..N_ACCOUNTS {
+        limiter.set_account(&format!("account-{account}").into(), &config);
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut now = Timestamp::from_millis(1_000);
+    let cost = WorkCost {
+        tokens: TARGET_TOKENS,
+    };
+    for _ in 0..120 * TARGET_REQUESTS_PER_SECOND {
+        now = now + Duration::from_micros(1_000_000 / TARGET_REQUESTS_PER_SECOND);
+        let rank = (N_ACCOUNTS as f64).powf(rng.random::<f64>()) as usize - 1;
+        let account = format!("account-{rank}").into();
+        if limiter.admit(now, &account, &cost) == LimitDecision::Admitted {
+            limiter.finished(&account, &cost, &cost);
+        }
+    }
+    let report = limiter.local_demand(now, 1);
+    let bytes = serde_json::to_vec(&report).map_or(0, |text| text.len());
+    CostResult {
+        what: "demand report of one of 530 entries, accounts and bytes",
+        size: report.accounts.len(),
+        ns: 0.0,
+        bytes: bytes as f64,
+    }
+}
+
 fn filled_table(n_targets: usize, role: &TargetRole, rng: &mut ChaCha8Rng) -> TargetTable {
     let mut table = TargetTable::new("dc-1".into());
     for target in 0..n_targets {
@@ -129,6 +232,35 @@
 }
 
 fn limit_costs(n_accounts: usize) -> Vec<CostResult> {
+    let (mut limiter, accounts, report) = filled_limiter(n_accounts);
+    let report_bytes = serde_json::to_vec(&report).map_or(0, |text| text.len());
+    let cost = WorkCost { tokens: 1 };
+    let admitted = time_ns(|round| {
+        let account = &accounts[round as usize % n_accounts];
+        let at = LIMITER_START + Duration::from_micros(u64::from(round) * 20);
+        let decision = limiter.admit(at, account, &cost);
+        limiter.finished(account, &cost, &cost);
+        black_box(decision);
+        true
+    });
+    vec![
+        CostResult {
+            what: "check an account's limits",
+            size: n_accounts,
+            ns: admitted,
+            bytes: 0.0,
+        },
+        CostResult {
+            what: "demand report, bytes of an account",
+            size: n_accounts,
+            ns: 0.0,
+            bytes: report_bytes as f64 / n_accounts as f64,
+        },
+    ]
+}
+
+/// A limiter that heard of all accounts from each other entry, with one such report.
+fn filled_limiter(n_accounts: usize) -> (AccountLimiter, Vec<AccountName>, DemandReport) {
     let config = AccountConfig {
         token_sha256: Vec::new(),
         tokens_per_second: 100_000,
@@ -141,7 +273,6 @@
     let entries: Vec<EntryName> = (0..N_ENTRIES)
         .map(|entry| format!("entry-{entry}").into())
         .collect();
-    let before = resident_bytes();
     let mut limiter = AccountLimiter::new(entries[0].clone());
     limiter.set_entries(&entries);
     for account in &accounts {
@@ -158,41 +289,10 @@
             })
             .collect(),
     };
-    let report_bytes = serde_json::to_vec(&report).map_or(0, |text| text.len());
-    let now = Timestamp::from_millis(1_000);
     for entry in &entries[1..] {
-        limiter.observe_demand(now, entry, &report);
+        limiter.observe_demand(LIMITER_START, entry, &report);
     }
-    let cost = WorkCost { tokens: 1 };
-    let admitted = time_ns(|round| {
-        let account = &accounts[round as usize % n_accounts];
-        let at = now + Duration::from_micros(u64::from(round) * 20);
-        let decision = limiter.admit(at, account, &cost);
-        limiter.finished(account, &cost, &cost);
-        black_box(decision);
-        true
-    });
-    let bytes = (resident_bytes() - before) / n_accounts as f64;
-    vec![
-        CostResult {
-            what: "check an account's limits",
-            size: n_accounts,
-            ns: admitted,
-            bytes: 0.0,
-        },
-        CostResult {
-            what: "memory of an account, active at 18 entries",
-            size: n_accounts,
-            ns: 0.0,
-            bytes,
-        },
-        CostResult {
-            what: "demand report, bytes of an account",
-            size: n_accounts,
-            ns: 0.0,
-            bytes: report_bytes as f64 / n_accounts as f64,
-        },
-    ]
+    (limiter, accounts, report)
 }
 
 fn queue_cost(n_accounts: usize) -> CostResult {
