--- a/src/process/routing/agent_admission.rs
+++ b/src/process/routing/agent_admission.rs
@@ -17,6 +17,10 @@
 
 /// The slots of a target for each request that its agent keeps waiting.
 const SLOTS_PER_WAITING: u32 = 4;
+/// The same once the queue has not been empty for a while: a standing queue adds only waits.
+const SLOTS_PER_STANDING: u32 = 8;
+/// How long a queue is not empty before it counts as standing.
+const STANDING_AFTER: Duration = Duration::from_secs(2);
 /// The most ended work that an agent remembers.
 const MAX_ENDED: usize = 32_768;
 /// How long an agent remembers ended work at least, unless there is too much of it.
@@ -146,6 +150,8 @@
     draining: DrainState,
     running: HashMap<WorkId, RunningWork>,
     waiting: FairQueue<WorkOffer>,
+    /// When the queue was last empty.
+    empty_at: Timestamp,
     /// A suspect that waits until the target is empty.
     waiting_alone: Option<WaitingAlone>,
     ended: HashMap<WorkId, WorkEnd>,
@@ -209,6 +215,7 @@
             draining: DrainState::Serving,
             running: HashMap::new(),
             waiting: FairQueue::new(slots.div_ceil(SLOTS_PER_WAITING) as usize),
+            empty_at: Timestamp::default(),
             waiting_alone: None,
             ended: HashMap::new(),
             ended_order: VecDeque::new(),
@@ -306,6 +313,9 @@
             self.start(now, &alone.offer);
             actions.push(AdmissionAction::Start(alone.offer.work));
         }
+        if self.waiting.is_empty() {
+            self.empty_at = now;
+        }
         while self.has_room() {
             let Some(next) = self.waiting.pop() else {
                 break;
@@ -455,6 +465,7 @@
         now: Timestamp,
         offer: WorkOffer,
     ) -> (AdmissionDecision, SmallVec<[AdmissionAction; 2]>) {
+        self.limit_waiting(now);
         let queued = QueuedWork {
             account: offer.account.clone(),
             lane: offer.lane,
@@ -478,6 +489,20 @@
         }
     }
 
+    /// Lets a queue absorb a burst, but no lasting overload.
+    fn limit_waiting(&mut self, now: Timestamp) {
+        if self.waiting.is_empty() {
+            self.empty_at = now;
+        }
+        let is_standing = STANDING_AFTER <= now.since(self.empty_at);
+        let slots_per_waiting = match is_standing {
+            true => SLOTS_PER_STANDING,
+            false => SLOTS_PER_WAITING,
+        };
+        let limit = self.slots.div_ceil(slots_per_waiting);
+        self.waiting.set_limit(limit as usize);
+    }
+
     fn take_waiting(&mut self, work: WorkId) -> bool {
         let is_alone = self
             .waiting_alone
--- a/src/process/routing/fair_queue.rs
+++ b/src/process/routing/fair_queue.rs
@@ -24,6 +24,8 @@
     lanes: [FairLane<T>; 4],
     len: usize,
     capacity: usize,
+    /// From this length on new work is refused or pushes other work out; at most `capacity`.
+    limit: usize,
 }
 
 /// Work that waits.
@@ -81,9 +83,15 @@
             lanes: std::array::from_fn(|_| FairLane::new()),
             len: 0,
             capacity,
+            limit: capacity,
         }
     }
 
+    /// Sets the length from which on new work is refused, up to the capacity.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit.clamp(1, self.capacity.max(1));
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.len
@@ -113,7 +121,7 @@
 
     /// Adds work.
     pub fn push(&mut self, work: QueuedWork<T>) -> QueuePush<T> {
-        if self.len < self.capacity {
+        if self.len < self.limit {
             self.insert(work);
             return QueuePush::Queued;
         }
