--- a/src/process/routing/crash_suspects.rs
+++ b/src/process/routing/crash_suspects.rs
@@ -100,6 +100,13 @@
     news: SuspectNews,
 }
 
+/// Whether a request was alone in flight at a target that crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrashCompany {
+    Alone,
+    Shared,
+}
+
 /// Whether the other processes were told of the latest change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SuspectNews {
@@ -113,15 +120,40 @@
         Self::default()
     }
 
-    /// Notes a crash of a target with the requests that were in flight there.
+    /// Notes a crash of a target with all requests that were in flight there, as its agent
+    /// knows them, or with the one request that ran alone there.
     pub fn crashed(&mut self, now: Timestamp, crash: &TargetCrash, in_flight: &[RequestDigest]) {
+        let company = match in_flight.len() {
+            1 => CrashCompany::Alone,
+            _ => CrashCompany::Shared,
+        };
+        self.note_crash(now, crash, in_flight, company);
+    }
+
+    /// Notes a crash of a target with some of the requests that were in flight there, as an
+    /// entry VM knows them when the agent is lost as well: none counts as alone.
+    pub fn crashed_in_part(
+        &mut self,
+        now: Timestamp,
+        crash: &TargetCrash,
+        in_flight: &[RequestDigest],
+    ) {
+        self.note_crash(now, crash, in_flight, CrashCompany::Shared);
+    }
+
+    fn note_crash(
+        &mut self,
+        now: Timestamp,
+        crash: &TargetCrash,
+        in_flight: &[RequestDigest],
+        company: CrashCompany,
+    ) {
         self.drop_expired(now);
-        let is_alone = in_flight.len() == 1;
         for digest in in_flight {
             let suspect = self.suspect(now, digest);
-            let crashes = match is_alone {
-                true => &mut suspect.alone,
-                false => &mut suspect.shared,
+            let crashes = match company {
+                CrashCompany::Alone => &mut suspect.alone,
+                CrashCompany::Shared => &mut suspect.shared,
             };
             insert_bounded(crashes, crash);
             suspect.news = SuspectNews::Untold;
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -383,6 +383,18 @@
     assert_eq!(suspects.check(now, &digest(0)), SuspectDecision::RunAlone);
 }
 
+#[test]
+fn a_request_that_seems_alone_to_one_entry_is_not_refused() {
+    let mut suspects = CrashSuspects::new();
+    let now = Timestamp::from_millis(1_000);
+
+    for target in 0..6 {
+        suspects.crashed_in_part(now, &crash(target), &[digest(0)]);
+    }
+
+    assert_eq!(suspects.check(now, &digest(0)), SuspectDecision::RunAlone);
+}
+
 #[test]
 fn a_suspect_that_ends_well_is_cleared() {
     let mut suspects = CrashSuspects::new();
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -320,6 +320,27 @@
     assert!(decision.is_ok());
 }
 
+#[test]
+fn a_queue_that_stands_is_kept_shorter() {
+    let mut admission = AgentAdmission::new(ProcessIncarnation(1), 16);
+    let waiting_at = |admission: &mut AgentAdmission, from: u32, at: Timestamp| {
+        for attempt in from..from + 40 {
+            admission.admit(at, offer(5 * attempt + 1, 60_000));
+        }
+        admission.n_waiting()
+    };
+
+    let burst = waiting_at(&mut admission, 1, now());
+    let later = now() + Duration::from_secs(3);
+    for attempt in 1..=4 {
+        admission.finished(later, work(5 * attempt + 1));
+    }
+    let standing = waiting_at(&mut admission, 100, later);
+
+    assert_eq!(burst, 4);
+    assert!(standing <= 2);
+}
+
 #[test]
 fn a_draining_agent_refuses_new_work_and_finishes_the_old() {
     let mut admission = AgentAdmission::new(ProcessIncarnation(1), 2);
