Remove replaced targets, and keep half the retries for lost work

Refusals under overload spent the whole retry budget, so that work lost with a rack at that time could not be tried again; half of what is saved is now kept for it.

--- a/src/process/routing/retry_budget.rs
+++ b/src/process/routing/retry_budget.rs
@@ -10,6 +10,8 @@
 
 /// The most retries that may be saved up.
 const MAX_SAVED: f64 = 20.0;
+/// What is kept of it for work that was lost: refused callers may as well come back later.
+const RESERVED: f64 = MAX_SAVED / 2.0;
 /// The longest delay before a retry.
 const MAX_DELAY: Duration = Duration::from_secs(2);
 /// The least time that a try is worth.
@@ -123,7 +125,11 @@
         if query.deadline < now + delay + MIN_TRY_TIME {
             return give_up(RefusalReason::Deadline);
         }
-        if !self.take() {
+        let reserved = match query.failure {
+            TryFailure::NotStarted => RESERVED,
+            TryFailure::MayHaveRun => 0.0,
+        };
+        if !self.take(reserved) {
             return give_up(RefusalReason::RetryBudget);
         }
         RetryDecision::Retry { delay }
@@ -131,11 +137,11 @@
 
     /// Takes a hedged try of a lookup from the budget; false where it is spent.
     pub fn take_hedge(&mut self) -> bool {
-        self.take()
+        self.take(RESERVED)
     }
 
-    fn take(&mut self) -> bool {
-        if self.saved < 1.0 {
+    fn take(&mut self, reserved: f64) -> bool {
+        if self.saved < reserved + 1.0 {
             return false;
         }
         self.saved -= 1.0;
--- a/src/process/routing/target_table.rs
+++ b/src/process/routing/target_table.rs
@@ -44,6 +44,8 @@
     data_centre: DataCentreName,
     targets: Vec<TargetState>,
     by_name: HashMap<TargetName, u32>,
+    /// Places of removed targets, for new ones once no own dispatch is left there.
+    retired: Vec<u32>,
     pools: Vec<RolePool>,
     prefixes: PrefixIndex,
     flights: HashMap<WorkId, OwnDispatch>,
@@ -84,6 +86,7 @@
             data_centre,
             targets: Vec::new(),
             by_name: HashMap::new(),
+            retired: Vec::new(),
             pools: Vec::new(),
             prefixes: PrefixIndex::new(PREFIX_CAPACITY),
             flights: HashMap::new(),
@@ -101,9 +104,8 @@
         let pool_idx = self.pool_idx(role);
         let is_near = *data_centre == self.data_centre;
         let Some(&target_idx) = self.by_name.get(target) else {
-            let target_idx = self.targets.len() as u32;
             let state = TargetState::new(target.clone(), pool_idx, slots, is_near);
-            self.targets.push(state);
+            let target_idx = self.place(state);
             self.by_name.insert(target.clone(), target_idx);
             return;
         };
@@ -116,6 +118,14 @@
         self.set_eligibility(target_idx, eligibility);
     }
 
+    /// Removes a target that is configured no longer; its own dispatches may still end.
+    pub fn remove_target(&mut self, target: &TargetName) {
+        if let Some(target_idx) = self.by_name.remove(target) {
+            self.set_eligibility(target_idx, TargetEligibility::Down);
+            self.retired.push(target_idx);
+        }
+    }
+
     /// Sets whether a target may take new work; an unknown target is ignored.
     pub fn set_eligible(&mut self, target: &TargetName, eligibility: TargetEligibility) {
         if let Some(&target_idx) = self.by_name.get(target) {
@@ -125,9 +135,9 @@
 
     /// Returns the targets of the table with their eligibility.
     pub fn targets(&self) -> impl Iterator<Item = (&TargetName, TargetEligibility)> {
-        self.targets
+        self.by_name
             .iter()
-            .map(|state| (&state.name, state.eligibility))
+            .map(|(name, &target_idx)| (name, self.targets[target_idx as usize].eligibility))
     }
 
     /// Returns the estimated load of a target: requests that run or wait there.
@@ -145,6 +155,11 @@
             .is_some_and(|&target_idx| self.targets[target_idx as usize].is_slow())
     }
 
+    /// Returns the number of targets that the table has memory for.
+    pub fn n_places(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Returns the number of remembered prefixes.
     pub fn n_prefixes(&self) -> usize {
         self.prefixes.len()
@@ -281,6 +296,24 @@
             .collect()
     }
 
+    /// Puts a new target in the place of a removed one, or at the end. The cache epoch goes
+    /// on, so that hints about the removed target's cache are void.
+    fn place(&mut self, mut state: TargetState) -> u32 {
+        let targets = &self.targets;
+        let free = self
+            .retired
+            .iter()
+            .position(|&target_idx| targets[target_idx as usize].n_own == 0);
+        let Some(free) = free else {
+            self.targets.push(state);
+            return self.targets.len() as u32 - 1;
+        };
+        let target_idx = self.retired.swap_remove(free);
+        state.cache_epoch = self.targets[target_idx as usize].cache_epoch + 1;
+        self.targets[target_idx as usize] = state;
+        target_idx
+    }
+
     fn pool_idx(&mut self, role: &TargetRole) -> u32 {
         if let Some(pool_idx) = self.pools.iter().position(|pool| pool.role == *role) {
             return pool_idx as u32;
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -272,6 +272,23 @@
     assert!((1_000..=1_020).contains(&n_retries), "{n_retries}");
 }
 
+#[test]
+fn refusals_leave_retries_for_work_that_was_lost() {
+    let mut budget = RetryBudget::new(&RetryConfig::default());
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let refused = RetryQuery {
+        failure: TryFailure::NotStarted,
+        ..lost_try()
+    };
+    for _ in 0..100 {
+        budget.decide(Timestamp(1), &refused, &mut rng);
+    }
+
+    let decision = budget.decide(Timestamp(1), &lost_try(), &mut rng);
+
+    assert!(matches!(decision, RetryDecision::Retry { .. }));
+}
+
 #[test]
 fn work_that_may_have_run_is_not_repeated_unless_it_may_be() {
     let mut budget = RetryBudget::new(&RetryConfig::default());
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -175,6 +175,25 @@
     assert_eq!(last.reason, RouteReason::LastResort);
 }
 
+#[test]
+fn replaced_targets_leave_nothing_behind() {
+    let mut table = table_of(3);
+    let prefixes = prefix_hashes("model", &[7; 3_000]);
+
+    for generation in 3..200 {
+        table.dispatched(&target(generation - 3), work(generation as u32), &prefixes);
+        table.remove_target(&target(generation - 3));
+        table.finished(now(), work(generation as u32), DispatchResult::Refused);
+        table.set_target(&target(generation), &role(), SLOTS, &"dc-1".into());
+        table.set_eligible(&target(generation), TargetEligibility::Eligible);
+    }
+    let decision = choose(&table, &prefixes, 1).expect("chosen");
+
+    assert_eq!(table.targets().count(), 3);
+    assert_eq!(table.n_places(), 3);
+    assert_eq!(decision.reason, RouteReason::LowerLoad);
+}
+
 #[test]
 fn another_data_centre_takes_what_the_own_one_cannot() {
     let mut table = table_of(2);
@@ -196,7 +215,7 @@
 
 #[test]
 fn only_eligible_untried_targets_are_chosen_whatever_happened() {
-    let step = (0..6_u32, 0..6_usize, 0..20_u32);
+    let step = (0..7_u32, 0..6_usize, 0..20_u32);
     let steps = proptest::collection::vec(step, 1..120);
 
     fixed_runner(300)
@@ -216,7 +235,12 @@
                     2 => table.dispatched(&name, work(number as u32), &[PrefixHash(1)]),
                     3 => table.admitted(work(value), u64::from(value)),
                     4 => table.finished(at, work(value), DispatchResult::Unreachable),
-                    _ => table.set_target(&name, &role(), value, &"dc-2".into()),
+                    5 => table.set_target(&name, &role(), value, &"dc-2".into()),
+                    _ => {
+                        table.remove_target(&name);
+                        table.set_target(&name, &role(), value, &"dc-1".into());
+                        eligible[target_idx] = false;
+                    }
                 }
                 let tried = [target(value as usize % 6)];
                 let query = RouteQuery {
