--- a/src/process/routing/agent_admission.rs
+++ b/src/process/routing/agent_admission.rs
@@ -1,19 +1,18 @@
 //! What an agent lets run at its target.
 
-use std::collections::{HashMap, VecDeque};
-
-use derive_more::Display;
-use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 
 use crate::prelude::*;
 use crate::request::work_id::WorkId;
 
+use super::admission_decision::{AdmissionAction, AdmissionDecision, CancelAnswer};
 use super::concurrency_limit::ConcurrencyLimit;
 use super::fair_queue::{FairQueue, QueuePush, QueuedWork};
 use super::load_report::LoadReport;
 use super::route_decision::RefusalReason;
 use super::service_time::ServiceTime;
+use super::work_memory::{WorkEnd, WorkMemory, WorkOrigin};
+use super::work_offer::{WorkCancel, WorkOffer, WorkSharing};
 
 /// The slots of a target for each request that its agent keeps waiting.
 const SLOTS_PER_WAITING: u32 = 4;
@@ -21,126 +20,9 @@
 const SLOTS_PER_STANDING: u32 = 8;
 /// How long a queue is not empty before it counts as standing.
 const STANDING_AFTER: Duration = Duration::from_secs(2);
-/// The most ended work that an agent remembers.
-const MAX_ENDED: usize = 32_768;
-/// How long an agent remembers ended work at least, unless there is too much of it.
-const ENDED_LIFE: Duration = Duration::from_secs(600);
 /// The shortest time after which a refused caller may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Work that an entry VM offers to an agent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct WorkOffer {
-    /// The attempt.
-    pub work: WorkId,
-    /// The incarnation of the agent that the entry knows.
-    pub incarnation: ProcessIncarnation,
-    /// The entry VM that offers it.
-    pub entry: EntryName,
-    /// When that entry took the request in, by its own clock, never compared with another's.
-    pub accepted_at: Timestamp,
-    /// The time that is left for the answer, in milliseconds.
-    pub remaining_ms: u64,
-    /// The client account.
-    pub account: AccountName,
-    /// The account's share under contention.
-    pub weight: u32,
-    /// The lane.
-    pub lane: WorkLane,
-    /// The estimated cost, in tokens or calls.
-    pub cost: u64,
-    /// Whether it may run beside other work.
-    pub sharing: WorkSharing,
-}
-
-/// The cancellation of work, with all that the offer said of its origin.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct WorkCancel {
-    /// The attempt.
-    pub work: WorkId,
-    /// The incarnation of the agent to which it was offered.
-    pub incarnation: ProcessIncarnation,
-    /// The entry VM that offered it.
-    pub entry: EntryName,
-    /// When that entry took the request in, by its own clock.
-    pub accepted_at: Timestamp,
-}
-
-/// Whether work may run beside other work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "kebab-case")]
-pub enum WorkSharing {
-    /// It may.
-    Shared,
-    /// It is suspected of crashing targets and runs alone.
-    Alone,
-}
-
-/// What becomes of offered work.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum AdmissionDecision {
-    /// It starts now.
-    #[display("start")]
-    Start,
-    /// It waits; a later action starts or refuses it.
-    #[display("wait")]
-    Wait,
-    /// It never started and will not, should a copy arrive: a proof of "not run".
-    #[display("refused reason={reason} retry_after_ms={}", retry_after.as_millis())]
-    Refused {
-        /// Why.
-        reason: RefusalReason,
-        /// When the caller may come back.
-        retry_after: Duration,
-    },
-    /// It does not start now, but a copy of the message may have run it: an earlier
-    /// incarnation may have had one, or the agent may have forgotten it. No proof of "not run".
-    #[display("unproved reason={reason}")]
-    Unproved {
-        /// Why.
-        reason: RefusalReason,
-    },
-    /// The agent has this work, or had it: a copy of the message arrived.
-    #[display("duplicate")]
-    Duplicate,
-}
-
-/// What an agent does about work that waited.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum AdmissionAction {
-    /// Start it.
-    #[display("start work={_0}")]
-    Start(WorkId),
-    /// Refuse it: it did not start.
-    #[display("refuse work={work} reason={reason}")]
-    Refuse {
-        /// The work.
-        work: WorkId,
-        /// Why.
-        reason: RefusalReason,
-        /// When the caller may come back.
-        retry_after: Duration,
-    },
-}
-
-/// What an agent answers to a cancellation.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "kebab-case")]
-pub enum CancelAnswer {
-    /// It never started and never will: a proof of "not run".
-    #[display("never-started")]
-    NeverStarted,
-    /// It runs; work that may be repeated is told to stop, an order goes on.
-    #[display("running")]
-    Running,
-    /// It ended.
-    #[display("finished")]
-    Finished,
-    /// The agent no longer knows.
-    #[display("forgotten")]
-    Forgotten,
-}
-
 /// The admission of work at an agent, which alone gives work to its target.
 #[derive(Debug)]
 pub struct AgentAdmission {
@@ -154,11 +36,7 @@
     empty_at: Timestamp,
     /// A suspect that waits until the target is empty.
     waiting_alone: Option<WaitingAlone>,
-    ended: HashMap<WorkId, WorkEnd>,
-    /// The ended work in the order in which it is forgotten.
-    ended_order: VecDeque<EndedWork>,
-    /// For each entry, by its own clock: work accepted at or before this may be forgotten.
-    forgotten_until: HashMap<EntryName, Timestamp>,
+    ended: WorkMemory,
     service_time: ServiceTime,
     report_sequence: u64,
 }
@@ -177,33 +55,12 @@
     sharing: WorkSharing,
 }
 
-/// Which entry VM took a request in, and when by its own clock.
-#[derive(Clone, Debug)]
-struct WorkOrigin {
-    entry: EntryName,
-    accepted_at: Timestamp,
-}
-
 #[derive(Debug)]
 struct WaitingAlone {
     offer: WorkOffer,
     deadline: Timestamp,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum WorkEnd {
-    /// It never started; the tombstone keeps it from doing so.
-    NeverStarted,
-    Finished,
-}
-
-#[derive(Clone, Debug)]
-struct EndedWork {
-    work: WorkId,
-    origin: WorkOrigin,
-    ended_at: Timestamp,
-}
-
 impl AgentAdmission {
     /// Makes the admission of one life of an agent.
     pub fn new(incarnation: ProcessIncarnation, slots: u32) -> Self {
@@ -217,9 +74,7 @@
             waiting: FairQueue::new(slots.div_ceil(SLOTS_PER_WAITING) as usize),
             empty_at: Timestamp::default(),
             waiting_alone: None,
-            ended: HashMap::new(),
-            ended_order: VecDeque::new(),
-            forgotten_until: HashMap::new(),
+            ended: WorkMemory::default(),
             service_time: ServiceTime::default(),
             report_sequence: 0,
         }
@@ -238,7 +93,7 @@
         if let Some(decision) = self.known(&offer.work) {
             return (decision, SmallVec::new());
         }
-        if self.is_forgotten(&offer.origin()) {
+        if self.ended.is_forgotten(&offer.origin()) {
             let reason = RefusalReason::Tombstone;
             return (AdmissionDecision::Unproved { reason }, SmallVec::new());
         }
@@ -278,16 +133,13 @@
         if self.running.contains_key(&work) {
             return CancelAnswer::Running;
         }
-        match self.ended.get(&work) {
+        match self.ended.end_of(&work) {
             Some(WorkEnd::Finished) => return CancelAnswer::Finished,
             Some(WorkEnd::NeverStarted) => return CancelAnswer::NeverStarted,
             None => {}
         }
-        let origin = WorkOrigin {
-            entry: cancel.entry.clone(),
-            accepted_at: cancel.accepted_at,
-        };
-        if !self.take_waiting(work) && self.is_forgotten(&origin) {
+        let origin = cancel.origin();
+        if !self.take_waiting(work) && self.ended.is_forgotten(&origin) {
             return CancelAnswer::Forgotten;
         }
         self.end(now, work, origin, WorkEnd::NeverStarted);
@@ -389,7 +241,7 @@
 
     fn known(&self, work: &WorkId) -> Option<AdmissionDecision> {
         let is_held = self.running.contains_key(work) || self.is_waiting(work);
-        match self.ended.get(work) {
+        match self.ended.end_of(work) {
             Some(WorkEnd::NeverStarted) => Some(refused(RefusalReason::Tombstone, Duration::ZERO)),
             Some(WorkEnd::Finished) => Some(AdmissionDecision::Duplicate),
             None if is_held => Some(AdmissionDecision::Duplicate),
@@ -518,7 +370,7 @@
 
     fn start(&mut self, now: Timestamp, offer: &WorkOffer) {
         assert!(
-            !self.ended.contains_key(&offer.work),
+            self.ended.end_of(&offer.work).is_none(),
             "work that was refused, cancelled or finished does not start"
         );
         let running = RunningWork {
@@ -564,51 +416,12 @@
         }
     }
 
-    /// Remembers how work ended, and forgets the oldest within the bounds.
     fn end(&mut self, now: Timestamp, work: WorkId, origin: WorkOrigin, end: WorkEnd) {
         assert!(
             !self.running.contains_key(&work),
             "work that runs has not ended"
         );
-        let earlier = self.ended.insert(work, end);
-        assert!(earlier.is_none(), "work ends once");
-        self.ended_order.push_back(EndedWork {
-            work,
-            origin,
-            ended_at: now,
-        });
-        while let Some(oldest) = self.ended_order.front() {
-            let is_old = ENDED_LIFE <= now.since(oldest.ended_at);
-            if !is_old && self.ended_order.len() <= MAX_ENDED {
-                break;
-            }
-            let Some(oldest) = self.ended_order.pop_front() else {
-                break;
-            };
-            self.ended.remove(&oldest.work);
-            self.forget_until(oldest.origin);
-        }
-    }
-
-    fn forget_until(&mut self, origin: WorkOrigin) {
-        let until = self.forgotten_until.entry(origin.entry).or_default();
-        *until = origin.accepted_at.max(*until);
-    }
-
-    /// Whether what became of work of this age is not known any longer.
-    fn is_forgotten(&self, origin: &WorkOrigin) -> bool {
-        self.forgotten_until
-            .get(&origin.entry)
-            .is_some_and(|&until| origin.accepted_at <= until)
-    }
-}
-
-impl WorkOffer {
-    fn origin(&self) -> WorkOrigin {
-        WorkOrigin {
-            entry: self.entry.clone(),
-            accepted_at: self.accepted_at,
-        }
+        self.ended.remember(now, work, origin, end);
     }
 }
 
--- a/src/process/routing/crash_suspects.rs
+++ b/src/process/routing/crash_suspects.rs
@@ -3,13 +3,11 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 
-use derive_more::Display;
-use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_128;
-
 use crate::prelude::*;
 
+use super::suspect_decision::SuspectDecision;
+use super::suspect_report::{RequestDigest, SuspectReport, TargetCrash};
+
 /// How long a crash counts against the requests that were in flight.
 const SUSPICION_LIFE: Duration = Duration::from_secs(600);
 /// How long a request that crashed targets alone is refused.
@@ -23,65 +21,6 @@
 /// The most crashes kept for one suspect.
 const MAX_CRASHES: usize = 8;
 
-/// The digest of a request's body, so that the same request sent again is known again.
-#[derive(
-    Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
-)]
-#[serde(transparent)]
-pub struct RequestDigest(String);
-
-impl RequestDigest {
-    /// Computes the digest of a client account's request body.
-    pub fn new(account: &AccountName, body: &[u8]) -> Self {
-        let mut bytes = account.as_str().as_bytes().to_vec();
-        bytes.push(0);
-        bytes.extend_from_slice(body);
-        Self(format!("{:032x}", xxh3_128(&bytes)))
-    }
-}
-
-/// One crash of a target.
-#[derive(
-    Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
-)]
-#[display("{target}@{incarnation}")]
-pub struct TargetCrash {
-    /// The target.
-    pub target: TargetName,
-    /// The incarnation that ended: one crash counts once, whoever reports it.
-    pub incarnation: ProcessIncarnation,
-}
-
-/// What is held against one request, as told inside the data centre.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct SuspectReport {
-    /// The request.
-    pub digest: RequestDigest,
-    /// The crashes with other requests in flight.
-    pub shared: Vec<TargetCrash>,
-    /// The crashes with this request alone in flight.
-    pub alone: Vec<TargetCrash>,
-    /// How long this is still held against it, in milliseconds.
-    pub remaining_ms: u64,
-}
-
-/// How a request may run.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum SuspectDecision {
-    /// It runs as any other.
-    #[display("clear")]
-    Clear,
-    /// It runs with nothing else in flight at its target.
-    #[display("run-alone")]
-    RunAlone,
-    /// It is refused.
-    #[display("refused retry_after_ms={}", retry_after.as_millis())]
-    Refused {
-        /// When the refusal lapses.
-        retry_after: Duration,
-    },
-}
-
 /// The requests that were in flight when targets crashed.
 ///
 /// A request that shared crashes runs alone; one that crashed two targets alone is refused.
--- a/src/process/routing/mod.rs
+++ b/src/process/routing/mod.rs
@@ -1,6 +1,7 @@
 //! The choice of a target, limits, and what is known of load and failures.
 
 mod account_limiter;
+mod admission_decision;
 mod agent_admission;
 mod cache_event;
 mod concurrency_limit;
@@ -14,23 +15,24 @@
 mod prefix_hash;
 mod prefix_index;
 mod retry_budget;
+mod retry_decision;
 mod role_pool;
 mod route_decision;
 mod route_query;
 mod service_time;
+mod suspect_decision;
+mod suspect_report;
 mod target_state;
 mod target_table;
+mod work_memory;
+mod work_offer;
 
 pub use account_limiter::AccountLimiter;
-pub use agent_admission::{
-    AdmissionAction, AdmissionDecision, AgentAdmission, CancelAnswer, WorkCancel, WorkOffer,
-    WorkSharing,
-};
+pub use admission_decision::{AdmissionAction, AdmissionDecision, CancelAnswer};
+pub use agent_admission::AgentAdmission;
 pub use cache_event::CacheEvent;
 pub use concurrency_limit::ConcurrencyLimit;
-pub use crash_suspects::{
-    CrashSuspects, RequestDigest, SuspectDecision, SuspectReport, TargetCrash,
-};
+pub use crash_suspects::CrashSuspects;
 pub use demand_report::{AccountDemand, DemandReport};
 pub use dispatch_result::DispatchResult;
 pub use fair_queue::{FairQueue, QueuePush, QueuedWork};
@@ -38,9 +40,13 @@
 pub use limit_decision::{LimitDecision, WorkCost};
 pub use load_report::LoadReport;
 pub use prefix_hash::{MAX_PREFIX_BLOCKS, PREFIX_BLOCK_BYTES, PrefixHash, prefix_hashes};
-pub use retry_budget::{RetryBudget, RetryDecision, RetryQuery, TryFailure, WorkRepetition};
+pub use retry_budget::RetryBudget;
+pub use retry_decision::{RetryDecision, RetryQuery, TryFailure, WorkRepetition};
 pub use route_decision::{RefusalReason, RouteDecision, RouteReason, RouteRefusal};
 pub use route_query::RouteQuery;
 pub use service_time::ServiceTime;
+pub use suspect_decision::SuspectDecision;
+pub use suspect_report::{RequestDigest, SuspectReport, TargetCrash};
 pub use target_state::TargetEligibility;
 pub use target_table::TargetTable;
+pub use work_offer::{WorkCancel, WorkOffer, WorkSharing};
--- a/src/process/routing/retry_budget.rs
+++ b/src/process/routing/retry_budget.rs
@@ -1,11 +1,11 @@
 //! The budget that keeps retries to a share of first tries.
 
-use derive_more::Display;
 use rand::{Rng, RngExt};
 
 use crate::prelude::*;
 use crate::version::config::RetryConfig;
 
+use super::retry_decision::{RetryDecision, RetryQuery, TryFailure, WorkRepetition};
 use super::route_decision::RefusalReason;
 
 /// The most retries that may be saved up.
@@ -28,61 +28,6 @@
     base_delay: Duration,
 }
 
-/// What a failed try says of whether the work ran.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum TryFailure {
-    /// It is proved that it did not start.
-    #[display("not-started")]
-    NotStarted,
-    /// It may have run.
-    #[display("may-have-run")]
-    MayHaveRun,
-}
-
-/// Whether work may run more than once.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum WorkRepetition {
-    /// An idempotent call or a model request.
-    #[display("repeatable")]
-    Repeatable,
-    /// A call that runs at most once.
-    #[display("at-most-once")]
-    AtMostOnce,
-}
-
-/// A failed try that may be repeated.
-#[derive(Clone, Copy, Debug)]
-pub struct RetryQuery {
-    /// The tries so far.
-    pub n_tries: u32,
-    /// Whether the failed try may have run.
-    pub failure: TryFailure,
-    /// Whether the work may run more than once.
-    pub repetition: WorkRepetition,
-    /// When the answer is due.
-    pub deadline: Timestamp,
-}
-
-/// Whether to try again.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum RetryDecision {
-    /// Try again after the delay.
-    #[display("retry delay_ms={}", delay.as_millis())]
-    Retry {
-        /// The delay.
-        delay: Duration,
-    },
-    /// Give up, and answer at once.
-    #[display("give-up reason={reason}")]
-    GiveUp {
-        /// Why.
-        reason: RefusalReason,
-    },
-    /// Give up: the work may have run and may not run twice.
-    #[display("give-up reason=may-have-run")]
-    MayHaveRun,
-}
-
 impl RetryBudget {
     /// Makes a budget, full at the start.
     pub fn new(config: &RetryConfig) -> Self {
--- /dev/null
+++ b/src/process/routing/suspect_report.rs
@@ -0,0 +1,50 @@
+//! Names of requests and crashes, and what is held against a request.
+
+use derive_more::Display;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::prelude::*;
+
+/// The digest of a request's body, so that the same request sent again is known again.
+#[derive(
+    Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(transparent)]
+pub struct RequestDigest(String);
+
+impl RequestDigest {
+    /// Computes the digest of a client account's request body.
+    pub fn new(account: &AccountName, body: &[u8]) -> Self {
+        let mut bytes = account.as_str().as_bytes().to_vec();
+        bytes.push(0);
+        bytes.extend_from_slice(body);
+        Self(format!("{:032x}", xxh3_128(&bytes)))
+    }
+}
+
+/// One crash of a target.
+#[derive(
+    Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+#[display("{target}@{incarnation}")]
+pub struct TargetCrash {
+    /// The target.
+    pub target: TargetName,
+    /// The incarnation that ended: one crash counts once, whoever reports it.
+    pub incarnation: ProcessIncarnation,
+}
+
+/// What is held against one request, as told inside the data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct SuspectReport {
+    /// The request.
+    pub digest: RequestDigest,
+    /// The crashes with other requests in flight.
+    pub shared: Vec<TargetCrash>,
+    /// The crashes with this request alone in flight.
+    pub alone: Vec<TargetCrash>,
+    /// How long this is still held against it, in milliseconds.
+    pub remaining_ms: u64,
+}
