--- a/src/process/routing/crash_suspects.rs
+++ b/src/process/routing/crash_suspects.rs
@@ -1,14 +1,13 @@
 //! Requests that may crash the targets that run them.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 
-use derive_more::Display;
-use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_128;
-
 use crate::prelude::*;
 
+use super::suspect_decision::SuspectDecision;
+use super::suspect_report::{RequestDigest, SuspectReport, TargetCrash};
+
 /// How long a crash counts against the requests that were in flight.
 const SUSPICION_LIFE: Duration = Duration::from_secs(600);
 /// How long a request that crashed targets alone is refused.
@@ -22,65 +21,6 @@
 /// The most crashes kept for one suspect.
 const MAX_CRASHES: usize = 8;
 
-/// The digest of a request's body, so that the same request sent again is known again.
-#[derive(
-    Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
-)]
-#[serde(transparent)]
-pub struct RequestDigest(String);
-
-impl RequestDigest {
-    /// Computes the digest of a client account's request body.
-    pub fn new(account: &AccountName, body: &[u8]) -> Self {
-        let mut bytes = account.as_str().as_bytes().to_vec();
-        bytes.push(0);
-        bytes.extend_from_slice(body);
-        Self(format!("{:032x}", xxh3_128(&bytes)))
-    }
-}
-
-/// One crash of a target.
-#[derive(
-    Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
-)]
-#[display("{target}@{incarnation}")]
-pub struct TargetCrash {
-    /// The target.
-    pub target: TargetName,
-    /// The incarnation that ended: one crash counts once, whoever reports it.
-    pub incarnation: ProcessIncarnation,
-}
-
-/// What is held against one request, as told inside the data centre.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct SuspectReport {
-    /// The request.
-    pub digest: RequestDigest,
-    /// The crashes with other requests in flight.
-    pub shared: Vec<TargetCrash>,
-    /// The crashes with this request alone in flight.
-    pub alone: Vec<TargetCrash>,
-    /// How long this is still held against it, in milliseconds.
-    pub remaining_ms: u64,
-}
-
-/// How a request may run.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum SuspectDecision {
-    /// It runs as any other.
-    #[display("clear")]
-    Clear,
-    /// It runs with nothing else in flight at its target.
-    #[display("run-alone")]
-    RunAlone,
-    /// It is refused.
-    #[display("refused retry_after_ms={}", retry_after.as_millis())]
-    Refused {
-        /// When the refusal lapses.
-        retry_after: Duration,
-    },
-}
-
 /// The requests that were in flight when targets crashed.
 ///
 /// A request that shared crashes runs alone; one that crashed two targets alone is refused.
@@ -96,6 +36,21 @@
     shared: BTreeSet<TargetCrash>,
     alone: BTreeSet<TargetCrash>,
     until: Timestamp,
+    news: SuspectNews,
+}
+
+/// Whether a request was alone in flight at a target that crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrashCompany {
+    Alone,
+    Shared,
+}
+
+/// Whether the other processes were told of the latest change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SuspectNews {
+    Untold,
+    Told,
 }
 
 impl CrashSuspects {
@@ -104,17 +59,43 @@
         Self::default()
     }
 
-    /// Notes a crash of a target with the requests that were in flight there.
+    /// Notes a crash of a target with all requests that were in flight there, as its agent
+    /// knows them, or with the one request that ran alone there.
     pub fn crashed(&mut self, now: Timestamp, crash: &TargetCrash, in_flight: &[RequestDigest]) {
+        let company = match in_flight.len() {
+            1 => CrashCompany::Alone,
+            _ => CrashCompany::Shared,
+        };
+        self.note_crash(now, crash, in_flight, company);
+    }
+
+    /// Notes a crash of a target with some of the requests that were in flight there, as an
+    /// entry VM knows them when the agent is lost as well: none counts as alone.
+    pub fn crashed_in_part(
+        &mut self,
+        now: Timestamp,
+        crash: &TargetCrash,
+        in_flight: &[RequestDigest],
+    ) {
+        self.note_crash(now, crash, in_flight, CrashCompany::Shared);
+    }
+
+    fn note_crash(
+        &mut self,
+        now: Timestamp,
+        crash: &TargetCrash,
+        in_flight: &[RequestDigest],
+        company: CrashCompany,
+    ) {
         self.drop_expired(now);
-        let is_alone = in_flight.len() == 1;
         for digest in in_flight {
             let suspect = self.suspect(now, digest);
-            let crashes = match is_alone {
-                true => &mut suspect.alone,
-                false => &mut suspect.shared,
+            let crashes = match company {
+                CrashCompany::Alone => &mut suspect.alone,
+                CrashCompany::Shared => &mut suspect.shared,
             };
             insert_bounded(crashes, crash);
+            suspect.news = SuspectNews::Untold;
             suspect.extend_life(now);
         }
         self.drop_surplus();
@@ -149,16 +130,30 @@
         SuspectDecision::RunAlone
     }
 
-    /// Returns what is held against requests, for the other processes of the data centre.
+    /// Returns all that is held against requests, for a process that starts.
     pub fn reports(&self, now: Timestamp) -> Vec<SuspectReport> {
         self.suspects
             .iter()
             .filter(|(_, suspect)| now < suspect.until)
-            .map(|(digest, suspect)| SuspectReport {
-                digest: digest.clone(),
-                shared: suspect.shared.iter().cloned().collect(),
-                alone: suspect.alone.iter().cloned().collect(),
-                remaining_ms: suspect.until.since(now).as_millis() as u64,
+            .map(|(digest, suspect)| suspect.report(now, digest))
+            .collect()
+    }
+
+    /// Takes up to `n_wanted` changes that the other processes were not told of, the worst
+    /// first; what is left comes with the next call.
+    pub fn take_news(&mut self, now: Timestamp, n_wanted: usize) -> Vec<SuspectReport> {
+        let mut untold: Vec<_> = self
+            .suspects
+            .iter_mut()
+            .filter(|(_, suspect)| suspect.news == SuspectNews::Untold)
+            .collect();
+        untold.sort_by_key(|(_, suspect)| Reverse(suspect.weight()));
+        untold
+            .into_iter()
+            .take(n_wanted)
+            .map(|(digest, suspect)| {
+                suspect.news = SuspectNews::Told;
+                suspect.report(now, digest)
             })
             .collect()
     }
@@ -195,6 +190,7 @@
                 shared: BTreeSet::new(),
                 alone: BTreeSet::new(),
                 until: now,
+                news: SuspectNews::Untold,
             })
     }
 
@@ -226,6 +222,15 @@
         ALONE_CRASHES <= targets.len()
     }
 
+    fn report(&self, now: Timestamp, digest: &RequestDigest) -> SuspectReport {
+        SuspectReport {
+            digest: digest.clone(),
+            shared: self.shared.iter().cloned().collect(),
+            alone: self.alone.iter().cloned().collect(),
+            remaining_ms: self.until.since(now).as_millis() as u64,
+        }
+    }
+
     fn life(&self) -> Duration {
         match self.is_refused() {
             true => REFUSAL_LIFE,
