--- /dev/null
+++ b/examples/measure/placement/policy.rs
@@ -0,0 +1,114 @@
+//! The placement policies that are compared.
+
+use comfreyhead::version::config::PlacementConfig;
+use comfreyhead::version::expert_map::{ExpertLoads, ExpertMap, PlanInput, plan, resolve};
+
+/// The skew above which the threshold policy solves anew.
+const THRESHOLD_SKEW: f64 = 1.10;
+
+/// A placement policy.
+#[derive(Clone, Debug)]
+pub(super) enum PolicyKind {
+    /// The first map stays.
+    None,
+    /// All experts are placed anew each round.
+    FullResolve,
+    /// All experts are placed anew where the skew is above a threshold.
+    Threshold,
+    /// The product's plan with some weights.
+    Product(&'static str, PlacementConfig),
+}
+
+impl PolicyKind {
+    pub(super) fn all() -> Vec<Self> {
+        vec![
+            Self::None,
+            Self::FullResolve,
+            Self::Threshold,
+            Self::Product("guild", guild_weights()),
+            Self::Product("frontenac", frontenac_weights()),
+        ]
+    }
+
+    /// Reads the weights of one more product policy from the command line.
+    pub(super) fn from_weights(text: &str) -> Self {
+        let values: Vec<f64> = text
+            .split(',')
+            .filter_map(|value| value.parse().ok())
+            .collect();
+        let [skew_weight, move_weight, max_moves, horizon_s] = values[..] else {
+            eprintln!("measure: --weights takes four numbers, not {text:?}");
+            std::process::exit(2);
+        };
+        let (max_moves, horizon_s) = (max_moves as u32, horizon_s as u32);
+        Self::Product(
+            "trial",
+            PlacementConfig {
+                skew_weight,
+                move_weight,
+                max_moves,
+                horizon_s,
+            },
+        )
+    }
+
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::FullResolve => "full-resolve",
+            Self::Threshold => "threshold",
+            Self::Product(name, _) => name,
+        }
+    }
+
+    /// Returns the next map, or `None` where the current one stays.
+    pub(super) fn next_map(
+        &self,
+        current: &ExpertMap,
+        loads: &ExpertLoads,
+        speeds: &[f64],
+        expert_bytes: u64,
+    ) -> Option<ExpertMap> {
+        let solve_anew = || {
+            let number = current.number().next();
+            resolve(number, current.shape(), loads, speeds).expect("the shape is valid")
+        };
+        match self {
+            Self::None => None,
+            Self::FullResolve => Some(solve_anew()),
+            Self::Threshold if THRESHOLD_SKEW < current.skew(loads, speeds) => Some(solve_anew()),
+            Self::Threshold => None,
+            Self::Product(_, weights) => {
+                let input = PlanInput {
+                    current,
+                    loads,
+                    speeds,
+                    expert_bytes,
+                    weights,
+                };
+                let plan = plan(&input);
+                plan.changes_map().then_some(plan.map)
+            }
+        }
+    }
+}
+
+/// Returns the weights suggested for the Guild.
+fn guild_weights() -> PlacementConfig {
+    PlacementConfig {
+        skew_weight: 1.0,
+        move_weight: 1.0,
+        max_moves: 64,
+        horizon_s: 600,
+    }
+}
+
+/// Returns the weights suggested for Frontenac.
+fn frontenac_weights() -> PlacementConfig {
+    PlacementConfig {
+        skew_weight: 1.0,
+        move_weight: 0.05,
+        max_moves: 2_000,
+        horizon_s: 600,
+    }
+}
--- a/src/version/expert_map/layer_search.rs
+++ b/src/version/expert_map/layer_search.rs
@@ -14,6 +14,9 @@
 /// The slowest rank's time over the ideal at which a layer counts as balanced.
 const BALANCED_RATIO: f64 = 1.005;
 
+/// The changes in a row that may leave the slowest rank's time as it is.
+const MOST_IDLE_CHANGES: usize = 8;
+
 /// What one layer is searched from.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LayerInput<'a> {
@@ -21,6 +24,8 @@
     pub(super) slots: &'a [ExpertId],
     pub(super) rates: &'a [f32],
     pub(super) speeds: &'a [f64],
+    /// The slowest rank's time over the ideal at which no further load can pay.
+    pub(super) least_ratio: f64,
 }
 
 /// The changes that a search makes, in order, and the layer's balance after each.
@@ -58,7 +63,19 @@
         let mut points = vec![state.point(0, 0)];
         let mut loads = 0;
         let most_changes = input.slots.len();
-        while BALANCED_RATIO < state.ratio() && changes.len() < most_changes {
+        let mut best_ratio = f64::MAX;
+        let mut n_idle = 0;
+        while input.least_ratio.max(BALANCED_RATIO) < state.ratio() && changes.len() < most_changes
+        {
+            n_idle = if state.ratio() < best_ratio {
+                0
+            } else {
+                n_idle + 1
+            };
+            best_ratio = best_ratio.min(state.ratio());
+            if MOST_IDLE_CHANGES < n_idle {
+                break;
+            }
             let Some(change) = state.best_change() else {
                 break;
             };
@@ -246,8 +263,12 @@
     fn replicas_elsewhere(&self, hottest: usize, consider: &mut impl FnMut(LayerChange)) {
         for slot in (0..self.slots.len()).filter(|&slot| self.spare(slot)) {
             let rank = self.rank_of(slot);
+            if rank == hottest {
+                continue;
+            }
+            let room = self.room_below(hottest, rank) + self.share(self.slots[slot], 0);
             for expert in self.experts_at(hottest) {
-                if rank != hottest && !self.holds(rank, expert) {
+                if self.share(expert, 1) < room && !self.holds(rank, expert) {
                     consider(LayerChange::Replace { slot, expert });
                 }
             }
@@ -257,8 +278,9 @@
     /// Considers another expert in place of each spare replica on a rank.
     fn replacements_at(&self, hottest: usize, consider: &mut impl FnMut(LayerChange)) {
         for slot in self.slots_of(hottest).filter(|&slot| self.spare(slot)) {
+            let old_share = self.share(self.slots[slot], 0);
             for expert in 0..self.input.shape.experts {
-                if !self.holds(hottest, expert) {
+                if self.share(expert, 1) < old_share && !self.holds(hottest, expert) {
                     consider(LayerChange::Replace { slot, expert });
                 }
             }
@@ -268,14 +290,22 @@
     /// Considers an exchange of each of a rank's experts with each expert elsewhere.
     fn swaps_with(&self, hottest: usize, consider: &mut impl FnMut(LayerChange)) {
         for slot in self.slots_of(hottest) {
+            let share = self.share(self.slots[slot], 0);
             for other in 0..self.slots.len() {
-                if self.may_swap(slot, other) {
+                let other_share = self.share(self.slots[other], 0);
+                let room = self.room_below(hottest, self.rank_of(other));
+                if other_share < share && share - other_share < room && self.may_swap(slot, other) {
                     consider(LayerChange::Swap { slot, other });
                 }
             }
         }
     }
 
+    /// Returns the load that a rank can take before it is as slow as the hottest one.
+    fn room_below(&self, hottest: usize, rank: usize) -> f64 {
+        (self.times[hottest] - self.times[rank]) * self.input.speeds[rank]
+    }
+
     fn may_swap(&self, slot: usize, other: usize) -> bool {
         let (expert, other_expert) = (self.slots[slot], self.slots[other]);
         let (rank, other_rank) = (self.rank_of(slot), self.rank_of(other));
--- a/src/version/expert_map/plan.rs
+++ b/src/version/expert_map/plan.rs
@@ -64,6 +64,7 @@
         slots: input.current.layer(layer),
         rates: input.loads.layer(layer),
         speeds: input.speeds,
+        least_ratio: 1.0 + least_gain_per_load(input) * f64::from(input.current.shape().layers),
     }
 }
 
