Run step windows in the agents: ranks, leaders by log records, maps from the weight store

An agent of a group stands for leader when its target starts no window for a while; its fencing number is the offset of its lead record.

--- a/examples/measure/capacity/wire.rs
+++ b/examples/measure/capacity/wire.rs
@@ -4,14 +4,16 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use comfreyhead::connection::{
-    AgentReadiness, AgentReport, ControlClient, ControlPool, ControlServer, ListedState, PeerHello,
-    ReportPoll, VersionNotice, VersionPull, serve_control,
+    AgentReadiness, AgentReport, ControlClient, ControlPool, ControlServer, ListedState,
+    MapRequest, PeerHello, ReportPoll, StepEnvelope, VersionNotice, VersionPull, serve_control,
 };
 use comfreyhead::prelude::*;
 use comfreyhead::process::distribution::{VersionAnnouncement, VersionBody};
 use comfreyhead::process::platform::{ListedVm, VmList, VmState};
 use comfreyhead::process::routing::{AccountDemand, DemandReport};
+use comfreyhead::process::step_window::StepMessage;
 use comfreyhead::version::config::{ConfigContent, VersionDigest};
+use comfreyhead::version::expert_map::ExpertMap;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::types::ErrorObjectOwned;
 use tokio::net::{TcpListener, TcpStream};
@@ -91,6 +93,17 @@
         Ok(self.report.clone())
     }
 
+    async fn step(&self, _envelope: StepEnvelope) -> Result<Option<StepMessage>, ErrorObjectOwned> {
+        Ok(None)
+    }
+
+    async fn find_map(
+        &self,
+        _request: MapRequest,
+    ) -> Result<Option<Arc<ExpertMap>>, ErrorObjectOwned> {
+        Ok(None)
+    }
+
     async fn announce(&self, _notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
         Ok(())
     }
@@ -171,7 +184,7 @@
 }
 
 fn pulls(n: usize) -> ProbeUsage {
-    let have = VersionNumber(5_900);
+    let since = VersionNumber(5_900);
     messages(n, &Message::Pull(VersionPull { since }))
 }
 
--- a/src/connection/control_rpc.rs
+++ b/src/connection/control_rpc.rs
@@ -9,6 +9,10 @@
 use crate::prelude::*;
 use crate::process::distribution::{AnnouncementKind, PeerInfo, VersionAnnouncement, VersionBody};
 use crate::process::routing::{CacheEvent, DemandReport, LoadReport, SuspectReport};
+use crate::process::step_window::StepMessage;
+use crate::version::expert_map::ExpertMap;
+
+use super::step_rpc::{MapRequest, StepEnvelope};
 
 /// What an entry VM tells another, and gets back.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -123,6 +127,17 @@
     #[method(name = "report")]
     async fn report(&self, poll: ReportPoll) -> Result<AgentReport, ErrorObjectOwned>;
 
+    /// Passes a message about step windows; returns the answer, if there is one.
+    #[method(name = "step")]
+    async fn step(&self, envelope: StepEnvelope) -> Result<Option<StepMessage>, ErrorObjectOwned>;
+
+    /// Asks a rank for the content of a map.
+    #[method(name = "find_map")]
+    async fn find_map(
+        &self,
+        request: MapRequest,
+    ) -> Result<Option<Arc<ExpertMap>>, ErrorObjectOwned>;
+
     /// Announces the version in force.
     #[method(name = "announce")]
     async fn announce(&self, notice: VersionNotice) -> Result<(), ErrorObjectOwned>;
--- a/src/process/agent/agent_process.rs
+++ b/src/process/agent/agent_process.rs
@@ -15,13 +15,14 @@
 use crate::process::distribution::{PeerInfo, PeerName, PeerRole};
 use crate::process::metrics::ProcessMetrics;
 use crate::process::operator::{HealthProbe, OperatorContext, start_operator_api};
-use crate::process::platform::{EngineClient, LogClient, ServiceClient};
+use crate::process::platform::{EngineClient, LogClient, ServiceClient, WeightClient};
 use crate::process::routing::{CrashSuspects, RequestDigest, TargetCrash};
 use crate::process::settings::{AgentSettings, Settings, TargetKind};
 use crate::process::versions::{VersionService, VersionSettings};
 
 use super::order_driver::{OrderInput, drive_orders};
 use super::serving::{AgentServing, own_target};
+use super::steps::{StepRouter, follow_group};
 use super::work_table::{StartedWork, WorkTable};
 use super::{control_api, lookup_run, model_run, target_watch, work_api};
 
@@ -54,6 +55,9 @@
     pub(super) log_client: LogClient,
     pub(super) engine: EngineClient,
     pub(super) service: ServiceClient,
+    pub(super) weights: WeightClient,
+    pub(super) control: Arc<ControlPool>,
+    pub(super) steps: StepRouter,
     pub(super) serving: OnceLock<AgentServing>,
     pub(super) suspects: Mutex<CrashSuspects>,
     pub(super) watch: target_watch::WatchState,
@@ -88,10 +92,12 @@
     pub fn new(settings: Settings, agent: &AgentSettings, log: Logger) -> Result<Arc<Self>> {
         let now = ProcessIncarnation(Timestamp::now().0);
         let stop = CancellationToken::new();
+        let metrics = ProcessMetrics::new()?;
+        let control = Arc::new(ControlPool::new(&settings.tokens.peer));
         let name = AgentName::from(Arc::clone(&settings.process.name));
         let incarnation = settings.process.incarnation.unwrap_or(now);
         let versions = VersionService::new(
-            version_settings(&settings, &name, incarnation, &log),
+            version_settings(&settings, (&name, incarnation), Arc::clone(&control), &log),
             stop.clone(),
         );
         let target_url = format!("http://{}", agent.target);
@@ -99,11 +105,14 @@
             name,
             kind: agent.kind,
             incarnation,
-            metrics: ProcessMetrics::new()?,
+            metrics,
             versions,
             log_client: LogClient::new(&settings.platform.log),
             engine: EngineClient::new(&target_url),
             service: ServiceClient::new(&target_url),
+            weights: WeightClient::new(&settings.platform.weights),
+            control,
+            steps: StepRouter::default(),
             serving: OnceLock::new(),
             suspects: Mutex::default(),
             watch: target_watch::WatchState::default(),
@@ -256,6 +265,9 @@
         };
         if self.serving.set(serving).is_ok() {
             info!(self.log, "agent serves"; "agent" => %self.name, "target" => %target);
+            if self.kind == TargetKind::Engine {
+                tokio::spawn(follow_group(Arc::clone(self), target.clone()));
+            }
             tokio::spawn(drive_orders(Arc::clone(self), target, inputs));
         }
         if self.is_leaving.load(Ordering::SeqCst)
@@ -293,8 +305,8 @@
 
 fn version_settings(
     settings: &Settings,
-    name: &AgentName,
-    incarnation: ProcessIncarnation,
+    (name, incarnation): (&AgentName, ProcessIncarnation),
+    pool: Arc<ControlPool>,
     log: &Logger,
 ) -> VersionSettings {
     VersionSettings {
@@ -305,7 +317,7 @@
         },
         incarnation,
         control: settings.addresses.control,
-        pool: Arc::new(ControlPool::new(&settings.tokens.peer)),
+        pool,
         log_client: LogClient::new(&settings.platform.log),
         log: log.clone(),
     }
--- a/src/process/agent/control_api.rs
+++ b/src/process/agent/control_api.rs
@@ -5,11 +5,15 @@
 use jsonrpsee::types::ErrorObjectOwned;
 
 use crate::connection::{
-    AgentReport, ControlServer, ListedState, PeerHello, ReportPoll, VersionNotice, VersionPull,
+    AgentReport, ControlServer, ListedState, MapRequest, PeerHello, ReportPoll, StepEnvelope,
+    VersionNotice, VersionPull,
 };
 use crate::prelude::*;
 use crate::process::distribution::{AnnouncementKind, PeerInfo, PeerName, PeerRole, VersionBody};
 
+use crate::process::step_window::StepMessage;
+use crate::version::expert_map::ExpertMap;
+
 use super::agent_process::AgentProcess;
 
 /// The JSON-RPC error code of a message for the other role.
@@ -53,6 +57,17 @@
         Ok(report(process, poll.cache_from))
     }
 
+    async fn step(&self, envelope: StepEnvelope) -> Result<Option<StepMessage>, ErrorObjectOwned> {
+        Ok(self.process.steps.pass(envelope).await)
+    }
+
+    async fn find_map(
+        &self,
+        request: MapRequest,
+    ) -> Result<Option<Arc<ExpertMap>>, ErrorObjectOwned> {
+        Ok(self.process.steps.find_map(request.map).await)
+    }
+
     async fn announce(&self, notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
         let versions = &self.process.versions;
         versions.add_member(&notice.from, notice.control);
--- a/src/process/agent/mod.rs
+++ b/src/process/agent/mod.rs
@@ -6,6 +6,7 @@
 mod model_run;
 mod order_driver;
 mod serving;
+mod steps;
 mod target_watch;
 mod work_api;
 mod work_run;
--- a/src/process/entry/control_api.rs
+++ b/src/process/entry/control_api.rs
@@ -5,10 +5,13 @@
 use jsonrpsee::types::ErrorObjectOwned;
 
 use crate::connection::{
-    AgentReport, ControlServer, PeerHello, ReportPoll, VersionNotice, VersionPull,
+    AgentReport, ControlServer, MapRequest, PeerHello, ReportPoll, StepEnvelope, VersionNotice,
+    VersionPull,
 };
 use crate::prelude::*;
 use crate::process::distribution::VersionBody;
+use crate::process::step_window::StepMessage;
+use crate::version::expert_map::ExpertMap;
 
 use super::entry_process::EntryProcess;
 use super::peer_watch::{own_hello, take_hello};
@@ -41,6 +44,17 @@
         Err(ErrorObjectOwned::owned(WRONG_ROLE, message, None::<()>))
     }
 
+    async fn step(&self, _envelope: StepEnvelope) -> Result<Option<StepMessage>, ErrorObjectOwned> {
+        Ok(None)
+    }
+
+    async fn find_map(
+        &self,
+        _request: MapRequest,
+    ) -> Result<Option<Arc<ExpertMap>>, ErrorObjectOwned> {
+        Ok(None)
+    }
+
     async fn announce(&self, notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
         let versions = &self.process.versions;
         versions.heard(notice.from.name, notice.announcement, notice.kind);
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -32,6 +32,8 @@
     pub version: IntGauge,
     /// Control messages sent or answered.
     pub control_messages: IntCounter,
+    /// Step windows that a leader in this process granted.
+    pub windows_granted: IntCounter,
     /// Appends to the log service by result.
     pub appends: IntCounterVec,
 }
@@ -55,6 +57,11 @@
             "result",
         )?;
         let retries = IntCounter::new("comfreyhead_retries_total", "Retries").map_err(named)?;
+        let windows_granted = IntCounter::new(
+            "comfreyhead_step_windows_granted_total",
+            "Step windows granted",
+        )
+        .map_err(named)?;
         let control_messages =
             IntCounter::new("comfreyhead_control_messages_total", "Control messages")
                 .map_err(named)?;
@@ -70,12 +77,13 @@
             "comfreyhead_whole_answer_seconds",
             "Time to the whole answer",
         )?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(requests.clone()),
             Box::new(refusals.clone()),
             Box::new(appends.clone()),
             Box::new(retries.clone()),
             Box::new(control_messages.clone()),
+            Box::new(windows_granted.clone()),
             Box::new(in_flight.clone()),
             Box::new(version.clone()),
             Box::new(first_event_s.clone()),
@@ -94,6 +102,7 @@
             whole_answer_s,
             version,
             control_messages,
+            windows_granted,
             appends,
         })
     }
--- a/src/process/platform/http_client.rs
+++ b/src/process/platform/http_client.rs
@@ -46,6 +46,13 @@
     }
 }
 
+impl HttpFailure {
+    /// Returns whether the other side answered and said no.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Status(status, _) if status.is_client_error())
+    }
+}
+
 /// A pooled HTTP client.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -13,6 +13,7 @@
 pub use log_service::{AppendFailure, LogClient, LogPage, LogRecord};
 pub use model_engine::{
     CacheEvent, CachePage, EngineCall, EngineClient, EngineEvent, EngineLoad, EngineMap,
+    EngineSteps,
 };
 pub use plain_service::{CallFailure, ServiceCall, ServiceClient};
 pub use vm_list::{ListedVm, VmList, VmListClient, VmState};
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -12,13 +12,15 @@
 mod rate_limit;
 mod server;
 mod service;
+mod step_runner;
 mod vm_list;
 mod weight_store;
 
 pub use cache_event::{CacheEvent, CacheEventKind, cache_blocks};
 pub use completion::expected_tokens;
-pub use engine::{EngineOptions, EngineStandIn, ExpertMapOrder, LoadReport};
+pub use engine::{EngineOptions, EngineStandIn, LoadReport};
 pub use log::{LogOptions, LogPage, LogRecord, LogStandIn};
 pub use service::{RanCall, ServiceOptions, ServiceStandIn};
+pub use step_runner::ExpertMapOrder;
 pub use vm_list::{VmEntry, VmListOptions, VmListStandIn, VmState};
 pub use weight_store::{WeightStoreOptions, WeightStoreStandIn};
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -5,3 +5,4 @@
 mod fleet;
 mod orders;
 mod requests;
+mod steps;
--- /dev/null
+++ b/tests/whole_path/steps.rs
@@ -0,0 +1,107 @@
+//! Step windows of a group of three ranks while its agents, engines and the log service fail.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::fleet::{Fleet, FleetShape};
+
+const PATIENCE: usize = 600;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_window_runs_on_two_maps() {
+    let mut fleet = Fleet::start(FleetShape {
+        entries: 1,
+        engines: 3,
+        services: 0,
+    })
+    .await;
+    let report = fleet.patch(0, &group_patch()).await;
+    assert_eq!(report["result"], "accepted", "{report:#}");
+    wait_for_windows(&fleet, 10).await;
+
+    for agent in 0..3 {
+        fleet.agents[agent].kill();
+        pause().await;
+        fleet.agents[agent].spawn();
+        wait_for_more_windows(&fleet, 10).await;
+    }
+    fleet.agents[1].freeze();
+    pause().await;
+    fleet.agents[1].thaw();
+    wait_for_more_windows(&fleet, 10).await;
+    fleet.log.set_down(true);
+    let before_log = n_windows(&fleet);
+    wait_for_more_windows(&fleet, 10).await;
+    fleet.log.set_down(false);
+    fleet.agents[0].kill();
+    fleet.agents[2].kill();
+    fleet.agents[0].spawn();
+    fleet.agents[2].spawn();
+    wait_for_more_windows(&fleet, 10).await;
+
+    assert!(before_log < n_windows(&fleet));
+    check_windows(&fleet);
+}
+
+fn group_patch() -> Value {
+    let group = json!({
+        "model": "kit-assistant", "ranks": ["model-0", "model-1", "model-2"], "layers": 2,
+        "experts": 8, "slots_per_rank": 4, "window_steps": 8,
+    });
+    json!({
+        "base": 1, "batch": "group", "author": "tests",
+        "changes": [{ "change": "set-group", "name": "kit-group", "group": group }],
+    })
+}
+
+/// Returns the fewest windows that any engine started.
+fn n_windows(fleet: &Fleet) -> usize {
+    let counts = fleet
+        .engines
+        .iter()
+        .map(|engine| engine.started_windows().len());
+    counts.min().expect("engines")
+}
+
+async fn wait_for_more_windows(fleet: &Fleet, n_more: usize) {
+    wait_for_windows(fleet, n_windows(fleet) + n_more).await;
+}
+
+async fn wait_for_windows(fleet: &Fleet, n_wanted: usize) {
+    for _ in 0..PATIENCE {
+        if n_wanted <= n_windows(fleet) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!(
+        "the group stands still at {} of {n_wanted} windows",
+        n_windows(fleet)
+    );
+}
+
+async fn pause() {
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+}
+
+fn check_windows(fleet: &Fleet) {
+    let mut maps: BTreeMap<u64, Value> = BTreeMap::new();
+    for (rank, engine) in fleet.engines.iter().enumerate() {
+        let mut earlier = (0, 0);
+        for order in engine.started_windows() {
+            let map = maps
+                .entry(order.window)
+                .or_insert_with(|| order.map.clone());
+            assert_eq!(*map, order.map, "window {} of rank {rank}", order.window);
+            let place = (order.window, order.fencing_number);
+            assert!(
+                earlier.0 <= place.0 && earlier.1 <= place.1,
+                "{earlier:?} then {place:?}"
+            );
+            earlier = place;
+        }
+    }
+    println!("{} windows on one map each", maps.len());
+}
