--- a/spec/config.pml
+++ b/spec/config.pml
@@ -1,5 +1,6 @@
 // MUTANT: NO_BASE_CHECK
 // MUTANT: BLIND_REAPPEND
+// MUTANT: STALE_LOOK_UP
 // MUTANT: INSTALL_ANY
 // MUTANT: NO_GAP_CHECK
 //
@@ -7,9 +8,9 @@
 // pull from each other, a reader that restarts, and a log whose first record is trimmed.
 //
 // Two operators each want one change in force. An operator reads the version of a process,
-// appends a patch against it, and may lose the answer after the append took effect or before.
-// It then reads the log for its nonce and appends again only when the nonce is not there. A
-// rejected patch is tried again against the version that the operator reads, in a new record.
+// appends a patch against it, and may lose the answer after the append took effect, before,
+// or while the append is still under way. It tries again in a new record, on a version whose
+// history it has searched for its earlier records: both come from one process at one moment.
 //
 // A version is known by its number; its content by the record (offset + 1) that made it.
 
@@ -28,6 +29,11 @@
 byte true_content[LOG + 1];  // content by version: offset + 1 of its record
 byte applied[OPERATORS];     // how often an operator's change was accepted
 
+// For each operator one append that is still under way.
+bool late[OPERATORS];
+byte late_base[OPERATORS];
+byte late_nonce[OPERATORS];
+
 // The processes.
 byte next[READERS];          // the next offset to fold
 byte version[READERS];
@@ -61,67 +67,56 @@
   }
 }
 
-// Finds whether a record with the nonce is in the log and whether it was accepted.
-inline look_up(nonce_) {
-  d_step {
-    found = false;
-    accepted = false;
-    i = 0;
-    do
-    :: i < log_len ->
-       if
-       :: log_nonce[i] == nonce_ -> found = true
-       :: else
-       fi;
-       i++
-    :: else -> break
-    od;
-    i = 1;
-    do
-    :: i <= true_version ->
-       if
-       :: log_nonce[true_content[i] - 1] == nonce_ -> accepted = true
-       :: else
-       fi;
-       i++
-    :: else -> break
-    od;
-    i = 0
-  }
+// Notes whether the operator's change is in the versions up to `number_`.
+inline look_up(number_) {
+  accepted = false;
+  i = 1;
+  do
+  :: i <= number_ ->
+     if
+     :: log_nonce[true_content[i] - 1] / 4 == id -> accepted = true
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od;
+  i = 0
 }
 
 proctype operator(byte id) {
-  byte base, nonce, i;
+  byte base, i, from;
   byte attempt = 0;
-  bool found, accepted;
+  bool accepted = false;
 
   do
   :: attempt < 3 && log_len < LOG ->
-     nonce = id * 4 + attempt;
-     // The version of some process: it may lag behind the log.
+     // Some process, which may lag behind the log, tells its version and whether an earlier
+     // append of this operator made that version or one before it.
      if
-     :: base = version[0]
-     :: base = version[1]
-     fi;
-     if
-     :: log_len < LOG -> append(base, nonce)         // stored; answered or answer lost
-     :: skip                                         // lost before the log had it
+     :: from = 0
+     :: from = 1
      fi;
 #ifdef BLIND_REAPPEND
-     // The answer is taken for a failure, the patch is sent again against the new version.
-     if
-     :: log_len < LOG -> append(version[0], nonce)
-     :: skip
-     fi;
-     break
+     base = version[from];
+#else
+#ifdef STALE_LOOK_UP
+     d_step { look_up(version[from]) };
+     base = version[from];
 #else
-     look_up(nonce);
+     d_step { base = version[from]; look_up(base) };
+#endif
+#endif
      if
      :: accepted -> break
-     :: found && !accepted -> attempt++              // rejected for good: a new record
-     :: !found -> attempt++
-     fi
-#endif
+     :: else
+     fi;
+     if
+     :: log_len < LOG -> append(base, (id * 4 + attempt))// stored; answered or answer lost
+     :: skip                                             // lost before the log had it
+     :: !late[id] ->                                     // still under way
+        atomic { late[id] = true; late_base[id] = base; late_nonce[id] = id * 4 + attempt }
+     fi;
+     attempt++
   :: else -> break
   od
 }
@@ -137,6 +132,20 @@
   assert(content[me] == true_content[version[me]])   // one content per version number
 }
 
+// Stores an append that was long under way.
+proctype network() {
+  byte id = 0;
+  do
+  :: id < OPERATORS ->
+     if
+     :: late[id] && log_len < LOG -> append(late_base[id], late_nonce[id])
+     :: skip
+     fi;
+     id++
+  :: else -> break
+  od
+}
+
 proctype reader(byte me) {
   byte peer = 1 - me;
   bool restarted = false;
@@ -211,6 +220,7 @@
   atomic {
     run operator(0);
     run operator(1);
+    run network();
     run reader(0);
     run reader(1)
   }
--- a/src/process/distribution/distributor.rs
+++ b/src/process/distribution/distributor.rs
@@ -39,6 +39,9 @@
 /// The longest random delay before a starting process reads the log itself.
 const START_READ_SPREAD: Duration = Duration::from_secs(2);
 
+/// How long processes are asked for a report.
+const SURVEY_SPAN: Duration = Duration::from_secs(60);
+
 /// The actions that one event asks for.
 pub type DistributionActions = SmallVec<[DistributionAction; 4]>;
 
@@ -104,6 +107,7 @@
 #[derive(Clone, Debug)]
 struct VersionSurvey {
     number: VersionNumber,
+    until: Timestamp,
     asked: BTreeMap<PeerName, Timestamp>,
 }
 
@@ -183,10 +187,11 @@
         VersionBody::Records(records.collect())
     }
 
-    /// Starts to ask every process that is not known to have version `number` in force.
-    pub fn start_survey(&mut self, number: VersionNumber) {
+    /// Asks every process that is not known to have version `number` in force, for a minute.
+    pub fn start_survey(&mut self, now: Timestamp, number: VersionNumber) {
         self.survey = Some(VersionSurvey {
             number,
+            until: now + SURVEY_SPAN,
             asked: BTreeMap::new(),
         });
     }
@@ -511,6 +516,7 @@
     }
 
     fn continue_survey(&mut self, now: Timestamp, actions: &mut DistributionActions) {
+        self.survey.take_if(|survey| survey.until < now);
         let Some(survey) = &mut self.survey else {
             return;
         };
--- a/src/version/config/fold.rs
+++ b/src/version/config/fold.rs
@@ -7,10 +7,10 @@
 use crate::prelude::*;
 
 use super::{
-    AcceptedRecord, AuthorName, BatchName, ConfigChange, ConfigContent, ConfigPath, ConfigRecord,
-    ConfigRejection, ConfigSnapshot, ConfigVersion, EntryStanding, FIRST_FORMAT, FoldOutcome,
-    HistoryEntry, NEWEST_FORMAT, NonceOutcome, RecordFault, RecordNonce, SkipReason, VersionDigest,
-    VersionHistory, validate,
+    AcceptedRecord, AppendVerdict, AuthorName, BatchName, ConfigChange, ConfigContent, ConfigPath,
+    ConfigRecord, ConfigRejection, ConfigSnapshot, ConfigVersion, EntryStanding, FIRST_FORMAT,
+    FoldOutcome, HistoryEntry, NEWEST_FORMAT, NonceOutcome, RecordFault, RecordNonce, SkipReason,
+    VersionDigest, VersionHistory, validate,
 };
 
 /// The most rejections that are kept for operators whose answer was lost.
@@ -123,6 +123,29 @@
         }
     }
 
+    /// Returns what can be said of an append on `base` whose answer was lost.
+    ///
+    /// The fold must have read to the log's tail after the append was sent; a process that
+    /// does not read the log does so with a clone of its fold. A new try of the same change
+    /// must name the version in the verdict as its base, not one read at another moment: the
+    /// append could have arrived in between, and the change would be accepted twice.
+    pub fn verdict(&self, nonce: &RecordNonce, base: VersionNumber) -> AppendVerdict {
+        match self.outcome_of(nonce) {
+            NonceOutcome::Accepted(number) => return AppendVerdict::Accepted(number),
+            NonceOutcome::Rejected(rejection) => return AppendVerdict::Rejected(rejection),
+            NonceOutcome::NotSeen => {}
+        }
+        let current = self.state.version.number;
+        let oldest = self.state.history.oldest();
+        if current <= base {
+            AppendVerdict::Open(current)
+        } else if oldest.is_some_and(|oldest| oldest <= base.next()) {
+            AppendVerdict::Passed(current)
+        } else {
+            AppendVerdict::Forgotten
+        }
+    }
+
     /// Folds the record at `offset`.
     ///
     /// # Panics
--- a/src/version/config/mod.rs
+++ b/src/version/config/mod.rs
@@ -25,7 +25,7 @@
 pub use fold::ConfigFold;
 pub use history::{AcceptedRecord, EntryStanding, HISTORY_VERSIONS, HistoryEntry, VersionHistory};
 pub use labels::{AuthorName, BatchName, RecordNonce};
-pub use outcome::{FoldOutcome, NonceOutcome, SkipReason};
+pub use outcome::{AppendVerdict, FoldOutcome, NonceOutcome, SkipReason};
 pub use path::ConfigPath;
 pub use record::{ConfigRecord, FIRST_FORMAT, NEWEST_FORMAT, RecordFault};
 pub use rejection::{ChangeSummary, ConfigRejection};
--- a/src/version/config/outcome.rs
+++ b/src/version/config/outcome.rs
@@ -62,3 +62,24 @@
     /// It has not been read up to the fold's position.
     NotSeen,
 }
+
+/// What can be said of an append whose answer was lost, once the log was read to its tail.
+#[derive(Clone, Debug, Display, PartialEq)]
+pub enum AppendVerdict {
+    /// It made this version.
+    #[display("accepted as version {_0}")]
+    Accepted(VersionNumber),
+    /// It was rejected.
+    #[display("rejected: {_0}")]
+    Rejected(ConfigRejection),
+    /// It was not seen up to this version, whose base is past: it will never be accepted.
+    #[display("never accepted; try again on version {_0}")]
+    Passed(VersionNumber),
+    /// It was not seen, and may still arrive while this version is current. Another record on
+    /// this very version settles it: at most one of the two is accepted.
+    #[display("not in the log yet; it may still arrive while version {_0} is current")]
+    Open(VersionNumber),
+    /// The history no longer reaches back to its base.
+    #[display("too old to tell")]
+    Forgotten,
+}
--- a/tests/config_distribution.rs
+++ b/tests/config_distribution.rs
@@ -104,7 +104,9 @@
     network.log_up[1] = false;
     network.linked[1] = false;
     append(&mut network, 1);
-    network.nodes[0].distributor.start_survey(VersionNumber(2));
+    let now = network.now;
+    let survey = VersionNumber(2);
+    network.nodes[0].distributor.start_survey(now, survey);
     network.run_for(Duration::from_secs(30));
 
     let report = network.nodes[0].distributor.in_force(VersionNumber(2));
--- a/tests/config_fold.rs
+++ b/tests/config_fold.rs
@@ -6,9 +6,9 @@
 
 use comfreyhead::prelude::*;
 use comfreyhead::version::config::{
-    AccountConfig, BatchName, ConfigChange, ConfigFold, ConfigPath, ConfigRecord, ConfigRejection,
-    ConfigSnapshot, FoldOutcome, HISTORY_VERSIONS, ModelConfig, NonceOutcome, PlacementConfig,
-    SkipReason, TargetConfig, TargetRole, diff,
+    AccountConfig, AppendVerdict, BatchName, ConfigChange, ConfigFold, ConfigPath, ConfigRecord,
+    ConfigRejection, ConfigSnapshot, FoldOutcome, HISTORY_VERSIONS, ModelConfig, NonceOutcome,
+    PlacementConfig, SkipReason, TargetConfig, TargetRole, diff,
 };
 
 fn account(weight: u32) -> AccountConfig {
@@ -142,6 +142,29 @@
     assert_eq!(fold.outcome_of(&"b1@0".into()), accepted);
 }
 
+#[test]
+fn an_append_whose_answer_was_lost_is_settled_by_its_nonce_and_its_base() {
+    let mut fold = ConfigFold::new();
+    let open = fold.verdict(&"late@0".into(), VersionNumber(0));
+    let records = [
+        patch(0, "b1", vec![set_account("guild", 1)]),
+        patch(0, "b2", vec![set_account("guild", 2)]),
+    ];
+    fold_all(&mut fold, &records);
+
+    let base = VersionNumber(0);
+    let accepted = fold.verdict(&"b1@0".into(), base);
+    let rejected = fold.verdict(&"b2@0".into(), base);
+    let passed = fold.verdict(&"late@0".into(), base);
+    let late = fold.apply(LogOffset(2), &patch(0, "late", vec![set_model("llm")]));
+
+    assert_eq!(open, AppendVerdict::Open(base));
+    assert_eq!(accepted, AppendVerdict::Accepted(VersionNumber(1)));
+    assert!(matches!(rejected, AppendVerdict::Rejected(_)));
+    assert_eq!(passed, AppendVerdict::Passed(VersionNumber(1)));
+    assert!(matches!(late, FoldOutcome::Rejected(_)));
+}
+
 #[test]
 fn an_invalid_version_is_rejected_with_each_fault() {
     let mut bad = account(0);
