--- a/examples/measure/capacity/wire.rs
+++ b/examples/measure/capacity/wire.rs
@@ -8,7 +8,9 @@
     MapRequest, PeerHello, ReportPoll, StepEnvelope, VersionNotice, VersionPull, serve_control,
 };
 use comfreyhead::prelude::*;
-use comfreyhead::process::distribution::{VersionAnnouncement, VersionBody};
+use comfreyhead::process::distribution::{
+    AnnouncementKind, PeerInfo, PeerRole, VersionAnnouncement, VersionBody,
+};
 use comfreyhead::process::platform::{ListedVm, VmList, VmState};
 use comfreyhead::process::routing::{AccountDemand, DemandReport};
 use comfreyhead::process::step_window::StepMessage;
@@ -43,6 +45,12 @@
             sizes: &[2_000, 4_000, 6_000, 8_000],
             run: pulls,
         },
+        Probe {
+            name: "control-announce",
+            per: "announcement of a version, both ends",
+            sizes: &[2_000, 4_000, 6_000, 8_000],
+            run: announcements,
+        },
         Probe {
             name: "vm-list",
             per: "VM of the platform's list, decoded",
@@ -118,6 +126,7 @@
     Report(ReportPoll),
     Exchange(PeerHello),
     Pull(VersionPull),
+    Announce(VersionNotice),
 }
 
 fn announcement() -> VersionAnnouncement {
@@ -188,6 +197,20 @@
     messages(n, &Message::Pull(VersionPull { since }))
 }
 
+fn announcements(n: usize) -> ProbeUsage {
+    let notice = VersionNotice {
+        from: PeerInfo {
+            name: entry_name(1).as_str().into(),
+            data_centre: "sofia-1".into(),
+            role: PeerRole::Entry,
+        },
+        control: control_address(1),
+        announcement: announcement(),
+        kind: AnnouncementKind::Probe,
+    };
+    messages(n, &Message::Announce(notice))
+}
+
 fn vm_lists(n_vms: usize) -> ProbeUsage {
     let vm = |idx| ListedVm {
         name: Arc::from(target_name(idx).as_str()),
@@ -258,6 +281,9 @@
             Message::Pull(pull) => {
                 client.pull(pull.clone()).await.expect("the versions");
             }
+            Message::Announce(notice) => {
+                client.announce(notice.clone()).await.expect("an answer");
+            }
         }
     }
 }
@@ -290,7 +316,7 @@
     let address = listener.local_addr().expect("an address");
     let hello = match message {
         Message::Exchange(hello) => hello.clone(),
-        Message::Report(_) | Message::Pull(_) => peer_hello(0, 0),
+        Message::Report(_) | Message::Pull(_) | Message::Announce(_) => peer_hello(0, 0),
     };
     let control = FixedControl {
         report: agent_report(),
