--- a/src/process/versions/service.rs
+++ b/src/process/versions/service.rs
@@ -140,7 +140,7 @@
         let mut distributor = self.distributor.lock();
         let report = distributor.in_force(number);
         if !report.is_everywhere() {
-            distributor.start_survey(number);
+            distributor.start_survey(Timestamp::now(), number);
         }
         report
     }
