Plan maps from the ranks' loads, and show a group's plan to operators

The leader asks its ranks for the loads of their experts every second and plans every ten; in the test of the real daemons a group with one hot expert switches to a later map while no window runs on two.

--- a/examples/measure/capacity/wire.rs
+++ b/examples/measure/capacity/wire.rs
@@ -5,7 +5,8 @@
 
 use comfreyhead::connection::{
     AgentReadiness, AgentReport, ControlClient, ControlPool, ControlServer, ListedState,
-    MapRequest, PeerHello, ReportPoll, StepEnvelope, VersionNotice, VersionPull, serve_control,
+    MapRequest, PeerHello, PlanReport, ReportPoll, StepEnvelope, VersionNotice, VersionPull,
+    serve_control,
 };
 use comfreyhead::prelude::*;
 use comfreyhead::process::distribution::{
@@ -15,7 +16,7 @@
 use comfreyhead::process::routing::{AccountDemand, DemandReport};
 use comfreyhead::process::step_window::StepMessage;
 use comfreyhead::version::config::{ConfigContent, VersionDigest};
-use comfreyhead::version::expert_map::ExpertMap;
+use comfreyhead::version::expert_map::{ExpertMap, LoadReport};
 use jsonrpsee::core::async_trait;
 use jsonrpsee::types::ErrorObjectOwned;
 use tokio::net::{TcpListener, TcpStream};
@@ -112,6 +113,17 @@
         Ok(None)
     }
 
+    async fn expert_loads(
+        &self,
+        _group: GroupName,
+    ) -> Result<Option<LoadReport>, ErrorObjectOwned> {
+        Ok(None)
+    }
+
+    async fn plan(&self, _group: GroupName) -> Result<Option<PlanReport>, ErrorObjectOwned> {
+        Ok(None)
+    }
+
     async fn announce(&self, _notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
         Ok(())
     }
--- a/src/bin/comfrey/args.rs
+++ b/src/bin/comfrey/args.rs
@@ -40,6 +40,7 @@
     Watch(WatchArgs),
     Targets(TargetsArgs),
     Explain(ExplainArgs),
+    Plan(PlanArgs),
     Orders(OrdersArgs),
 }
 
@@ -136,6 +137,15 @@
     pub(crate) request: Uuid,
 }
 
+/// Shows what the leader of a group would move and why, without doing it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "plan")]
+pub(crate) struct PlanArgs {
+    /// group of ranks
+    #[argh(positional)]
+    pub(crate) group: String,
+}
+
 /// Reviews orders without a known outcome.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "orders")]
--- a/src/bin/comfrey/commands.rs
+++ b/src/bin/comfrey/commands.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use comfreyhead::connection::PlanReport;
 use comfreyhead::prelude::*;
 use comfreyhead::process::distribution::InForceReport;
 use comfreyhead::process::operator::{
@@ -68,6 +69,10 @@
         ToolCommand::Explain(args) => explain(&client, form, args).await,
         ToolCommand::Patch(args) => patch(&client, form, args).await,
         ToolCommand::Recall(args) => recall(&client, form, args).await,
+        ToolCommand::Plan(args) => {
+            let report: PlanReport = client.get(&format!("/plans/{}", args.group)).await?;
+            print(form, &report, tables::plan)
+        }
         ToolCommand::Orders(args) => match &args.command {
             OrdersCommand::Open(_) => {
                 let report: OpenOrders = client.get("/orders/open").await?;
--- a/src/bin/comfrey/tables.rs
+++ b/src/bin/comfrey/tables.rs
@@ -1,5 +1,6 @@
 //! Tables for people.
 
+use comfreyhead::connection::PlanReport;
 use comfreyhead::prelude::*;
 use comfreyhead::process::distribution::{DataCentreReport, InForceReport};
 use comfreyhead::process::operator::{
@@ -175,6 +176,26 @@
     lines.join("\n")
 }
 
+/// Makes the lines of a plan.
+pub(crate) fn plan(report: &PlanReport) -> String {
+    let mut lines = vec![format!(
+        "group {}: map {}, skew {:.4} -> {:.4}, {} bytes to load, {}",
+        report.group,
+        report.map,
+        report.skew_before,
+        report.skew_after,
+        report.bytes,
+        report.reason
+    )];
+    lines.extend(
+        report
+            .moves
+            .iter()
+            .map(|expert_move| format!("  {expert_move}")),
+    );
+    lines.join("\n")
+}
+
 /// Makes the table of orders without a known outcome.
 pub(crate) fn open_orders(orders: &OpenOrders) -> String {
     let mut table = table(&["ACCOUNT", "KEY", "ATTEMPT", "TARGET", "AGENT", "AGE"]);
--- a/src/connection/control_rpc.rs
+++ b/src/connection/control_rpc.rs
@@ -10,9 +10,9 @@
 use crate::process::distribution::{AnnouncementKind, PeerInfo, VersionAnnouncement, VersionBody};
 use crate::process::routing::{CacheEvent, DemandReport, LoadReport, SuspectReport};
 use crate::process::step_window::StepMessage;
-use crate::version::expert_map::ExpertMap;
+use crate::version::expert_map::{self, ExpertMap};
 
-use super::step_rpc::{MapRequest, StepEnvelope};
+use super::step_rpc::{MapRequest, PlanReport, StepEnvelope};
 
 /// What an entry VM tells another, and gets back.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -138,6 +138,17 @@
         request: MapRequest,
     ) -> Result<Option<Arc<ExpertMap>>, ErrorObjectOwned>;
 
+    /// Asks a rank for the loads of its experts.
+    #[method(name = "expert_loads")]
+    async fn expert_loads(
+        &self,
+        group: GroupName,
+    ) -> Result<Option<expert_map::LoadReport>, ErrorObjectOwned>;
+
+    /// Asks the leader of a group what it would move; others answer nothing.
+    #[method(name = "plan")]
+    async fn plan(&self, group: GroupName) -> Result<Option<PlanReport>, ErrorObjectOwned>;
+
     /// Announces the version in force.
     #[method(name = "announce")]
     async fn announce(&self, notice: VersionNotice) -> Result<(), ErrorObjectOwned>;
--- a/src/connection/step_rpc.rs
+++ b/src/connection/step_rpc.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
@@ -31,6 +32,25 @@
     Leader,
 }
 
+/// What a leader would move in its group, and why.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct PlanReport {
+    /// The group.
+    pub group: GroupName,
+    /// The number of the planned map, or of the present one where nothing is moved.
+    pub map: u64,
+    /// The step-time skew of the present map: the slowest rank's time by the mean.
+    pub skew_before: f64,
+    /// The step-time skew of the planned map.
+    pub skew_after: f64,
+    /// The bytes to load from the weight store.
+    pub bytes: u64,
+    /// Why the plan is as it is.
+    pub reason: String,
+    /// The loads of experts onto ranks.
+    pub moves: Vec<String>,
+}
+
 /// A request for the content of a map.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MapRequest {
--- a/src/process/agent/control_api.rs
+++ b/src/process/agent/control_api.rs
@@ -5,14 +5,14 @@
 use jsonrpsee::types::ErrorObjectOwned;
 
 use crate::connection::{
-    AgentReport, ControlServer, ListedState, MapRequest, PeerHello, ReportPoll, StepEnvelope,
-    VersionNotice, VersionPull,
+    AgentReport, ControlServer, ListedState, MapRequest, PeerHello, PlanReport, ReportPoll,
+    StepEnvelope, VersionNotice, VersionPull,
 };
 use crate::prelude::*;
 use crate::process::distribution::{AnnouncementKind, PeerInfo, PeerName, PeerRole, VersionBody};
 
 use crate::process::step_window::StepMessage;
-use crate::version::expert_map::ExpertMap;
+use crate::version::expert_map::{ExpertMap, LoadReport};
 
 use super::agent_process::AgentProcess;
 
@@ -68,6 +68,17 @@
         Ok(self.process.steps.find_map(request.map).await)
     }
 
+    async fn expert_loads(
+        &self,
+        _group: GroupName,
+    ) -> Result<Option<LoadReport>, ErrorObjectOwned> {
+        Ok(self.process.steps.expert_loads().await)
+    }
+
+    async fn plan(&self, _group: GroupName) -> Result<Option<PlanReport>, ErrorObjectOwned> {
+        Ok(self.process.steps.plan().await)
+    }
+
     async fn announce(&self, notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
         let versions = &self.process.versions;
         versions.add_member(&notice.from, notice.control);
--- a/src/process/agent/steps/leader_driver.rs
+++ b/src/process/agent/steps/leader_driver.rs
@@ -1,17 +1,18 @@
 //! Drives the machine of a group's leader.
 
 use slog::{info, warn};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
-use crate::connection::{StepEnvelope, StepParty};
+use crate::connection::{PlanReport, StepEnvelope, StepParty};
 use crate::prelude::*;
 use crate::process::step_window::{
     GroupLeader, LeaderAction, LeaderEvent, LeaderSettings, StepMessage,
 };
-use crate::version::expert_map::{ExpertMap, RankId};
+use crate::version::expert_map::{ExpertMap, LoadReport, PlacementPlan, RankId};
 
 use super::super::agent_process::AgentProcess;
 use super::candidacy::newest_lead;
+use super::placement_round::{PlacementRound, ask_for_loads, map_of_plan, plan_report};
 use super::step_router::{GroupPlace, ask_for_map, send_step};
 
 /// The time between two ticks of the machine.
@@ -22,16 +23,24 @@
 const WINDOW_LENGTH: Duration = Duration::from_secs(1);
 /// The time between two looks for a later lead record.
 const LEAD_LOOK: Duration = Duration::from_secs(2);
+/// The time between two looks at the loads.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
+/// The time between two rounds of planning.
+const PLAN_PERIOD: Duration = Duration::from_secs(10);
 /// The group's share of the weight store, in bytes a second.
 const BYTES_PER_SECOND: u64 = 1 << 30;
 /// The size of one expert of one layer that loads are spread by, in bytes.
-const EXPERT_BYTES: u64 = 16 << 20;
+pub(super) const EXPERT_BYTES: u64 = 16 << 20;
 
 /// What reaches the machine.
 #[derive(Debug)]
 pub(super) enum LeaderInput {
     /// A message of a rank.
     Message(StepMessage),
+    /// The loads of a rank.
+    Loads(LoadReport),
+    /// Somebody asks what would be moved.
+    Plan(oneshot::Sender<Option<PlanReport>>),
     /// Something else happened.
     Event(LeaderEvent),
 }
@@ -51,6 +60,7 @@
     leader: GroupLeader,
     inputs: mpsc::UnboundedSender<LeaderInput>,
     is_first_map_given: bool,
+    round: PlacementRound,
 }
 
 /// Drives the machine until it stands down or the agent stops.
@@ -75,21 +85,42 @@
         leader,
         inputs: sender,
         is_first_map_given: false,
+        round: PlacementRound::new(place, &process.versions.current().content.placement),
     };
     let mut end = driver.take(LeaderEvent::Start);
     let mut ticks = tokio::time::interval(TICK);
     let mut looks = tokio::time::interval(LEAD_LOOK);
+    let mut loads = tokio::time::interval(LOAD_PERIOD);
+    let mut plans = tokio::time::interval(PLAN_PERIOD);
     while end.is_none() {
         let event = tokio::select! {
             Some(input) = inputs.recv() => match input {
                 LeaderInput::Message(message) => LeaderEvent::Message(message),
                 LeaderInput::Event(event) => event,
+                LeaderInput::Loads(report) => {
+                    driver.round.observe(&report);
+                    continue;
+                }
+                LeaderInput::Plan(reply) => {
+                    let plan = driver.plan().await;
+                    let report = plan.map(|plan| plan_report(&place.group, &plan));
+                    let _ = reply.send(report);
+                    continue;
+                }
             },
             _ = ticks.tick() => LeaderEvent::Tick,
             _ = looks.tick() => {
                 driver.look_for_later_lead();
                 continue;
             }
+            _ = loads.tick() => {
+                driver.ask_for_loads();
+                continue;
+            }
+            _ = plans.tick() => match driver.next_map().await {
+                Some(map) => LeaderEvent::SwitchMap(map),
+                None => continue,
+            },
             () = process.stop.cancelled() => break,
         };
         end = driver.take(event);
@@ -151,6 +182,35 @@
         None
     }
 
+    async fn plan(&self) -> Option<PlacementPlan> {
+        let current = self.leader.current().filter(|_| self.leader.is_leading())?;
+        let weights = self.process.versions.current().content.placement.clone();
+        self.round.plan(Arc::clone(current), weights).await
+    }
+
+    /// Returns the map to switch to, where a move pays.
+    async fn next_map(&self) -> Option<Arc<ExpertMap>> {
+        let plan = self.plan().await?;
+        map_of_plan(
+            self.process,
+            self.place,
+            &plan,
+            self.leader.next_map_number(),
+        )
+    }
+
+    fn ask_for_loads(&self) {
+        for rank in 0..self.place.ranks.len() {
+            let (process, place) = (Arc::clone(self.process), self.place.clone());
+            let inputs = self.inputs.clone();
+            tokio::spawn(async move {
+                if let Some(report) = ask_for_loads(&process, &place, rank).await {
+                    let _ = inputs.send(LeaderInput::Loads(report));
+                }
+            });
+        }
+    }
+
     /// Starts a group that has run no window yet.
     fn give_first_map(&self) {
         match ExpertMap::even(self.leader.next_map_number(), self.place.shape) {
--- a/src/process/agent/steps/map_loader.rs
+++ b/src/process/agent/steps/map_loader.rs
@@ -52,7 +52,7 @@
             }
         }
     }
-    match process.engine.load_map(&map).await {
+    match process.engine.load_map(place.rank, &map).await {
         Ok(()) => {
             info!(process.log, "map loaded"; "group" => %place.group, "map" => %id,
                 "bytes" => n_bytes);
--- a/src/process/agent/steps/mod.rs
+++ b/src/process/agent/steps/mod.rs
@@ -3,6 +3,7 @@
 mod candidacy;
 mod leader_driver;
 mod map_loader;
+mod placement_round;
 mod rank_driver;
 mod step_router;
 
--- a/src/process/agent/steps/rank_driver.rs
+++ b/src/process/agent/steps/rank_driver.rs
@@ -12,11 +12,12 @@
     RankAction, RankEvent, RankGuard, RankSettings, StepMessage, TargetFencing, TargetState,
     WindowMap, WindowNumber,
 };
-use crate::version::expert_map::{ExpertMap, MapId};
+use crate::version::expert_map::{ExpertMap, LoadReport, MapId};
 
 use super::super::agent_process::AgentProcess;
 use super::candidacy::newest_lead;
 use super::map_loader::load_map;
+use super::placement_round::own_loads;
 use super::step_router::{GroupPlace, send_step};
 
 /// The time between two ticks of the machine, and between two looks at the target.
@@ -31,6 +32,8 @@
     Message(Box<StepEnvelope>, oneshot::Sender<Option<StepMessage>>),
     /// Somebody asks for the content of a map.
     FindMap(MapId, oneshot::Sender<Option<Arc<ExpertMap>>>),
+    /// Somebody asks for the loads of the rank's experts.
+    Loads(oneshot::Sender<Option<LoadReport>>),
     /// Something else happened.
     Event(RankEvent),
 }
@@ -102,6 +105,12 @@
             RankInput::FindMap(map, reply) => {
                 let _ = reply.send(self.guard.map(map).cloned());
             }
+            RankInput::Loads(reply) => {
+                let (process, place) = (Arc::clone(&self.process), self.place.clone());
+                tokio::spawn(async move {
+                    let _ = reply.send(own_loads(&process, &place).await);
+                });
+            }
             RankInput::Event(RankEvent::WindowStarted(window)) => {
                 if self.running < Some(window) {
                     self.running = Some(window);
--- a/src/process/agent/steps/step_router.rs
+++ b/src/process/agent/steps/step_router.rs
@@ -6,11 +6,11 @@
 use slog::info;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::connection::{ControlClient, MapRequest, StepEnvelope, StepParty};
+use crate::connection::{ControlClient, MapRequest, PlanReport, StepEnvelope, StepParty};
 use crate::prelude::*;
 use crate::process::step_window::StepMessage;
 use crate::version::config::{ConfigVersion, GroupConfig};
-use crate::version::expert_map::{ExpertMap, MapId, MapShape, RankId};
+use crate::version::expert_map::{ExpertMap, LoadReport, MapId, MapShape, RankId};
 
 use super::super::agent_process::AgentProcess;
 use super::candidacy::stand_for_leader;
@@ -71,6 +71,22 @@
         answer.await.ok()?
     }
 
+    /// Returns the loads of the rank's experts.
+    pub(in crate::process::agent) async fn expert_loads(&self) -> Option<LoadReport> {
+        let rank = self.rank.lock().clone()?;
+        let (reply, answer) = oneshot::channel();
+        rank.send(RankInput::Loads(reply)).ok()?;
+        answer.await.ok()?
+    }
+
+    /// Returns what the leader would move, where this agent leads.
+    pub(in crate::process::agent) async fn plan(&self) -> Option<PlanReport> {
+        let leader = self.leader.lock().clone()?;
+        let (reply, answer) = oneshot::channel();
+        leader.send(LeaderInput::Plan(reply)).ok()?;
+        answer.await.ok()?
+    }
+
     /// Sets the machine of the leader, or removes it.
     pub(super) fn set_leader(&self, leader: Option<mpsc::UnboundedSender<LeaderInput>>) {
         *self.leader.lock() = leader;
--- a/src/process/entry/control_api.rs
+++ b/src/process/entry/control_api.rs
@@ -5,13 +5,13 @@
 use jsonrpsee::types::ErrorObjectOwned;
 
 use crate::connection::{
-    AgentReport, ControlServer, MapRequest, PeerHello, ReportPoll, StepEnvelope, VersionNotice,
-    VersionPull,
+    AgentReport, ControlServer, MapRequest, PeerHello, PlanReport, ReportPoll, StepEnvelope,
+    VersionNotice, VersionPull,
 };
 use crate::prelude::*;
 use crate::process::distribution::VersionBody;
 use crate::process::step_window::StepMessage;
-use crate::version::expert_map::ExpertMap;
+use crate::version::expert_map::{ExpertMap, LoadReport};
 
 use super::entry_process::EntryProcess;
 use super::peer_watch::{own_hello, take_hello};
@@ -55,6 +55,17 @@
         Ok(None)
     }
 
+    async fn expert_loads(
+        &self,
+        _group: GroupName,
+    ) -> Result<Option<LoadReport>, ErrorObjectOwned> {
+        Ok(None)
+    }
+
+    async fn plan(&self, _group: GroupName) -> Result<Option<PlanReport>, ErrorObjectOwned> {
+        Ok(None)
+    }
+
     async fn announce(&self, notice: VersionNotice) -> Result<(), ErrorObjectOwned> {
         let versions = &self.process.versions;
         versions.heard(notice.from.name, notice.announcement, notice.kind);
--- a/src/process/entry/operations.rs
+++ b/src/process/entry/operations.rs
@@ -2,6 +2,7 @@
 
 use uuid::Uuid;
 
+use crate::connection::{ControlClient, PlanReport};
 use crate::prelude::*;
 use crate::process::operator::{
     ConfigReport, OpenOrders, PatchOrder, PatchReport, RecallOrder, SettleOrder, SettleReport,
@@ -90,6 +91,24 @@
         })
     }
 
+    /// Returns what the leader of a group would move and why.
+    pub async fn plan(&self, group: &GroupName) -> Option<PlanReport> {
+        let version = self.versions.current();
+        let config = version.content.groups.get(group)?;
+        for rank in &config.ranks {
+            let Some(target) = version.content.targets.get(rank) else {
+                continue;
+            };
+            let Ok(client) = self.control.client(target.control_address).await else {
+                continue;
+            };
+            if let Ok(Some(report)) = client.plan(group.clone()).await {
+                return Some(report);
+            }
+        }
+        None
+    }
+
     /// Lists the orders without a known outcome.
     ///
     /// # Errors
--- a/src/process/operator/api.rs
+++ b/src/process/operator/api.rs
@@ -13,6 +13,7 @@
 use slog::Logger;
 use uuid::Uuid;
 
+use crate::connection::PlanReport;
 use crate::prelude::*;
 
 use crate::process::distribution::InForceReport;
@@ -37,6 +38,12 @@
     version: u64,
 }
 
+/// The path of a group.
+#[derive(Deserialize, JsonSchema)]
+struct GroupPath {
+    group: String,
+}
+
 /// The path of a request.
 #[derive(Deserialize, JsonSchema)]
 struct RequestPath {
@@ -96,6 +103,7 @@
     api.register(recall)?;
     api.register(list_targets)?;
     api.register(explain)?;
+    api.register(show_plan)?;
     api.register(open_orders)?;
     api.register(settle_order)?;
     Ok(api)
@@ -208,6 +216,25 @@
     Ok(HttpResponseOk(entry.target_reports()))
 }
 
+/// Shows what the leader of a group would move and why, without doing it.
+#[endpoint { method = GET, path = "/plans/{group}" }]
+async fn show_plan(
+    context: Context,
+    path: Path<GroupPath>,
+) -> Result<HttpResponseOk<PlanReport>, HttpError> {
+    let entry = context.context().authorized(context.request.headers())?;
+    let group = GroupName::from(path.into_inner().group);
+    let unknown = || {
+        let message = format!("no leader of the group {group} answers, or its loads are not known");
+        HttpError::for_not_found(None, message)
+    };
+    entry
+        .plan(&group)
+        .await
+        .map(HttpResponseOk)
+        .ok_or_else(unknown)
+}
+
 /// Explains why a request was routed as it was.
 #[endpoint { method = GET, path = "/requests/{request}" }]
 async fn explain(
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -12,8 +12,8 @@
 pub use http_client::{HttpClient, HttpFailure};
 pub use log_service::{AppendFailure, LogClient, LogPage, LogRecord};
 pub use model_engine::{
-    CacheEvent, CachePage, EngineCall, EngineClient, EngineEvent, EngineLoad, EngineMap,
-    EngineSteps,
+    CacheEvent, CachePage, EngineCall, EngineClient, EngineEvent, EngineExpertLoads, EngineLoad,
+    EngineMap, EngineSteps,
 };
 pub use plain_service::{CallFailure, ServiceCall, ServiceClient};
 pub use vm_list::{ListedVm, VmList, VmListClient, VmState};
--- a/src/process/platform/model_engine.rs
+++ b/src/process/platform/model_engine.rs
@@ -10,7 +10,7 @@
 
 use crate::prelude::*;
 use crate::process::step_window::WindowNumber;
-use crate::version::expert_map::{ExpertMap, MapId};
+use crate::version::expert_map::{ExpertMap, LoadSample, MapId, RankId};
 
 use super::header_value;
 use super::http_client::{HttpClient, HttpFailure, bad_request, json_request};
@@ -77,6 +77,17 @@
     pub loaded: Vec<ExpertMap>,
 }
 
+/// The loads of the experts that an engine holds, over its last interval.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineExpertLoads {
+    /// The length of the interval, in milliseconds.
+    pub interval_ms: u32,
+    /// The time that the engine spent on its experts, in milliseconds.
+    pub busy_ms: u32,
+    /// The loads.
+    pub samples: Vec<LoadSample>,
+}
+
 /// An event of an engine's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum EngineEvent {
@@ -212,8 +223,22 @@
     ///
     /// # Errors
     /// The engine refused, or did not answer.
-    pub async fn load_map(&self, map: &ExpertMap) -> Result<(), HttpFailure> {
-        self.order("/expert-maps", map).await
+    pub async fn load_map(&self, rank: RankId, map: &ExpertMap) -> Result<(), HttpFailure> {
+        self.order(
+            "/expert-maps",
+            &serde_json::json!({ "rank": rank, "map": map }),
+        )
+        .await
+    }
+
+    /// Reads the loads of the experts that the engine holds.
+    ///
+    /// # Errors
+    /// The engine did not answer.
+    pub async fn expert_loads(&self) -> Result<EngineExpertLoads, HttpFailure> {
+        self.client
+            .get(&format!("{}/expert-loads", self.base_url), CONTROL_TIMEOUT)
+            .await
     }
 
     /// Lets the engine drop a map.
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -220,6 +220,11 @@
         self.shared.state.lock().n_crashes
     }
 
+    /// Sets the tokens a second of each expert of each layer, over the whole group.
+    pub fn set_expert_rates(&self, rates: Vec<Vec<f64>>) {
+        self.shared.state.lock().steps.set_rates(rates);
+    }
+
     /// Returns the step windows that the engine started, in their order.
     pub fn started_windows(&self) -> Vec<ExpertMapOrder> {
         self.shared.state.lock().steps.started()
--- a/standins/src/engine_http.rs
+++ b/standins/src/engine_http.rs
@@ -15,7 +15,7 @@
 use crate::server::{
     AnswerResult, DroppedAnswer, error_answer, header_text, json_answer, query_number, read_json,
 };
-use crate::step_runner::ExpertMapOrder;
+use crate::step_runner::{ExpertMapOrder, LoadedMap};
 
 /// The priority of a request that names none.
 const DEFAULT_PRIORITY: u32 = 2;
@@ -49,6 +49,10 @@
             let report = shared.state.lock().steps.report();
             json_answer(StatusCode::OK, &report)
         }
+        (&Method::GET, ["expert-loads"]) => {
+            let loads = shared.state.lock().steps.loads();
+            json_answer(StatusCode::OK, &loads)
+        }
         (&Method::POST, ["expert-map", "fence"]) => fence(&shared, request).await,
         (&Method::POST, ["expert-maps"]) => load_map(&shared, request).await,
         (&Method::POST, ["expert-maps", number, "drop"]) => {
@@ -224,7 +228,7 @@
 }
 
 async fn load_map(shared: &EngineShared, request: Request<Incoming>) -> AnswerResult {
-    match read_json::<Value>(request.into_body()).await {
+    match read_json::<LoadedMap>(request.into_body()).await {
         Ok(map) => {
             shared.state.lock().steps.load(map);
             json_answer(StatusCode::OK, &json!({}))
--- a/standins/src/step_runner.rs
+++ b/standins/src/step_runner.rs
@@ -23,6 +23,13 @@
     at: Instant,
 }
 
+/// A map whose experts of one rank are loaded.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub(crate) struct LoadedMap {
+    rank: usize,
+    map: Value,
+}
+
 /// The step windows of an engine: one runs, one may wait for its end.
 #[derive(Debug)]
 pub(crate) struct StepRunner {
@@ -30,7 +37,9 @@
     floor: u64,
     running: Option<StartedWindow>,
     queued: Option<ExpertMapOrder>,
-    loaded: Vec<Value>,
+    loaded: Vec<LoadedMap>,
+    /// The tokens a second of each expert of each layer, over the whole group.
+    rates: Vec<Vec<f64>>,
     started: Vec<ExpertMapOrder>,
 }
 
@@ -43,6 +52,7 @@
             running: None,
             queued: None,
             loaded: Vec::new(),
+            rates: Vec::new(),
             started: Vec::new(),
         }
     }
@@ -50,8 +60,10 @@
     /// Forgets what runs and what is loaded, as a crash does.
     pub(crate) fn crash(&mut self) {
         let started = std::mem::take(&mut self.started);
+        let rates = std::mem::take(&mut self.rates);
         *self = Self {
             started,
+            rates,
             ..Self::new(self.window_time)
         };
     }
@@ -81,7 +93,7 @@
     }
 
     /// Notes that the experts of a map are loaded.
-    pub(crate) fn load(&mut self, map: Value) {
+    pub(crate) fn load(&mut self, map: LoadedMap) {
         if !self.loaded.contains(&map) {
             self.loaded.push(map);
         }
@@ -89,14 +101,39 @@
 
     /// Drops the maps with a number.
     pub(crate) fn drop_map(&mut self, number: u64) {
-        self.loaded.retain(|map| map["number"] != number);
+        self.loaded.retain(|loaded| loaded.map["number"] != number);
     }
 
     /// Returns what runs, what waits and what is loaded.
     pub(crate) fn report(&mut self) -> Value {
         self.advance(Instant::now());
         let running = self.running.as_ref().map(|started| &started.order);
-        json!({ "running": running, "queued": self.queued, "loaded": self.loaded })
+        let loaded: Vec<&Value> = self.loaded.iter().map(|loaded| &loaded.map).collect();
+        json!({ "running": running, "queued": self.queued, "loaded": loaded })
+    }
+
+    /// Sets the tokens a second of each expert of each layer, over the whole group.
+    pub(crate) fn set_rates(&mut self, rates: Vec<Vec<f64>>) {
+        self.rates = rates;
+    }
+
+    /// Returns the loads of the experts that the running map gives to this rank.
+    pub(crate) fn loads(&mut self) -> Value {
+        self.advance(Instant::now());
+        let number = self
+            .running
+            .as_ref()
+            .map(|started| &started.order.map["number"]);
+        let loaded = self
+            .loaded
+            .iter()
+            .find(|loaded| Some(&loaded.map["number"]) == number);
+        let samples = loaded.map_or_else(Vec::new, |loaded| loaded.samples(&self.rates));
+        let n_tokens: u64 = samples
+            .iter()
+            .filter_map(|sample| sample["tokens"].as_u64())
+            .sum();
+        json!({ "interval_ms": 1_000, "busy_ms": n_tokens.div_ceil(10), "samples": samples })
     }
 
     /// Returns every window that was started, in order.
@@ -121,3 +158,36 @@
         self.running = Some(StartedWindow { order, at });
     }
 }
+
+impl LoadedMap {
+    /// Returns the load of each expert of this rank over a second.
+    fn samples(&self, rates: &[Vec<f64>]) -> Vec<Value> {
+        let shape = &self.map["shape"];
+        let size = |field: &str| shape[field].as_u64().unwrap_or(0) as usize;
+        let (n_ranks, n_slots) = (size("ranks"), size("slots_per_rank"));
+        let slots: Vec<usize> = self.map["slots"]
+            .as_array()
+            .map(|slots| {
+                slots
+                    .iter()
+                    .filter_map(Value::as_u64)
+                    .map(|slot| slot as usize)
+                    .collect()
+            })
+            .unwrap_or_default();
+        let mut samples = Vec::new();
+        for (layer, slots) in slots.chunks(n_ranks * n_slots).enumerate() {
+            for expert in slots.iter().skip(self.rank * n_slots).take(n_slots) {
+                let Some(rate) = rates.get(layer).and_then(|rates| rates.get(*expert)) else {
+                    continue;
+                };
+                let replicas = slots.iter().filter(|slot| *slot == expert).count();
+                let tokens = (rate / replicas as f64) as u64;
+                samples.push(json!({
+                    "layer": layer, "expert": expert, "replicas": replicas, "tokens": tokens,
+                }));
+            }
+        }
+        samples
+    }
+}
--- a/tests/whole_path/steps.rs
+++ b/tests/whole_path/steps.rs
@@ -17,10 +17,17 @@
         services: 0,
     })
     .await;
+    for engine in &fleet.engines {
+        engine.set_expert_rates(hot_expert_rates());
+    }
     let report = fleet.patch(0, &group_patch()).await;
     assert_eq!(report["result"], "accepted", "{report:#}");
     wait_for_windows(&fleet, 10).await;
 
+    fleet
+        .wait_for(0, "/plans/kit-group", |plan| plan["skew_before"].is_f64())
+        .await;
+    wait_for_map(&fleet, 2).await;
     for agent in 0..3 {
         fleet.agents[agent].kill();
         pause().await;
@@ -56,6 +63,29 @@
     })
 }
 
+/// One expert of each layer gets most of the tokens.
+fn hot_expert_rates() -> Vec<Vec<f64>> {
+    vec![vec![4_000.0, 100.0, 100.0, 100.0, 100.0, 100.0, 100.0, 100.0]; 2]
+}
+
+/// Waits until every engine runs a map of at least this number.
+async fn wait_for_map(fleet: &Fleet, number: u64) {
+    for _ in 0..PATIENCE {
+        let runs_map = |engine: &comfreyhead_standins::EngineStandIn| {
+            let newest = engine
+                .started_windows()
+                .last()
+                .map(|order| order.map["number"].as_u64());
+            Some(number) <= newest.flatten()
+        };
+        if fleet.engines.iter().all(runs_map) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("no map {number} came into use");
+}
+
 /// Returns the fewest windows that any engine started.
 fn n_windows(fleet: &Fleet) -> usize {
     let counts = fleet
