--- a/src/process/routing/target_table.rs
+++ b/src/process/routing/target_table.rs
@@ -438,9 +438,12 @@
         None
     }
 
+    /// Whether a request may follow a cached prefix to this target. None does while the pool
+    /// is full: then a target only seems free to those that saw an old report, and they crowd.
     fn is_usable(&self, view: &RouteView<'_>, holder: &PrefixHolder) -> bool {
         let state = &self.targets[holder.target_idx as usize];
         holder.epoch == state.cache_epoch
+            && view.pool.mean.load + 1.0 <= state.limit()
             && state.next_load(view.now, &view.pool.mean) <= 1.0
             && self.may_take(view, holder.target_idx)
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -110,6 +110,25 @@
     assert_eq!(reason_of(&cleared), RouteReason::LowerLoad);
 }
 
+#[test]
+fn no_cached_prefix_is_followed_while_the_pool_is_full() {
+    let prefixes = prefix_hashes("model", &[7; 10_000]);
+    let mut table = table_of(4);
+    let later = now() + Duration::from_secs(2);
+    for at in [now(), later] {
+        let sequence = at.as_millis();
+        table.observe_report(at, &target(2), &report(sequence, 7));
+        for target_idx in [0, 1, 3, 0] {
+            table.observe_report(at, &target(target_idx), &report(sequence, SLOTS));
+        }
+    }
+    table.observe_cache_event(&target(2), &CacheEvent::Stored(prefixes.to_vec()));
+
+    let decision = choose(&table, &prefixes, 1).expect("chosen");
+
+    assert_eq!(decision.reason, RouteReason::LowerLoad);
+}
+
 #[test]
 fn prompts_of_two_models_share_no_prefix() {
     let prompt = [7; 3_000];
