--- a/src/process/orders/holder.rs
+++ b/src/process/orders/holder.rs
@@ -1,6 +1,6 @@
 //! The agent's side of orders: claims a key, runs the order at most once, settles it.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use crate::prelude::*;
 
@@ -17,6 +17,9 @@
 use super::settings::OrderSettings;
 use super::shard::OrderShard;
 
+/// How often the dead and the started are looked through.
+const FORGET_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The orders of one life of an agent.
 ///
 /// An order runs only after the agent has read its own claim back as the first record of the key
@@ -27,8 +30,10 @@
     settings: OrderSettings,
     log: OrderLog,
     held: BTreeMap<AttemptId, HeldOrder>,
+    deadlines: BTreeSet<(Timestamp, AttemptId)>,
     started: BTreeMap<OrderKey, AttemptId>,
     intake: OrderIntake,
+    next_forget: Timestamp,
 }
 
 /// Which agent, life and target a holder acts for.
@@ -170,8 +175,10 @@
             log: OrderLog::new(settings.clone()),
             settings,
             held: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
             started: BTreeMap::new(),
             intake: OrderIntake::Open,
+            next_forget: Timestamp::default(),
         }
     }
 
@@ -207,12 +214,8 @@
 
     /// Returns when the next [`HolderEvent::Tick`] is due, where no event comes before.
     pub fn next_wake(&self) -> Option<Timestamp> {
-        let deadlines = self
-            .held
-            .values()
-            .filter(|held| held.phase.awaits_deadline())
-            .map(|held| held.request.deadline);
-        deadlines.chain(self.log.next_wake()).min()
+        let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
+        deadline.into_iter().chain(self.log.next_wake()).min()
     }
 
     /// Returns whether no order is held for a caller or a target and nothing is to be appended.
@@ -247,6 +250,7 @@
         }
         let refusal = self.refusal(now, &request);
         let key = request.key.clone();
+        self.deadlines.insert((request.deadline, attempt));
         self.held.insert(attempt, HeldOrder::new(request));
         if let Some(reason) = refusal {
             self.refuse(attempt, reason, actions);
@@ -260,7 +264,8 @@
         if self.intake == OrderIntake::Leaving {
             return Some(ReplyReason::Leaving);
         }
-        if self.settings.max_held <= self.n_live() {
+        let max_held = self.settings.max_held;
+        if max_held <= self.held.len() && max_held <= self.n_live() {
             return Some(ReplyReason::TooManyOrders);
         }
         if self.log.reach() == LogReach::Down {
@@ -530,16 +535,19 @@
     }
 
     fn on_tick(&mut self, now: Timestamp, actions: &mut HolderActions) {
-        let due: Vec<_> = self
-            .held
-            .iter()
-            .filter(|(_, held)| held.phase.awaits_deadline() && held.request.deadline <= now)
-            .map(|(attempt, held)| (*attempt, held.phase))
-            .collect();
-        for (attempt, phase) in due {
-            self.on_deadline(attempt, phase, actions);
+        while let Some((deadline, attempt)) = self.deadlines.first().copied() {
+            if now < deadline {
+                break;
+            }
+            self.deadlines.pop_first();
+            if let Some(held) = self.held.get(&attempt) {
+                self.on_deadline(attempt, held.phase, actions);
+            }
+        }
+        if self.next_forget <= now {
+            self.next_forget = now + FORGET_INTERVAL;
+            self.forget(now);
         }
-        self.forget(now);
     }
 
     fn on_deadline(&mut self, attempt: AttemptId, phase: HeldPhase, actions: &mut HolderActions) {
@@ -588,10 +596,6 @@
         !matches!(self, Self::Dead | Self::Refused)
     }
 
-    fn awaits_deadline(self) -> bool {
-        self.is_live() && self != Self::RunningLate
-    }
-
     fn is_running(self) -> bool {
         matches!(self, Self::Running | Self::RunningLate)
     }
--- a/src/process/orders/mod.rs
+++ b/src/process/orders/mod.rs
@@ -5,7 +5,7 @@
 
 mod answer;
 mod append_queue;
-mod batch_pacing;
+mod batch_delay;
 mod digest;
 mod entry;
 mod fold;
@@ -23,8 +23,8 @@
 mod shard_tail;
 
 pub use answer::OrderAnswer;
-pub use append_queue::{AppendQueue, SentBatch};
-pub use batch_pacing::{BatchDelay, BatchPacing};
+pub use append_queue::{AppendLimits, AppendQueue, SentBatch};
+pub use batch_delay::BatchDelay;
 pub use digest::BodyDigest;
 pub use entry::{EntryAction, EntryActions, EntryEvent, EntryOrders, TryId};
 pub use fold::{KeyState, OpenClaim, RecordEffect, ShardFold};
--- a/src/process/orders/order_log.rs
+++ b/src/process/orders/order_log.rs
@@ -4,8 +4,7 @@
 
 use crate::prelude::*;
 
-use super::append_queue::AppendQueue;
-use super::batch_pacing::BatchPacing;
+use super::append_queue::{AppendLimits, AppendQueue};
 use super::fold::{KeyState, OpenClaim};
 use super::key::OrderKey;
 use super::log_event::{AppendFault, BatchId, LogAction, LogEvent, ReadId};
@@ -19,7 +18,6 @@
 #[derive(Clone, Debug)]
 pub struct OrderLog {
     settings: OrderSettings,
-    pacing: BatchPacing,
     tails: BTreeMap<OrderShard, FollowedShard>,
     queues: BTreeMap<OrderShard, AppendQueue>,
     batches: BTreeMap<BatchId, OrderShard>,
@@ -70,7 +68,6 @@
     /// Creates the streams' side of a process, which follows no shard yet.
     pub fn new(settings: OrderSettings) -> Self {
         Self {
-            pacing: BatchPacing::new(settings.batch_delay),
             settings,
             tails: BTreeMap::new(),
             queues: BTreeMap::new(),
@@ -135,8 +132,15 @@
 
     /// Adds a record to its shard's next append.
     pub fn push(&mut self, now: Timestamp, record: OrderRecord) {
-        let queue = self.queues.entry(record.key.shard()).or_default();
-        queue.push(now, record);
+        let limits = AppendLimits {
+            max_batch: self.settings.max_batch,
+            max_in_flight: self.settings.max_in_flight,
+            batch_delay: self.settings.batch_delay,
+        };
+        self.queues
+            .entry(record.key.shard())
+            .or_insert_with(|| AppendQueue::new(limits))
+            .push(now, record);
     }
 
     /// Drops the records of an attempt that wait for their append; returns whether there were any.
@@ -155,8 +159,7 @@
         match event {
             LogEvent::Appended { batch, .. } => {
                 let shard = self.batches.remove(&batch)?;
-                let sent = self.queues.get_mut(&shard)?.finish(batch)?;
-                self.pacing.on_append(now.since(sent.sent));
+                self.queues.get_mut(&shard)?.finish(batch)?;
                 self.reach = LogReach::Up;
                 None
             }
@@ -219,10 +222,8 @@
     }
 
     fn poll_appends(&mut self, now: Timestamp, actions: &mut Vec<LogAction>) {
-        let delay = self.pacing.delay();
-        let max_batch = self.settings.max_batch;
         for (shard, queue) in &mut self.queues {
-            let due = queue.due(delay, max_batch);
+            let due = queue.due();
             if due.is_none_or(|due| now < due) {
                 continue;
             }
@@ -232,10 +233,9 @@
             actions.push(LogAction::Append {
                 batch,
                 shard: *shard,
-                records: queue.send(now, batch, max_batch),
+                records: queue.send(now, batch),
             });
         }
-        self.queues.retain(|_, queue| !queue.is_idle());
     }
 
     fn poll_reads(&mut self, now: Timestamp, actions: &mut Vec<LogAction>) {
@@ -265,12 +265,7 @@
 
     /// Returns when [`Self::poll`] has something to do, where no event comes before.
     pub fn next_wake(&self) -> Option<Timestamp> {
-        let delay = self.pacing.delay();
-        let max_batch = self.settings.max_batch;
-        let appends = self
-            .queues
-            .values()
-            .filter_map(|queue| queue.due(delay, max_batch));
+        let appends = self.queues.values().filter_map(|queue| queue.due());
         let reads = self
             .tails
             .values()
--- a/src/process/orders/settings.rs
+++ b/src/process/orders/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 
-use super::batch_pacing::BatchDelay;
+use super::batch_delay::BatchDelay;
 use super::key::OrderKey;
 use super::reply::ReplyReason;
 
@@ -39,6 +39,8 @@
     pub answer_limit: usize,
     /// The most records of one append.
     pub max_batch: usize,
+    /// The most appends in flight of one shard.
+    pub max_in_flight: usize,
     /// How long a record waits for others before its append.
     pub batch_delay: BatchDelay,
     /// The most records of one read.
@@ -71,7 +73,8 @@
             window: OrderWindow::default(),
             answer_limit: 4_096,
             max_batch: 256,
-            batch_delay: BatchDelay::Adaptive(Duration::from_millis(50)),
+            max_in_flight: 1,
+            batch_delay: BatchDelay::Spaced(Duration::from_millis(60)),
             max_read: 1_024,
             read_wait: Duration::from_secs(5),
             log_retry_delay: Duration::from_millis(200),
