Let time pass in the test of a repeated order

With spaced appends the settlement waits 60 ms after the claim; the test's clock stood still, so it never went.

--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -426,6 +426,7 @@
         attempt: attempt(1),
         answer: answer.clone(),
     };
+    served.now = T0 + SECOND;
     served.serve(answered);
 
     let repeat = request(&key, 2, KeyHistory::Repeat);
