--- a/src/process/orders/holder.rs
+++ b/src/process/orders/holder.rs
@@ -97,6 +97,8 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// Orders of a shard are to be expected: the agent reads it ahead.
+    Prepare(OrderShard),
     /// The agent is leaving: it takes no new order.
     Leave,
     /// Time passed.
@@ -204,6 +206,7 @@
                 let settlement = self.settlement(RequestOutcome::NotRun, None);
                 self.on_target(now, attempt, settlement, &mut actions);
             }
+            HolderEvent::Prepare(shard) => self.log.prepare(now, shard),
             HolderEvent::Leave => self.intake = OrderIntake::Leaving,
             HolderEvent::Tick => self.on_tick(now, &mut actions),
         }
--- a/src/process/orders/order_log.rs
+++ b/src/process/orders/order_log.rs
@@ -89,18 +89,24 @@
 
     /// Follows the shard of a key, far enough back for the key or for new keys.
     pub fn follow(&mut self, now: Timestamp, key: &OrderKey) {
+        self.follow_since(now, key.shard(), key.time());
+    }
+
+    /// Follows a shard, far enough back for new keys.
+    pub fn prepare(&mut self, now: Timestamp, shard: OrderShard) {
+        self.follow_since(now, shard, now);
+    }
+
+    fn follow_since(&mut self, now: Timestamp, shard: OrderShard, oldest_key: Timestamp) {
         let window = self.settings.window;
         let slack = window.skew + window.regression * 2;
-        let since = (now - self.settings.first_cover).min(key.time()) - slack;
-        let followed = self
-            .tails
-            .entry(key.shard())
-            .or_insert_with(|| FollowedShard {
-                tail: ShardTail::covering(window, since, now),
-                reading: None,
-                not_before: now,
-                n_failed: 0,
-            });
+        let since = (now - self.settings.first_cover).min(oldest_key) - slack;
+        let followed = self.tails.entry(shard).or_insert_with(|| FollowedShard {
+            tail: ShardTail::covering(window, since, now),
+            reading: None,
+            not_before: now,
+            n_failed: 0,
+        });
         followed.tail.touch(now);
     }
 
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -415,6 +415,20 @@
     assert_eq!(served.stream.len(), 1);
 }
 
+#[test]
+fn a_prepared_shard_takes_an_order_without_a_read() {
+    let key = key(1);
+    let mut served = served(holder());
+    served.serve(HolderEvent::Prepare(key.shard()));
+
+    let arrived = HolderEvent::Arrived(request(&key, 1, KeyHistory::Repeat));
+    let actions = served.holder.on_event(T0, arrived);
+
+    let appends =
+        |action: &HolderAction| matches!(action, HolderAction::Log(LogAction::Append { .. }));
+    assert!(actions.iter().any(appends));
+}
+
 #[test]
 fn a_repeat_gets_the_settled_answer_and_another_body_is_refused() {
     let key = key(1);
