Split the distributor; keep a report's probes out of the cut-off count

A survey sends several probes into one data centre at once, each of which counted towards its being cut off until the first answer came; now only the probes of the rounds count.

--- a/src/process/distribution/distributor.rs
+++ b/src/process/distribution/distributor.rs
@@ -10,6 +10,8 @@
 use crate::version::config::{ConfigFold, ConfigVersion, FoldOutcome, SkipReason};
 
 use super::report::data_centres;
+use super::start::{ANSWER_TIMEOUT, StartAsks};
+use super::survey::VersionSurvey;
 use super::{
     AnnouncementKind, DataCentreReport, DistributionAction, DistributionEvent, InForceReport,
     PeerInfo, PeerName, PeerRole, PeerState, PeerTable, StartBasis, VersionAnnouncement,
@@ -26,12 +28,6 @@
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a read of the log's tail counts as fresh.
 const TAIL_FRESH: Duration = Duration::from_secs(2);
-/// How long what a follower of the log said vouches for a starting process's version.
-const HEARD_FRESH: Duration = Duration::from_secs(2);
-/// The longest wait for the answer of a peer at start-up.
-const START_TIMEOUT: Duration = Duration::from_secs(1);
-/// How often a peer is asked at start-up.
-const START_TRIES: u32 = 2;
 /// Peers that are asked in one tick, at start-up or for a report.
 const ASKS_PER_TICK: usize = 4;
 /// Unanswered probes in a row after which a data centre counts as cut off.
@@ -39,9 +35,6 @@
 /// The longest random delay before a starting process reads the log itself.
 const START_READ_SPREAD: Duration = Duration::from_secs(2);
 
-/// How long processes are asked for a report.
-const SURVEY_SPAN: Duration = Duration::from_secs(60);
-
 /// The actions that one event asks for.
 pub type DistributionActions = SmallVec<[DistributionAction; 4]>;
 
@@ -78,19 +71,12 @@
 #[derive(Clone, Debug)]
 enum StartProgress {
     Starting {
-        asked: BTreeMap<PeerName, StartAsk>,
+        asks: StartAsks,
         read_at: Option<Timestamp>,
     },
     Serving(StartBasis),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct StartAsk {
-    tries: u32,
-    at: Timestamp,
-    answered: bool,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct LogView {
     reading: bool,
@@ -104,13 +90,6 @@
     at: Timestamp,
 }
 
-#[derive(Clone, Debug)]
-struct VersionSurvey {
-    number: VersionNumber,
-    until: Timestamp,
-    asked: BTreeMap<PeerName, Timestamp>,
-}
-
 impl VersionDistributor {
     /// Returns the distributor of a process that has just started.
     pub fn new(settings: DistributorSettings) -> Self {
@@ -120,7 +99,7 @@
             installed: VersionNumber(0),
             peers: PeerTable::default(),
             start: StartProgress::Starting {
-                asked: BTreeMap::new(),
+                asks: StartAsks::default(),
                 read_at: None,
             },
             log: LogView::default(),
@@ -189,11 +168,7 @@
 
     /// Asks every process that is not known to have version `number` in force, for a minute.
     pub fn start_survey(&mut self, now: Timestamp, number: VersionNumber) {
-        self.survey = Some(VersionSurvey {
-            number,
-            until: now + SURVEY_SPAN,
-            asked: BTreeMap::new(),
-        });
+        self.survey = Some(VersionSurvey::new(now, number));
     }
 
     /// Returns where version `number` is in force, as far as this process knows.
@@ -272,6 +247,7 @@
             self.probe(now, peer, actions);
         }
         if let Some(peer) = self.remote_partner() {
+            self.note_silence(&peer);
             self.probe(now, peer, actions);
         }
     }
@@ -288,10 +264,8 @@
             self.silent.insert(peer.info.data_centre.clone(), 0);
         }
         self.fold.assert_announced(heard.number, &heard.digest);
-        if let StartProgress::Starting { asked, .. } = &mut self.start
-            && let Some(ask) = asked.get_mut(from)
-        {
-            ask.answered = true;
+        if let StartProgress::Starting { asks, .. } = &mut self.start {
+            asks.note_answer(from);
         }
         if self.fold.current().number < heard.number {
             self.pull(now, from.clone(), actions);
@@ -398,14 +372,16 @@
         });
     }
 
+    /// Counts a probe into another data centre as unanswered until anybody there is heard.
+    fn note_silence(&mut self, peer: &PeerName) {
+        if let Some(peer) = self.peers.get(peer) {
+            let data_centre = peer.info.data_centre.clone();
+            *self.silent.entry(data_centre).or_default() += 1;
+        }
+    }
+
     fn probe(&mut self, now: Timestamp, to: PeerName, actions: &mut DistributionActions) {
         self.peers.note_probe(&to);
-        if let Some(peer) = self.peers.get(&to) {
-            *self
-                .silent
-                .entry(peer.info.data_centre.clone())
-                .or_default() += 1;
-        }
         self.announce(now, to, AnnouncementKind::Probe, actions);
     }
 
@@ -516,27 +492,11 @@
     }
 
     fn continue_survey(&mut self, now: Timestamp, actions: &mut DistributionActions) {
-        self.survey.take_if(|survey| survey.until < now);
+        self.survey.take_if(|survey| survey.is_over(now));
         let Some(survey) = &mut self.survey else {
             return;
         };
-        let number = survey.number;
-        let due: Vec<PeerName> = self
-            .peers
-            .iter()
-            .filter(|peer| peer.number().is_none_or(|known| known < number))
-            .filter(|peer| !peer.is_unreachable())
-            .map(|peer| peer.info.name.clone())
-            .filter(|name| {
-                let asked = survey.asked.get(name);
-                asked.is_none_or(|at| START_TIMEOUT <= now.since(*at))
-            })
-            .take(ASKS_PER_TICK)
-            .collect();
-        survey
-            .asked
-            .extend(due.iter().map(|name| (name.clone(), now)));
-        for name in due {
+        for name in survey.next_asks(now, &self.peers, ASKS_PER_TICK) {
             self.probe(now, name, actions);
         }
     }
@@ -544,23 +504,17 @@
     /// Asks the peers of the data centre, the readers of the log first, until it may serve.
     fn continue_start(&mut self, now: Timestamp, actions: &mut DistributionActions) {
         let due = self.start_asks(now);
-        let StartProgress::Starting { asked, read_at } = &mut self.start else {
+        let StartProgress::Starting { asks, read_at } = &mut self.start else {
             return;
         };
         for name in &due {
-            let ask = asked.entry(name.clone()).or_insert(StartAsk {
-                tries: 0,
-                at: now,
-                answered: false,
-            });
-            ask.tries += 1;
-            ask.at = now;
+            asks.note_ask(now, name);
         }
         let spread = START_READ_SPREAD.as_micros() as u64;
         let rng = &mut self.settings.rng;
         let read_at = *read_at.get_or_insert_with(|| {
             let delay = Duration::from_micros(rng.random_range(0..=spread));
-            now + START_TIMEOUT + delay
+            now + ANSWER_TIMEOUT + delay
         });
         for name in due {
             self.probe(now, name, actions);
@@ -572,7 +526,7 @@
     }
 
     fn start_asks(&self, now: Timestamp) -> Vec<PeerName> {
-        let StartProgress::Starting { asked, .. } = &self.start else {
+        let StartProgress::Starting { asks, .. } = &self.start else {
             return Vec::new();
         };
         let own = &self.settings.own.data_centre;
@@ -582,7 +536,7 @@
         let others = local.map(|info| info.name.clone());
         let others = others.filter(|name| !readers.contains(name));
         let order = readers.iter().cloned().chain(others);
-        let due = order.filter(|name| asked.get(name).is_none_or(|ask| ask.is_due(now)));
+        let due = order.filter(|name| asks.is_due(now, name));
         due.take(ASKS_PER_TICK).collect()
     }
 
@@ -595,51 +549,29 @@
     }
 
     fn find_basis(&self, now: Timestamp) -> Option<StartBasis> {
-        let StartProgress::Starting { asked, .. } = &self.start else {
+        let StartProgress::Starting { asks, .. } = &self.start else {
             return None;
         };
         if self.is_following(now) {
             return Some(StartBasis::OwnTail);
         }
         let own = self.fold.current().number;
-        let heard = |name: &PeerName| self.peers.get(name);
-        let answered = asked
-            .iter()
-            .filter(|(_, ask)| ask.answered)
-            .filter_map(|(name, _)| heard(name));
-        let following = answered
-            .clone()
-            .filter(|peer| peer.heard_at.is_some_and(|at| now.since(at) <= HEARD_FRESH))
-            .find(|peer| peer.is_following() && peer.number() <= Some(own));
-        if let Some(peer) = following {
-            return Some(StartBasis::PeerTail(peer.info.name.clone()));
+        if let Some(name) = asks.follower(now, own, &self.peers) {
+            return Some(StartBasis::PeerTail(name));
         }
         let all_asked = self
             .peers
             .iter()
             .filter(|peer| peer.info.data_centre == self.settings.own.data_centre)
-            .all(|peer| {
-                asked
-                    .get(&peer.info.name)
-                    .is_some_and(|ask| ask.is_done(now))
-            });
+            .all(|peer| asks.is_done(now, &peer.info.name));
+        let answered = asks.answered(&self.peers);
         let highest = answered.clone().filter_map(PeerState::number).max();
         let confirmed = self.peers.iter().any(PeerState::is_serving);
         let caught_up = self.pull.is_none() && highest <= Some(own);
         let ready = self.log.away && all_asked && confirmed && caught_up;
         ready.then(|| StartBasis::HighestPeer {
-            asked: asked.len(),
+            asked: asks.len(),
             answered: answered.count(),
         })
     }
 }
-
-impl StartAsk {
-    fn is_due(&self, now: Timestamp) -> bool {
-        !self.answered && self.tries < START_TRIES && START_TIMEOUT <= now.since(self.at)
-    }
-
-    fn is_done(&self, now: Timestamp) -> bool {
-        self.answered || (START_TRIES <= self.tries && START_TIMEOUT <= now.since(self.at))
-    }
-}
--- a/src/process/distribution/mod.rs
+++ b/src/process/distribution/mod.rs
@@ -6,6 +6,8 @@
 mod peer;
 mod report;
 mod snapshots;
+mod start;
+mod survey;
 mod tailing;
 
 pub use announcement::{AnnouncementKind, VersionAnnouncement, VersionBody};
--- a/tests/config_distribution.rs
+++ b/tests/config_distribution.rs
@@ -6,7 +6,7 @@
 
 use comfreyhead::prelude::*;
 use comfreyhead::process::distribution::{
-    SnapshotClock, StartBasis, TAIL_ENTRIES, VersionBody, snapshot_due,
+    DistributionEvent, SnapshotClock, StartBasis, TAIL_ENTRIES, VersionBody, snapshot_due,
 };
 use comfreyhead::version::config::{
     AccountConfig, ConfigChange, ConfigRecord, HISTORY_VERSIONS, NonceOutcome,
@@ -213,6 +213,22 @@
     assert_eq!(numbers(&network), vec![HISTORY_VERSIONS as u64 + 6; 18]);
 }
 
+#[test]
+fn a_survey_does_not_make_a_data_centre_seem_cut_off() {
+    let mut network = Network::new(settings(18, 9));
+    network.run_for(Duration::from_secs(20));
+    let now = network.now;
+
+    let distributor = &mut network.nodes[0].distributor;
+    distributor.start_survey(now, VersionNumber(1));
+    for _ in 0..5 {
+        distributor.on_event(now, DistributionEvent::Tick);
+    }
+
+    let centres = distributor.data_centres();
+    assert!(centres.iter().all(|centre| !centre.cut_off));
+}
+
 #[test]
 fn a_lost_reader_is_replaced() {
     let mut network = Network::new(settings(18, 8));
