--- a/src/version/config/digest.rs
+++ b/src/version/config/digest.rs
@@ -3,18 +3,16 @@
 use derive_more::Display;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::xxh3_128;
 
 use crate::prelude::*;
 
 use super::ConfigContent;
 
-/// The bytes of SHA-256 that a digest keeps.
-const DIGEST_BYTES: usize = 16;
-
-/// The first 16 bytes of SHA-256 over a content's JSON, in lower-case hex.
+/// The 128-bit XXH3 hash of a content's JSON, in hex.
 ///
-/// Maps are sorted and numbers have one spelling, so equal contents have equal digests.
+/// Maps are sorted and numbers have one spelling, so equal contents have equal digests. The
+/// digest finds faults; it is no protection against a forged content.
 #[derive(
     Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
 )]
@@ -29,7 +27,6 @@
     /// Never: a content holds string keys and finite numbers only.
     pub fn of(content: &ConfigContent) -> Self {
         let bytes = serde_json::to_vec(content).expect("content encodes");
-        let hash = Sha256::digest(&bytes);
-        Self(hex::encode(&hash[..DIGEST_BYTES]).into())
+        Self(format!("{:032x}", xxh3_128(&bytes)).into())
     }
 }
