--- a/examples/measure/placement/policy.rs
+++ b/examples/measure/placement/policy.rs
@@ -97,8 +97,8 @@
 fn guild_weights() -> PlacementConfig {
     PlacementConfig {
         skew_weight: 1.0,
-        move_weight: 1.0,
-        max_moves: 64,
+        move_weight: 2.4,
+        max_moves: 128,
         horizon_s: 600,
     }
 }
@@ -107,7 +107,7 @@
 fn frontenac_weights() -> PlacementConfig {
     PlacementConfig {
         skew_weight: 1.0,
-        move_weight: 0.05,
+        move_weight: 0.08,
         max_moves: 2_000,
         horizon_s: 600,
     }
--- a/src/version/expert_map/layer_search.rs
+++ b/src/version/expert_map/layer_search.rs
@@ -4,6 +4,7 @@
 
 use super::map::ExpertMap;
 use super::map_shape::{ExpertId, MapShape};
+use super::resolve::{LayerLoads, resolve_layer_near};
 
 /// The power of the smooth stand-in for the maximum of the rank times.
 const POTENTIAL_POWER: i32 = 12;
@@ -15,7 +16,13 @@
 const BALANCED_RATIO: f64 = 1.005;
 
 /// The changes in a row that may leave the slowest rank's time as it is.
-const MOST_IDLE_CHANGES: usize = 8;
+const MOST_IDLE_CHANGES: usize = 4;
+
+/// How far above the ideal a rank's time may be for its experts to stay in a new placement.
+const REBUILD_SLACK: f64 = 0.02;
+
+/// The least cost of a local search, above the ideal, at which a new placement is tried.
+const REBUILD_COST: f64 = 0.03;
 
 /// What one layer is searched from.
 #[derive(Clone, Copy, Debug)]
@@ -24,8 +31,15 @@
     pub(super) slots: &'a [ExpertId],
     pub(super) rates: &'a [f32],
     pub(super) speeds: &'a [f64],
-    /// The slowest rank's time over the ideal at which no further load can pay.
-    pub(super) least_ratio: f64,
+    /// The lowering of the slowest rank's time over the ideal that one load must bring to pay.
+    pub(super) load_price: f64,
+}
+
+impl LayerInput<'_> {
+    /// Returns the slowest rank's time over the ideal at which no further load can pay.
+    fn stop_ratio(&self) -> f64 {
+        BALANCED_RATIO.max(1.0 + self.load_price)
+    }
 }
 
 /// The changes that a search makes, in order, and the layer's balance after each.
@@ -51,45 +65,68 @@
 impl TrailPoint {
     /// Returns the lowering of the ratio per load on the way to a later point.
     pub(super) fn gain_per_load_to(&self, later: Self) -> f64 {
-        (self.ratio - later.ratio) / (later.loads - self.loads).max(1) as f64
+        (self.ratio - later.ratio) / later.loads.saturating_sub(self.loads).max(1) as f64
     }
 }
 
 impl LayerTrail {
-    /// Searches greedily until no change helps.
+    /// Searches from the layer as it is and from new placements near it; keeps the trail whose
+    /// best point has the least time and loads together.
     pub(super) fn search(input: &LayerInput<'_>) -> Self {
+        let state = LayerState::new(input);
+        let mut best = Self::follow(input, None);
+        if best.cost(input) <= 1.0 + REBUILD_COST {
+            return best;
+        }
+        let loads = LayerLoads {
+            shape: input.shape,
+            rates: input.rates,
+            speeds: input.speeds,
+        };
+        let most_time = state.ideal * (1.0 + REBUILD_SLACK);
+        let rebuilt = resolve_layer_near(&loads, input.slots, most_time);
+        let trail = Self::follow(input, Some(rebuilt));
+        if trail.cost(input) < best.cost(input) {
+            best = trail;
+        }
+        best
+    }
+
+    /// Searches greedily until no change helps, after a rebuild if there is one.
+    fn follow(input: &LayerInput<'_>, rebuilt: Option<Vec<ExpertId>>) -> Self {
         let mut state = LayerState::new(input);
-        let mut changes = Vec::new();
-        let mut points = vec![state.point(0, 0)];
-        let mut loads = 0;
-        let most_changes = input.slots.len();
+        let mut trail = Self {
+            ideal_time: state.ideal,
+            initial: input.slots.to_vec(),
+            points: vec![state.point(0)],
+            changes: Vec::new(),
+        };
+        let mut next = rebuilt.map(LayerChange::Rebuild);
         let mut best_ratio = f64::MAX;
         let mut n_idle = 0;
-        while input.least_ratio.max(BALANCED_RATIO) < state.ratio() && changes.len() < most_changes
-        {
+        while n_idle <= MOST_IDLE_CHANGES && trail.changes.len() < input.slots.len() {
+            let change = next.take().or_else(|| state.best_change());
+            let Some(change) = change else { break };
+            state.apply(&change);
+            trail.changes.push(change);
+            trail.points.push(state.point(trail.changes.len()));
+            if state.ratio() <= input.stop_ratio() {
+                break;
+            }
             n_idle = if state.ratio() < best_ratio {
                 0
             } else {
                 n_idle + 1
             };
             best_ratio = best_ratio.min(state.ratio());
-            if MOST_IDLE_CHANGES < n_idle {
-                break;
-            }
-            let Some(change) = state.best_change() else {
-                break;
-            };
-            state.apply(change);
-            loads += change.loads();
-            changes.push(change);
-            points.push(state.point(changes.len(), loads));
-        }
-        Self {
-            ideal_time: state.ideal,
-            initial: input.slots.to_vec(),
-            changes,
-            points,
         }
+        trail
+    }
+
+    /// Returns the least sum of the ratio and the price of the loads on the trail.
+    fn cost(&self, input: &LayerInput<'_>) -> f64 {
+        let cost = |point: &TrailPoint| point.ratio + point.loads as f64 * input.load_price;
+        self.points.iter().map(cost).fold(f64::MAX, f64::min)
     }
 
     /// Returns the point before any change.
@@ -120,26 +157,47 @@
 }
 
 /// One change of a layer's slots.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum LayerChange {
     /// A slot takes a replica of another expert.
     Replace { slot: usize, expert: ExpertId },
+    /// The layer is placed anew.
+    Rebuild(Vec<ExpertId>),
     /// Two slots exchange their experts.
     Swap { slot: usize, other: usize },
 }
 
 impl LayerChange {
+    fn apply_to(&self, slots: &mut [ExpertId]) {
+        match self {
+            Self::Replace { slot, expert } => slots[*slot] = *expert,
+            Self::Rebuild(rebuilt) => slots.copy_from_slice(rebuilt),
+            Self::Swap { slot, other } => slots.swap(*slot, *other),
+        }
+    }
+}
+
+/// A change within one layer that costs a known number of loads.
+#[derive(Clone, Copy)]
+enum SmallChange {
+    Replace { slot: usize, expert: ExpertId },
+    Swap { slot: usize, other: usize },
+}
+
+impl SmallChange {
     fn loads(self) -> usize {
         match self {
             Self::Replace { .. } => 1,
             Self::Swap { .. } => 2,
         }
     }
+}
 
-    fn apply_to(self, slots: &mut [ExpertId]) {
-        match self {
-            Self::Replace { slot, expert } => slots[slot] = expert,
-            Self::Swap { slot, other } => slots.swap(slot, other),
+impl From<SmallChange> for LayerChange {
+    fn from(change: SmallChange) -> Self {
+        match change {
+            SmallChange::Replace { slot, expert } => Self::Replace { slot, expert },
+            SmallChange::Swap { slot, other } => Self::Swap { slot, other },
         }
     }
 }
@@ -156,7 +214,7 @@
 /// The lowering of the potential by a change, per load.
 #[derive(Clone, Copy)]
 struct RatedChange {
-    change: LayerChange,
+    change: SmallChange,
     drop_per_load: f64,
 }
 
@@ -194,19 +252,31 @@
         self.times = times;
     }
 
-    fn point(&self, n_changes: usize, loads: usize) -> TrailPoint {
+    fn point(&self, n_changes: usize) -> TrailPoint {
         TrailPoint {
             n_changes,
-            loads,
+            loads: self.loads(),
             ratio: self.ratio(),
         }
     }
 
+    /// Returns the experts that ranks hold now and did not at the start.
+    fn loads(&self) -> usize {
+        let len = usize::from(self.input.shape.slots_per_rank);
+        let ranks = self.slots.chunks(len).zip(self.input.slots.chunks(len));
+        let added = |(now, before): (&[ExpertId], &[ExpertId])| {
+            let is_new =
+                |expert: &&ExpertId| **expert != ExpertMap::EMPTY_SLOT && !before.contains(expert);
+            now.iter().filter(is_new).count()
+        };
+        ranks.map(added).sum()
+    }
+
     fn ratio(&self) -> f64 {
         self.times.iter().copied().fold(0.0, f64::max) / self.ideal
     }
 
-    fn apply(&mut self, change: LayerChange) {
+    fn apply(&mut self, change: &LayerChange) {
         change.apply_to(&mut self.slots);
         self.recount();
     }
@@ -244,7 +314,7 @@
         let hottest =
             (0..self.times.len()).max_by(|&a, &b| self.times[a].total_cmp(&self.times[b]))?;
         let mut best: Option<RatedChange> = None;
-        let mut consider = |change: LayerChange| {
+        let mut consider = |change: SmallChange| {
             let drop_per_load = self.drop_of(change) / change.loads() as f64;
             if LEAST_DROP < drop_per_load && best.is_none_or(|b| b.drop_per_load < drop_per_load) {
                 best = Some(RatedChange {
@@ -256,11 +326,11 @@
         self.replicas_elsewhere(hottest, &mut consider);
         self.replacements_at(hottest, &mut consider);
         self.swaps_with(hottest, &mut consider);
-        best.map(|rated| rated.change)
+        best.map(|rated| rated.change.into())
     }
 
     /// Considers one more replica of each of a rank's experts, in any spare slot elsewhere.
-    fn replicas_elsewhere(&self, hottest: usize, consider: &mut impl FnMut(LayerChange)) {
+    fn replicas_elsewhere(&self, hottest: usize, consider: &mut impl FnMut(SmallChange)) {
         for slot in (0..self.slots.len()).filter(|&slot| self.spare(slot)) {
             let rank = self.rank_of(slot);
             if rank == hottest {
@@ -269,33 +339,33 @@
             let room = self.room_below(hottest, rank) + self.share(self.slots[slot], 0);
             for expert in self.experts_at(hottest) {
                 if self.share(expert, 1) < room && !self.holds(rank, expert) {
-                    consider(LayerChange::Replace { slot, expert });
+                    consider(SmallChange::Replace { slot, expert });
                 }
             }
         }
     }
 
     /// Considers another expert in place of each spare replica on a rank.
-    fn replacements_at(&self, hottest: usize, consider: &mut impl FnMut(LayerChange)) {
+    fn replacements_at(&self, hottest: usize, consider: &mut impl FnMut(SmallChange)) {
         for slot in self.slots_of(hottest).filter(|&slot| self.spare(slot)) {
             let old_share = self.share(self.slots[slot], 0);
             for expert in 0..self.input.shape.experts {
                 if self.share(expert, 1) < old_share && !self.holds(hottest, expert) {
-                    consider(LayerChange::Replace { slot, expert });
+                    consider(SmallChange::Replace { slot, expert });
                 }
             }
         }
     }
 
     /// Considers an exchange of each of a rank's experts with each expert elsewhere.
-    fn swaps_with(&self, hottest: usize, consider: &mut impl FnMut(LayerChange)) {
+    fn swaps_with(&self, hottest: usize, consider: &mut impl FnMut(SmallChange)) {
         for slot in self.slots_of(hottest) {
             let share = self.share(self.slots[slot], 0);
             for other in 0..self.slots.len() {
                 let other_share = self.share(self.slots[other], 0);
                 let room = self.room_below(hottest, self.rank_of(other));
                 if other_share < share && share - other_share < room && self.may_swap(slot, other) {
-                    consider(LayerChange::Swap { slot, other });
+                    consider(SmallChange::Swap { slot, other });
                 }
             }
         }
@@ -324,10 +394,10 @@
             .filter(|&expert| expert != ExpertMap::EMPTY_SLOT)
     }
 
-    fn drop_of(&self, change: LayerChange) -> f64 {
+    fn drop_of(&self, change: SmallChange) -> f64 {
         let deltas = match change {
-            LayerChange::Replace { slot, expert } => self.replace_deltas(slot, expert),
-            LayerChange::Swap { slot, other } => self.swap_deltas(slot, other),
+            SmallChange::Replace { slot, expert } => self.replace_deltas(slot, expert),
+            SmallChange::Swap { slot, other } => self.swap_deltas(slot, other),
         };
         deltas
             .iter()
--- a/src/version/expert_map/plan.rs
+++ b/src/version/expert_map/plan.rs
@@ -28,7 +28,7 @@
 /// Plans the next map: the moves whose gain over the horizon pays, best gain per load first.
 ///
 /// The gain of a move is `skew_weight` x lowered skew x horizon / 600 s, its cost `move_weight` x
-/// loaded bytes / expert memory of a rank. Each layer is searched on its own; the layers then
+/// loaded bytes / expert memory of a rank, as a mean over the ranks. Each layer is searched on its own; the layers then
 /// share the round's moves.
 pub fn plan(input: &PlanInput<'_>) -> PlacementPlan {
     let shape = input.current.shape();
@@ -64,7 +64,7 @@
         slots: input.current.layer(layer),
         rates: input.loads.layer(layer),
         speeds: input.speeds,
-        least_ratio: 1.0 + least_gain_per_load(input) * f64::from(input.current.shape().layers),
+        load_price: least_gain_per_load(input) * f64::from(input.current.shape().layers),
     }
 }
 
@@ -126,7 +126,9 @@
 /// Returns the least lowering of skew by which one load pays.
 fn least_gain_per_load(input: &PlanInput<'_>) -> f64 {
     let weights = input.weights;
-    let load_cost = weights.move_weight / input.current.shape().slots_of_rank() as f64;
+    let shape = input.current.shape();
+    let group_slots = shape.slots_of_rank() * usize::from(shape.ranks);
+    let load_cost = weights.move_weight / group_slots as f64;
     let horizon = f64::from(weights.horizon_s) / REFERENCE_HORIZON_S;
     load_cost / (weights.skew_weight * horizon).max(f64::MIN_POSITIVE)
 }
@@ -139,7 +141,7 @@
         segments.push(TrailSegment {
             layer_idx,
             n_changes: best.n_changes,
-            loads: best.loads - from.loads,
+            loads: best.loads.saturating_sub(from.loads),
             gain_per_load: from.gain_per_load_to(best) * layer_share,
         });
         from = best;
--- a/src/version/expert_map/resolve.rs
+++ b/src/version/expert_map/resolve.rs
@@ -27,6 +27,44 @@
 
 /// Places the experts of one layer anew.
 fn resolve_layer(shape: MapShape, rates: &[f32], speeds: &[f64]) -> Vec<ExpertId> {
+    let keeps = |_: usize, _: &Replica, _: f64| false;
+    place_layer(
+        &LayerLoads {
+            shape,
+            rates,
+            speeds,
+        },
+        keeps,
+    )
+}
+
+/// The loads of one layer and the ranks that share them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LayerLoads<'a> {
+    pub(super) shape: MapShape,
+    pub(super) rates: &'a [f32],
+    pub(super) speeds: &'a [f64],
+}
+
+/// Places the experts of one layer anew, but leaves a replica where it is as long as its rank
+/// does not take longer than `most_time`.
+pub(super) fn resolve_layer_near(
+    loads: &LayerLoads<'_>,
+    current: &[ExpertId],
+    most_time: f64,
+) -> Vec<ExpertId> {
+    let len = usize::from(loads.shape.slots_per_rank);
+    let keeps = |rank: usize, replica: &Replica, time: f64| {
+        time <= most_time && current[rank * len..(rank + 1) * len].contains(&replica.expert)
+    };
+    place_layer(loads, keeps)
+}
+
+fn place_layer(
+    loads: &LayerLoads<'_>,
+    keeps: impl Fn(usize, &Replica, f64) -> bool,
+) -> Vec<ExpertId> {
+    let LayerLoads { shape, rates, .. } = *loads;
     let replicas = share_out_replicas(shape, rates);
     let share = |expert: usize| f64::from(rates[expert]) / f64::from(replicas[expert]);
     let mut order: Vec<usize> = (0..rates.len()).collect();
@@ -35,16 +73,20 @@
     // The first replicas of all experts must fit; extra replicas are placed where room is left.
     let mut reserved = rates.len();
     for &expert in &order {
+        let replica = Replica {
+            expert: expert as ExpertId,
+            load: share(expert),
+        };
         for n_placed in 0..replicas[expert] {
             let free: usize = ranks.iter().map(|fill| fill.free(shape)).sum();
             if 0 < n_placed && free < reserved {
                 break;
             }
-            let Some(rank) = lightest_rank(&ranks, expert as ExpertId, shape, speeds) else {
+            let Some(rank) = choose_rank(&ranks, &replica, loads, &keeps) else {
                 break;
             };
-            ranks[rank].experts.push(expert as ExpertId);
-            ranks[rank].load += share(expert);
+            ranks[rank].experts.push(replica.expert);
+            ranks[rank].load += replica.load;
         }
         reserved -= 1;
     }
@@ -70,16 +112,31 @@
     }
 }
 
-fn lightest_rank(
-    ranks: &[RankFill],
+/// One replica that is to be placed.
+pub(super) struct Replica {
     expert: ExpertId,
-    shape: MapShape,
-    speeds: &[f64],
+    load: f64,
+}
+
+/// Returns the rank that would be done first with the replica, of those that keep it, or else of
+/// all that have room.
+fn choose_rank(
+    ranks: &[RankFill],
+    replica: &Replica,
+    loads: &LayerLoads<'_>,
+    keeps: &impl Fn(usize, &Replica, f64) -> bool,
 ) -> Option<usize> {
-    let time = |rank: usize| ranks[rank].load / speeds[rank];
-    (0..ranks.len())
-        .filter(|&rank| 0 < ranks[rank].free(shape) && !ranks[rank].experts.contains(&expert))
-        .min_by(|&a, &b| time(a).total_cmp(&time(b)))
+    let time = |rank: usize| (ranks[rank].load + replica.load) / loads.speeds[rank];
+    let has_room = |rank: &usize| {
+        let fill = &ranks[*rank];
+        0 < fill.free(loads.shape) && !fill.experts.contains(&replica.expert)
+    };
+    let earlier = |a: &usize, b: &usize| time(*a).total_cmp(&time(*b));
+    let kept = (0..ranks.len())
+        .filter(has_room)
+        .filter(|&rank| keeps(rank, replica, time(rank)))
+        .min_by(earlier);
+    kept.or_else(|| (0..ranks.len()).filter(has_room).min_by(earlier))
 }
 
 fn share_out_replicas(shape: MapShape, rates: &[f32]) -> Vec<u16> {
