--- a/src/version/expert_map/map.rs
+++ b/src/version/expert_map/map.rs
@@ -32,7 +32,9 @@
             .map(|slot_idx| {
                 let rank = slot_idx / usize::from(shape.slots_per_rank);
                 let slot = slot_idx % usize::from(shape.slots_per_rank);
-                ((slot * ranks + rank) % experts) as ExpertId
+                let dealt = slot * ranks + rank;
+                // Spare replicas go to other ranks than the first ones.
+                ((dealt + dealt / experts) % experts) as ExpertId
             })
             .collect();
         let slots = layer_slots.repeat(usize::from(shape.layers));
