--- a/src/process/entry/config_submit.rs
+++ b/src/process/entry/config_submit.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 use crate::process::operator::{PatchReport, PatchResult};
 use crate::process::platform::{AppendFailure, ConfigLog};
-use crate::version::config::{ConfigFold, ConfigRecord, FoldOutcome, NonceOutcome, RecordNonce};
+use crate::version::config::{AppendVerdict, ConfigFold, ConfigRecord, FoldOutcome, RecordNonce};
 
 use super::entry_process::EntryProcess;
 
@@ -41,21 +41,29 @@
             return report(process, PatchResult::NotWritten, &nonce, reason);
         }
     }
-    let verdict = tokio::time::timeout(VERDICT_WAIT, judge(&config_log, fold, &nonce)).await;
-    match verdict {
-        Ok(NonceOutcome::Accepted(version)) => PatchReport {
+    let base = record.base().unwrap_or_default();
+    let verdict = tokio::time::timeout(VERDICT_WAIT, judge(&config_log, fold, (&nonce, base)));
+    match verdict.await {
+        Ok(AppendVerdict::Accepted(version)) => PatchReport {
             result: PatchResult::Accepted,
             version,
             nonce: nonce.to_string(),
             reason: String::new(),
         },
-        Ok(NonceOutcome::Rejected(rejection)) => report(
+        Ok(AppendVerdict::Rejected(rejection)) => report(
             process,
             PatchResult::Rejected,
             &nonce,
             rejection.to_string(),
         ),
-        Ok(NonceOutcome::NotSeen) | Err(_) => {
+        Ok(AppendVerdict::Passed(version)) => {
+            let reason = format!(
+                "overtaken: version {version} is current, so this record can no longer be \
+                 accepted; send it again against {version}"
+            );
+            report(process, PatchResult::Rejected, &nonce, reason)
+        }
+        Ok(AppendVerdict::Open(_) | AppendVerdict::Forgotten) | Err(_) => {
             let reason = "the record was not read back in time; look for it in the history \
                           before you send it again";
             report(process, PatchResult::Unknown, &nonce, reason.to_owned())
@@ -63,8 +71,14 @@
     }
 }
 
-/// Folds the stream until it holds the record with `nonce`.
-async fn judge(config_log: &ConfigLog, mut fold: ConfigFold, nonce: &RecordNonce) -> NonceOutcome {
+/// Folds the stream until it is known what became of the record with `nonce` on `base`.
+///
+/// While the base is current a record whose answer was lost may still arrive.
+async fn judge(
+    config_log: &ConfigLog,
+    mut fold: ConfigFold,
+    (nonce, base): (&RecordNonce, VersionNumber),
+) -> AppendVerdict {
     let mut next = fold.rewind();
     loop {
         let Ok(page) = config_log.read(next, MAX_READ, READ_WAIT).await else {
@@ -81,9 +95,11 @@
                 break;
             }
         }
-        match fold.outcome_of(nonce) {
-            NonceOutcome::NotSeen => {}
-            outcome => return outcome,
+        if page.tail <= next {
+            match fold.verdict(nonce, base) {
+                AppendVerdict::Open(_) | AppendVerdict::Forgotten => {}
+                verdict => return verdict,
+            }
         }
     }
 }
--- a/tests/whole_path/faults.rs
+++ b/tests/whole_path/faults.rs
@@ -4,6 +4,7 @@
 
 use comfreyhead_standins::expected_tokens;
 use futures::future::join_all;
+use tokio::task::{JoinError, JoinHandle};
 
 use crate::caller::{StreamedText, read_stream, resume_stream};
 use crate::fleet::{CALLER_TOKEN, Fleet, FleetShape};
@@ -22,9 +23,7 @@
     })
     .await;
     let entries = fleet.callers();
-    let streams = (0..24).map(|idx| tokio::spawn(long_stream(entries[idx % 2], idx)));
-    let streams: Vec<_> = streams.collect();
-    wait_until_started(&fleet, 24).await;
+    let streams = start_streams(&fleet, 24).await;
 
     fleet.entries[1].terminate();
     fleet.agents[0].terminate();
@@ -33,9 +32,7 @@
     let agent_ended_well = fleet.agents[0].wait_for_end().await;
     let after = long_stream(entries[0], 99).await;
 
-    for (idx, answer) in answers.into_iter().enumerate() {
-        assert_whole(idx, &answer.expect("a stream"));
-    }
+    assert_all_whole(answers);
     assert!(entry_ended_well && agent_ended_well);
     assert_whole(99, &after);
 }
@@ -90,17 +87,12 @@
         services: 0,
     })
     .await;
-    let entries = fleet.callers();
-    let streams = (0..12).map(|idx| tokio::spawn(long_stream(entries[0], idx)));
-    let streams: Vec<_> = streams.collect();
-    wait_until_started(&fleet, 12).await;
+    let streams = start_streams(&fleet, 12).await;
 
     fleet.agents[1].kill();
     let answers = join_all(streams).await;
 
-    for (idx, answer) in answers.into_iter().enumerate() {
-        assert_whole(idx, &answer.expect("a stream"));
-    }
+    assert_all_whole(answers);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -111,17 +103,12 @@
         services: 0,
     })
     .await;
-    let entries = fleet.callers();
-    let streams = (0..12).map(|idx| tokio::spawn(long_stream(entries[0], idx)));
-    let streams: Vec<_> = streams.collect();
-    wait_until_started(&fleet, 12).await;
+    let streams = start_streams(&fleet, 12).await;
 
     fleet.engines[0].crash();
     let answers = join_all(streams).await;
 
-    for (idx, answer) in answers.into_iter().enumerate() {
-        assert_whole(idx, &answer.expect("a stream"));
-    }
+    assert_all_whole(answers);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -202,6 +189,21 @@
     streamed.expect("a stream")
 }
 
+/// Starts streams over all entry VMs and waits until each runs at an engine.
+async fn start_streams(fleet: &Fleet, n_streams: usize) -> Vec<JoinHandle<StreamedText>> {
+    let entries = fleet.callers();
+    let start = |idx| tokio::spawn(long_stream(entries[idx % entries.len()], idx));
+    let streams = (0..n_streams).map(start).collect();
+    wait_until_started(fleet, n_streams).await;
+    streams
+}
+
+fn assert_all_whole(answers: Vec<Result<StreamedText, JoinError>>) {
+    for (idx, answer) in answers.into_iter().enumerate() {
+        assert_whole(idx, &answer.expect("a stream"));
+    }
+}
+
 async fn wait_until_started(fleet: &Fleet, n_requests: usize) {
     for _ in 0..600 {
         let n_started: usize = fleet
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -6,3 +6,4 @@
 mod orders;
 mod requests;
 mod steps;
+mod versions;
