--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod config;
 mod orders;
+mod path;
 mod placement;
 mod routing;
 
@@ -21,6 +22,7 @@
     Capacity(capacity::CapacityArgs),
     Config(config::ConfigArgs),
     Orders(orders::OrdersArgs),
+    Path(path::PathArgs),
     Placement(placement::PlacementArgs),
     Routing(routing::RoutingArgs),
 }
@@ -31,6 +33,7 @@
         MeasurePart::Capacity(args) => capacity::run(&args),
         MeasurePart::Config(args) => config::run(&args),
         MeasurePart::Orders(args) => orders::run(&args),
+        MeasurePart::Path(args) => path::run(&args),
         MeasurePart::Placement(args) => placement::run(&args),
         MeasurePart::Routing(args) => routing::run(&args),
     }
--- a/examples/quickstart/callers.rs
+++ b/examples/quickstart/callers.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use serde_json::Value;
 
-use crate::fleet::{CALLER_TOKEN, Fleet};
+use super::fleet::{CALLER_TOKEN, Fleet};
 
 /// The longest time for an answer.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -32,10 +32,13 @@
 impl Caller {
     /// Makes a caller of a deployment.
     pub(crate) fn new(fleet: &Fleet) -> Self {
-        Self {
-            client: HttpClient::http1(),
-            entries: fleet.callers(),
-        }
+        Self::of(fleet.callers())
+    }
+
+    /// Makes a caller of these addresses.
+    pub(crate) fn of(entries: Vec<SocketAddr>) -> Self {
+        let client = HttpClient::http1();
+        Self { client, entries }
     }
 
     /// Posts a body to an entry VM and returns the whole answer.
--- a/examples/quickstart/fleet.rs
+++ b/examples/quickstart/fleet.rs
@@ -44,7 +44,7 @@
     changes: Vec<ConfigChange>,
     platform: PlatformStandIns,
     services: Vec<ServiceStandIn>,
-    _engines: Vec<EngineStandIn>,
+    engines: Vec<EngineStandIn>,
 }
 
 struct PlatformStandIns {
@@ -71,7 +71,7 @@
             changes: first_changes(),
             platform: start_platform().await?,
             services: Vec::new(),
-            _engines: Vec::new(),
+            engines: Vec::new(),
         };
         for idx in 1..=3 {
             let engine = EngineStandIn::start(loopback(), EngineOptions::default()).await;
@@ -80,7 +80,7 @@
             fleet
                 .start_agent(place, engine.address(), TargetKind::Engine)
                 .await?;
-            fleet._engines.push(engine);
+            fleet.engines.push(engine);
         }
         for idx in 1..=2 {
             let service = ServiceStandIn::start(loopback(), ServiceOptions::default()).await;
@@ -144,6 +144,11 @@
         self.callers.clone()
     }
 
+    /// Returns the addresses of the engines.
+    pub(crate) fn engines(&self) -> Vec<SocketAddr> {
+        self.engines.iter().map(EngineStandIn::address).collect()
+    }
+
     /// Returns the number of orders that the ledger servers ran.
     pub(crate) fn n_orders_run(&self) -> usize {
         self.services
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -35,7 +35,8 @@
 
 async fn run(args: &QuickstartArgs) -> Result<()> {
     let fleet = Fleet::start().await?;
-    println!("2 entry VMs, 3 model engines, 2 ledger servers in 2 data centres");
+    let n_engines = fleet.engines().len();
+    println!("2 entry VMs, {n_engines} model engines, 2 ledger servers in 2 data centres");
     let version = fleet.publish().await?;
     println!("configuration version {version} is in force at every process");
     let caller = Caller::new(&fleet);
