Tell the entry the agent's report number at the end of an answer

Cause: the end of a request was reported with the report number of its start, so that a request which ended after the next report stayed in the load estimate until the one after. Found by 'measure -- path': 24 callers on 24 slots got a refusal as overloaded. The rank's agent answers a leader only once its target knows the fencing number, and waits before it reads a target that ignores them.

--- a/examples/measure/path.rs
+++ b/examples/measure/path.rs
@@ -26,6 +26,8 @@
 const REQUESTS: usize = 40;
 /// The tokens of each answer.
 const TOKENS: u64 = 16;
+/// The longest time that is told apart, in microseconds.
+const MAX_TIME_US: u64 = 60_000_000;
 /// The path of the requests.
 const PATH: &str = "/v1/completions";
 
@@ -102,7 +104,8 @@
 async fn drive(addresses: &[SocketAddr], n_callers: usize) -> Result<PathFigures> {
     let started_at = Instant::now();
     let callers = (0..n_callers).map(|idx| call_again_and_again(addresses.to_vec(), idx));
-    let mut times = Histogram::<u64>::new(3).map_err(|err| Error::Invalid(err.to_string()))?;
+    let mut times = Histogram::<u64>::new_with_bounds(1, MAX_TIME_US, 3)
+        .map_err(|err| Error::Invalid(err.to_string()))?;
     for called in join_all(callers).await {
         for time_us in called? {
             times.saturating_record(time_us);
--- a/src/connection/work_message.rs
+++ b/src/connection/work_message.rs
@@ -80,6 +80,8 @@
 pub enum WorkLine {
     /// An event of the answer.
     Event(WorkEvent),
+    /// The number of the agent's last load report, just before the last event.
+    Sequence(u64),
     /// The target or its answer is lost; nothing follows.
     Lost(LossReason),
 }
--- a/src/process/agent/steps/rank_driver.rs
+++ b/src/process/agent/steps/rank_driver.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use slog::{debug, info, warn};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::connection::{StepEnvelope, StepParty};
 use crate::prelude::*;
@@ -22,6 +22,9 @@
 
 /// The time between two ticks of the machine, and between two looks at the target.
 const TICK: Duration = Duration::from_millis(50);
+/// The time in which an order of an earlier life of the agent may still reach a target that
+/// ignores fencing numbers.
+const ORDER_FLIGHT: Duration = Duration::from_secs(2);
 /// The pause after a target or the log service did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -51,6 +54,8 @@
     /// Where the leader that the rank follows takes control messages.
     leader: Option<SocketAddr>,
     running: Option<WindowNumber>,
+    /// The fencing numbers that the target was not yet told of.
+    open_fences: watch::Sender<u32>,
 }
 
 /// Drives the machine until the agent stops.
@@ -74,6 +79,7 @@
         inputs: sender,
         leader: None,
         running: None,
+        open_fences: watch::Sender::new(0),
         place,
         process: Arc::clone(&process),
     };
@@ -130,9 +136,7 @@
             }
         }
         match (reply, answer) {
-            (Some(reply), answer) => {
-                let _ = reply.send(answer);
-            }
+            (Some(reply), answer) => self.reply_fenced(reply, answer),
             (None, Some(message)) => self.send_leader(message),
             (None, None) => {}
         }
@@ -144,10 +148,7 @@
                 self.send_leader(message);
             }
             RankAction::ReadTarget => self.read_target(),
-            RankAction::FenceTarget(fencing) => {
-                let process = Arc::clone(&self.process);
-                tokio::spawn(async move { process.engine.fence(fencing).await });
-            }
+            RankAction::FenceTarget(fencing) => self.fence_target(fencing),
             RankAction::ReadLog => self.read_log(),
             RankAction::SendRank(rank, message) => {
                 let address = self.place.ranks[usize::from(rank)];
@@ -169,6 +170,33 @@
         }
     }
 
+    /// Tells the target of a fencing number, again until it answers.
+    fn fence_target(&self, fencing: FencingNumber) {
+        let process = Arc::clone(&self.process);
+        let open_fences = self.open_fences.clone();
+        open_fences.send_modify(|n_open| *n_open += 1);
+        tokio::spawn(async move {
+            while process.engine.fence(fencing).await.is_err() && !process.stop.is_cancelled() {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            open_fences.send_modify(|n_open| *n_open -= 1);
+        });
+    }
+
+    /// Answers once the target knows every fencing number that the rank has promised.
+    fn reply_fenced(
+        &self,
+        reply: oneshot::Sender<Option<StepMessage>>,
+        answer: Option<StepMessage>,
+    ) {
+        let mut open_fences = self.open_fences.subscribe();
+        tokio::spawn(async move {
+            if open_fences.wait_for(|n_open| *n_open == 0).await.is_ok() {
+                let _ = reply.send(answer);
+            }
+        });
+    }
+
     /// Orders the target to run a window. Only this agent gives it orders.
     fn run_window(&self, fencing: FencingNumber, window: WindowMap) {
         let process = Arc::clone(&self.process);
@@ -194,7 +222,11 @@
     fn read_target(&self) {
         let process = Arc::clone(&self.process);
         let inputs = self.inputs.clone();
+        let is_blind = !self.place.checks_fencing;
         tokio::spawn(async move {
+            if is_blind {
+                tokio::time::sleep(ORDER_FLIGHT).await;
+            }
             loop {
                 if let Ok(steps) = process.engine.steps().await {
                     let state = target_state(steps);
--- a/src/process/agent/work_api.rs
+++ b/src/process/agent/work_api.rs
@@ -15,7 +15,7 @@
 };
 use crate::prelude::*;
 use crate::process::routing::{CancelAnswer, RefusalReason, WorkCancel};
-use crate::request::ResumePoint;
+use crate::request::{EventBody, ResumePoint, WorkEvent};
 
 use super::agent_process::AgentProcess;
 use super::order_driver::OrderInput;
@@ -91,7 +91,7 @@
         }
     };
     match run {
-        Ok(run) => stream_run(serving, &run, from),
+        Ok(run) => stream_run(process, serving, &run, from),
         Err((reason, retry_after)) => {
             info!(process.log, "work refused"; "work" => %work, "reason" => %reason);
             refusal(process, reason, retry_after)
@@ -109,7 +109,7 @@
     }
     let run = serving.table.lock().run(&resume.work);
     match run.filter(|run| run.account == resume.account) {
-        Some(run) => stream_run(serving, &run, resume.from),
+        Some(run) => stream_run(process, serving, &run, resume.from),
         None => resume_failure(CancelAnswer::Forgotten),
     }
 }
@@ -140,6 +140,7 @@
 }
 
 fn stream_run(
+    process: &Arc<AgentProcess>,
     serving: &AgentServing,
     run: &Arc<WorkRun>,
     from: ResumePoint,
@@ -148,15 +149,35 @@
         return resume_failure(CancelAnswer::Finished);
     };
     let sequence = serving.table.lock().admission.report_sequence();
-    let mut response = stream_reply("application/x-ndjson", encode(lines));
+    let mut response = stream_reply("application/x-ndjson", encode(Arc::clone(process), lines));
     response
         .headers_mut()
         .insert(SEQUENCE_HEADER, HeaderValue::from(sequence));
     response
 }
 
-fn encode(lines: impl Stream<Item = WorkLine> + Send) -> impl Stream<Item = Bytes> + Send {
-    lines.map(|line| line.encode())
+/// Encodes the lines of an answer, with the number of the last load report before the end.
+fn encode(
+    process: Arc<AgentProcess>,
+    lines: impl Stream<Item = WorkLine> + Send,
+) -> impl Stream<Item = Bytes> + Send {
+    lines.map(move |line| {
+        let is_last = !matches!(
+            &line,
+            WorkLine::Event(WorkEvent {
+                body: EventBody::Payload(_),
+                ..
+            })
+        );
+        let serving = process.serving.get().filter(|_| is_last);
+        match serving.map(|serving| serving.table.lock().admission.report_sequence()) {
+            Some(sequence) => {
+                let number = WorkLine::Sequence(sequence).encode();
+                [number, line.encode()].concat().into()
+            }
+            None => line.encode(),
+        }
+    })
 }
 
 fn refusal(
--- a/src/process/entry/agent_watch.rs
+++ b/src/process/entry/agent_watch.rs
@@ -127,7 +127,7 @@
         if let Some(agent) = agent {
             send_heartbeat(&process, &target, &agent).await;
         }
-        let pause = HEARTBEAT_INTERVAL.mul_f64(rand::rng().random_range(0.8..1.0));
+        let pause = HEARTBEAT_INTERVAL.mul_f64(rand::rng().random_range(0.95..1.05));
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = heartbeat.cancelled() => return,
--- a/src/process/entry/dispatch.rs
+++ b/src/process/entry/dispatch.rs
@@ -151,7 +151,7 @@
     events: &UnboundedSender<TrackerEvent>,
 ) -> Option<TrackerEvent> {
     let attempt = place.work.attempt;
-    let sequence = report_sequence(&response);
+    let mut sequence = report_sequence(&response);
     let bytes =
         BodyDataStream::new(response.into_body()).map(|chunk| chunk.map_err(std::io::Error::other));
     let codec = LinesCodec::new_with_max_length(MAX_LINE_BYTES);
@@ -169,6 +169,7 @@
                     return None;
                 }
             }
+            Some(WorkLine::Sequence(last)) => sequence = last,
             Some(WorkLine::Lost(reason)) => {
                 debug!(process.log, "target lost"; "work" => %place.work, "reason" => %reason);
                 finish(process, place, DispatchResult::Crashed);
--- a/src/version/config/content.rs
+++ b/src/version/config/content.rs
@@ -159,7 +159,7 @@
 pub struct PlacementConfig {
     /// The cost of skew: of step time above the mean, as a share.
     pub skew_weight: f64,
-    /// The cost of moved bytes, as a share of a rank's expert memory.
+    /// The cost of moved bytes, as a share of a rank's expert memory, as a mean over the ranks.
     pub move_weight: f64,
     /// The most expert replicas loaded in one round.
     pub max_moves: u32,
