--- a/src/process/entry/agent_watch.rs
+++ b/src/process/entry/agent_watch.rs
@@ -17,7 +17,7 @@
 use super::known_agents::KnownAgent;
 
 /// The targets of one model or service that an entry VM subscribes to, at most.
-const SUBSET_TARGETS: usize = 64;
+const SUBSET_TARGETS: usize = 16;
 /// The pause between two looks at leases and subscriptions.
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
 /// The longest time for the answer to a heartbeat.
--- a/src/process/versions/log_reader.rs
+++ b/src/process/versions/log_reader.rs
@@ -44,7 +44,7 @@
         match page {
             Ok(page) => {
                 service.log_answered(true);
-                next = pass_on(&service, next, &page, &mut clock);
+                next = pass_on(&service, next, &page, &mut clock).await;
                 wait = if page.tail <= next {
                     READ_WAIT
                 } else {
@@ -67,7 +67,7 @@
 }
 
 /// Passes the records of a page on; returns where the next read begins.
-fn pass_on(
+async fn pass_on(
     service: &Arc<VersionService>,
     from: LogOffset,
     page: &LogPage,
@@ -78,7 +78,9 @@
             clock.last_written = Some(Timestamp::from_millis(record.at_ms));
         }
         let (offset, value) = (record.offset, record.value.clone());
-        service.take(DistributionEvent::LogRecord { offset, value });
+        service
+            .take_aside(DistributionEvent::LogRecord { offset, value })
+            .await;
     }
     let last = page.records.last().map(|record| record.offset.next());
     last.unwrap_or(from).max(page.oldest)
--- a/src/process/versions/service.rs
+++ b/src/process/versions/service.rs
@@ -204,6 +204,22 @@
         &self.settings.log
     }
 
+    /// Takes in an event that may fold a version, off the threads that route.
+    pub(super) async fn take_aside(self: &Arc<Self>, event: DistributionEvent) {
+        let service = Arc::clone(self);
+        let handle = tokio::runtime::Handle::current();
+        let taken = tokio::task::spawn_blocking(move || {
+            // What follows is carried out by tasks of the runtime.
+            let _guard = handle.enter();
+            service.take(event);
+        });
+        if let Err(err) = taken.await
+            && err.is_panic()
+        {
+            std::panic::resume_unwind(err.into_panic());
+        }
+    }
+
     /// Takes in what happened and carries out what follows.
     pub(super) fn take(self: &Arc<Self>, event: DistributionEvent) {
         let now = Timestamp::now();
@@ -312,7 +328,10 @@
             answer.map_err(|err| Error::Peer(err.to_string()))
         };
         match body.await {
-            Ok(body) => self.take(DistributionEvent::BodyReceived { from, body }),
+            Ok(body) => {
+                self.take_aside(DistributionEvent::BodyReceived { from, body })
+                    .await
+            }
             Err(err) => debug!(self.settings.log, "pull failed"; "peer" => %from, "error" => %err),
         }
     }
