--- a/src/bin/comfreyd/main.rs
+++ b/src/bin/comfreyd/main.rs
@@ -53,6 +53,7 @@
 
 #[tokio::main]
 async fn serve(settings: Settings, path: &Path) -> Result<()> {
+    stop_on_broken_invariants();
     let log = root_logger(settings.log, &settings.process.name);
     slog::info!(log, "settings read"; "file" => %path.display());
     match settings.role.clone() {
@@ -61,6 +62,15 @@
     }
 }
 
+/// Ends the process at a broken invariant, in whatever task it shows.
+fn stop_on_broken_invariants() {
+    let show = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        show(panic);
+        std::process::abort();
+    }));
+}
+
 async fn serve_entry(settings: Settings, entry: &EntrySettings, log: slog::Logger) -> Result<()> {
     let listeners = EntryListeners::bind(&settings, entry).await?;
     let process = EntryProcess::new(settings, log)?;
