--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -22,6 +22,6 @@
 pub use reply::{BodyFailure, ResponseBody, empty_reply, json_reply, read_body, stream_reply};
 pub use step_rpc::{MapRequest, PlanReport, StepEnvelope, StepParty};
 pub use work_message::{
-    CANCEL_PATH, LossReason, ORDER_PATH, OrderDispatch, RESUME_PATH, ResumeFailure,
+    CANCEL_PATH, EndLoad, LossReason, ORDER_PATH, OrderDispatch, RESUME_PATH, ResumeFailure,
     SEQUENCE_HEADER, WORK_PATH, WorkKind, WorkLine, WorkRefusal, WorkRequest, WorkResume,
 };
--- a/src/connection/work_message.rs
+++ b/src/connection/work_message.rs
@@ -6,7 +6,7 @@
 
 use crate::prelude::*;
 use crate::process::orders::{AttemptId, BodyDigest, KeyHistory, OrderKey};
-use crate::process::routing::{CancelAnswer, RefusalReason, WorkOffer};
+use crate::process::routing::{CancelAnswer, LoadReport, RefusalReason, WorkOffer};
 use crate::request::{ResumePoint, WorkEvent, WorkId};
 
 /// The path on which an agent takes work.
@@ -75,17 +75,26 @@
 }
 
 /// One line of an agent's streamed answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum WorkLine {
     /// An event of the answer.
     Event(WorkEvent),
-    /// The number of the agent's last load report, just before the last event.
-    Sequence(u64),
+    /// The load of the target, just before the last event.
+    Load(EndLoad),
     /// The target or its answer is lost; nothing follows.
     Lost(LossReason),
 }
 
+/// The load of a target as an answer ends.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndLoad {
+    /// A report made for this answer.
+    pub report: LoadReport,
+    /// The number of the last report that counts the answer's work as running.
+    pub sequence: u64,
+}
+
 /// Why an answer cannot go on at this agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 #[serde(rename_all = "kebab-case")]
--- a/src/process/agent/agent_process.rs
+++ b/src/process/agent/agent_process.rs
@@ -10,15 +10,20 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::connection::{AgentReadiness, ControlPool, WorkKind, bind, serve, serve_control};
+use crate::connection::{
+    AgentReadiness, ControlPool, EndLoad, WorkKind, bind, serve, serve_control,
+};
 use crate::prelude::*;
 use crate::process::distribution::{PeerInfo, PeerName, PeerRole};
 use crate::process::metrics::ProcessMetrics;
 use crate::process::operator::{HealthProbe, OperatorContext, start_operator_api};
 use crate::process::platform::{EngineClient, LogClient, ServiceClient, WeightClient};
-use crate::process::routing::{CrashSuspects, RequestDigest, TargetCrash};
+use crate::process::routing::{
+    AgentAdmission, CrashSuspects, LoadReport, RequestDigest, TargetCrash,
+};
 use crate::process::settings::{AgentSettings, Settings, TargetKind};
 use crate::process::versions::{VersionService, VersionSettings};
+use crate::request::WorkId;
 
 use super::order_driver::{OrderInput, drive_orders};
 use super::serving::{AgentServing, own_target};
@@ -185,6 +190,23 @@
         }
     }
 
+    /// Makes the load report for an answer that ends.
+    pub(super) fn end_load(&self, work: WorkId) -> Option<EndLoad> {
+        let mut table = self.serving.get()?.table.lock();
+        let report = self.load_report(&mut table.admission);
+        // The run may have ended a moment before the report was made.
+        let is_counted = table.admission.running().any(|running| running == work);
+        let sequence = report.sequence - u64::from(!is_counted);
+        Some(EndLoad { report, sequence })
+    }
+
+    /// Makes the next load report.
+    pub(super) fn load_report(&self, admission: &mut AgentAdmission) -> LoadReport {
+        let load = self.watch.load();
+        let step_time = Duration::from_secs_f64((load.step_ms / 1_000.0).max(0.0));
+        admission.next_report(Timestamp::now(), load.tokens_per_second as u32, step_time)
+    }
+
     /// Gives started work to the target, each in a task of its own.
     pub(super) fn spawn_runs(self: &Arc<Self>, started: Vec<StartedWork>) {
         for start in started {
--- a/src/process/agent/control_api.rs
+++ b/src/process/agent/control_api.rs
@@ -92,20 +92,14 @@
 }
 
 fn report(process: &AgentProcess, cache_from: u64) -> AgentReport {
-    let load = process.watch.load();
-    let step_time = Duration::from_secs_f64((load.step_ms / 1_000.0).max(0.0));
-    let tokens_per_second = load.tokens_per_second as u32;
     let (cache, cache_next) = process.watch.cache_since(cache_from);
     AgentReport {
         incarnation: process.incarnation,
         readiness: process.readiness(),
-        load: process.serving.get().map(|serving| {
-            serving.table.lock().admission.next_report(
-                Timestamp::now(),
-                tokens_per_second,
-                step_time,
-            )
-        }),
+        load: process
+            .serving
+            .get()
+            .map(|serving| process.load_report(&mut serving.table.lock().admission)),
         announcement: process.versions.announcement(),
         suspects: process.suspects.lock().reports(Timestamp::now()),
         cache,
--- a/src/process/agent/work_api.rs
+++ b/src/process/agent/work_api.rs
@@ -15,7 +15,7 @@
 };
 use crate::prelude::*;
 use crate::process::routing::{CancelAnswer, RefusalReason, WorkCancel};
-use crate::request::{EventBody, ResumePoint, WorkEvent};
+use crate::request::{EventBody, ResumePoint, WorkEvent, WorkId};
 
 use super::agent_process::AgentProcess;
 use super::order_driver::OrderInput;
@@ -149,16 +149,20 @@
         return resume_failure(CancelAnswer::Finished);
     };
     let sequence = serving.table.lock().admission.report_sequence();
-    let mut response = stream_reply("application/x-ndjson", encode(Arc::clone(process), lines));
+    let mut response = stream_reply(
+        "application/x-ndjson",
+        encode(Arc::clone(process), run.work, lines),
+    );
     response
         .headers_mut()
         .insert(SEQUENCE_HEADER, HeaderValue::from(sequence));
     response
 }
 
-/// Encodes the lines of an answer, with the number of the last load report before the end.
+/// Encodes the lines of an answer, with the target's load before the last one.
 fn encode(
     process: Arc<AgentProcess>,
+    work: WorkId,
     lines: impl Stream<Item = WorkLine> + Send,
 ) -> impl Stream<Item = Bytes> + Send {
     lines.map(move |line| {
@@ -169,12 +173,10 @@
                 ..
             })
         );
-        let serving = process.serving.get().filter(|_| is_last);
-        match serving.map(|serving| serving.table.lock().admission.report_sequence()) {
-            Some(sequence) => {
-                let number = WorkLine::Sequence(sequence).encode();
-                [number, line.encode()].concat().into()
-            }
+        match is_last.then(|| process.end_load(work)).flatten() {
+            Some(load) => [WorkLine::Load(load).encode(), line.encode()]
+                .concat()
+                .into(),
             None => line.encode(),
         }
     })
--- a/src/process/agent/work_run.rs
+++ b/src/process/agent/work_run.rs
@@ -173,7 +173,7 @@
             }) => {
                 self.point = self.point.extend(payload);
             }
-            WorkLine::Sequence(_) => {}
+            WorkLine::Load(_) => {}
             WorkLine::Event(_) | WorkLine::Lost(_) => self.is_over = true,
         }
     }
--- a/src/process/entry/dispatch.rs
+++ b/src/process/entry/dispatch.rs
@@ -169,7 +169,11 @@
                     return None;
                 }
             }
-            Some(WorkLine::Sequence(last)) => sequence = last,
+            Some(WorkLine::Load(load)) => {
+                sequence = load.sequence;
+                let mut targets = process.targets.lock();
+                targets.observe_report(Timestamp::now(), &place.target, &load.report);
+            }
             Some(WorkLine::Lost(reason)) => {
                 debug!(process.log, "target lost"; "work" => %place.work, "reason" => %reason);
                 finish(process, place, DispatchResult::Crashed);
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -34,6 +34,20 @@
     assert_eq!(loads, [Some(4), Some(4), Some(4), Some(3)]);
 }
 
+#[test]
+fn a_report_made_as_an_answer_ends_counts_at_once_and_without_the_ended_work() {
+    let mut table = table_of(1);
+    table.observe_report(now(), &target(0), &report(1, SLOTS));
+    table.dispatched(&target(0), work(1), &[]);
+    table.admitted(work(1), 1);
+
+    // The report still counts the work that ends, so the end names the same number.
+    table.observe_report(now(), &target(0), &report(2, 1));
+    table.finished(now(), work(1), DispatchResult::Answered { sequence: 2 });
+
+    assert_eq!(table.estimated_load(now(), &target(0)), Some(0));
+}
+
 #[test]
 fn a_report_that_comes_late_is_ignored() {
     let mut table = table_of(1);
