--- a/src/process/versions/log_reader.rs
+++ b/src/process/versions/log_reader.rs
@@ -7,6 +7,7 @@
 
 use crate::prelude::*;
 use crate::process::distribution::{DistributionEvent, SnapshotClock, snapshot_due};
+use crate::process::membership::reconnect_delay;
 use crate::process::platform::{CONFIG_STREAM, ConfigLog, LogClient, LogPage};
 
 use super::service::VersionService;
@@ -15,8 +16,6 @@
 const MAX_READ: usize = 256;
 /// How long a read at the end of the stream waits for records.
 const READ_WAIT: Duration = Duration::from_millis(1_500);
-/// The mean pause after a failed read.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// How long the log service keeps records, at least.
 const RETENTION: Duration = Duration::from_secs(24 * 3_600);
 
@@ -36,6 +35,7 @@
     };
     let mut next = from;
     let mut wait = Duration::ZERO;
+    let mut n_failures = 0;
     while !stop.is_cancelled() {
         let page = tokio::select! {
             page = config_log.read(next, MAX_READ, wait) => page,
@@ -44,6 +44,7 @@
         match page {
             Ok(page) => {
                 service.log_answered(true);
+                n_failures = 0;
                 next = pass_on(&service, next, &page, &mut clock).await;
                 wait = if page.tail <= next {
                     READ_WAIT
@@ -59,7 +60,8 @@
                 warn!(service.log(), "read of the configuration failed"; "error" => %err);
                 service.log_answered(false);
                 service.take(DistributionEvent::LogAway);
-                let pause = RETRY_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5));
+                let pause = reconnect_delay(n_failures, &mut rand::rng());
+                n_failures += 1;
                 tokio::time::sleep(pause).await;
             }
         }
