--- a/src/process/step_window/window_map.rs
+++ b/src/process/step_window/window_map.rs
@@ -1,36 +1,15 @@
 //! A step window and the map that it runs on.
 
-use derive_more::{Display, From, Into};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::version::expert_map::MapId;
+use crate::version::numbers::ordered_number;
 
-/// The number of a step window of a group.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    From,
-    Into,
-)]
-#[serde(transparent)]
-pub struct WindowNumber(pub u64);
-
-impl WindowNumber {
-    /// Returns the number that follows.
-    pub fn next(self) -> Self {
-        Self(self.0 + 1)
-    }
-}
+ordered_number!(
+    /// The number of a step window of a group.
+    WindowNumber
+);
 
 /// A step window and the map that it runs on.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/src/version/expert_map/map_number.rs
+++ b/src/version/expert_map/map_number.rs
@@ -1,34 +1,14 @@
 //! The number of an expert map.
 
-use derive_more::{Display, From, Into};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// The number of an expert map of a group; a later map has a higher number.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    From,
-    Into,
-)]
-#[serde(transparent)]
-pub struct MapNumber(pub u64);
+use crate::version::numbers::ordered_number;
 
-impl MapNumber {
-    /// Returns the number that follows.
-    pub fn next(self) -> Self {
-        Self(self.0 + 1)
-    }
-}
+ordered_number!(
+    /// The number of an expert map of a group; a later map has a higher number.
+    MapNumber
+);
 
 /// An expert map by its number and its content, so that two maps of one number are told apart.
 #[derive(
--- a/src/version/numbers.rs
+++ b/src/version/numbers.rs
@@ -1,15 +1,25 @@
 //! Numbers that order versions, records, incarnations and leaders.
 
-use derive_more::{Display, From, Into};
-use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
-
+/// Makes a number that orders things of one kind.
 macro_rules! ordered_number {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(
-            Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
-            Deserialize, JsonSchema, From, Into,
+            Clone,
+            Copy,
+            Debug,
+            Default,
+            PartialEq,
+            Eq,
+            PartialOrd,
+            Ord,
+            Hash,
+            derive_more::Display,
+            derive_more::From,
+            derive_more::Into,
+            schemars::JsonSchema,
+            serde::Deserialize,
+            serde::Serialize,
         )]
         #[serde(transparent)]
         pub struct $name(pub u64);
@@ -23,6 +33,8 @@
     };
 }
 
+pub(crate) use ordered_number;
+
 ordered_number!(
     /// The number of a configuration version; 0 is the empty configuration.
     VersionNumber
