--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod faults;
 mod fleet;
+mod operators;
 mod orders;
 mod requests;
 mod steps;
