--- a/src/process/entry/dispatch.rs
+++ b/src/process/entry/dispatch.rs
@@ -1,8 +1,8 @@
 //! Sends work to agents and turns what they answer into events of the request.
 
 use futures::StreamExt;
-use http::header::{AUTHORIZATION, CONTENT_TYPE};
-use http::{Request, Response, StatusCode};
+use http::header::AUTHORIZATION;
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyDataStream, Full};
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -17,7 +17,7 @@
 };
 use crate::prelude::*;
 use crate::process::membership::DispatchSign;
-use crate::process::platform::HttpFailure;
+use crate::process::platform::{HttpFailure, json_request};
 use crate::process::routing::{CancelAnswer, DispatchResult, RefusalReason, WorkCancel};
 use crate::request::{EventBody, TrackerEvent, WorkId};
 
@@ -248,12 +248,11 @@
     message: &impl Serialize,
     token: &str,
 ) -> Result<Request<Full<bytes::Bytes>>, HttpFailure> {
-    let body = serde_json::to_vec(message).map_err(|err| HttpFailure::Decode(err.to_string()))?;
-    Request::post(url)
-        .header(CONTENT_TYPE, "application/json")
-        .header(AUTHORIZATION, format!("Bearer {token}"))
-        .body(Full::from(body))
-        .map_err(|err| HttpFailure::Decode(err.to_string()))
+    let mut request = json_request(url, message)?;
+    let bearer = HeaderValue::from_str(&format!("Bearer {token}"));
+    let bearer = bearer.map_err(|err| HttpFailure::Decode(err.to_string()))?;
+    request.headers_mut().insert(AUTHORIZATION, bearer);
+    Ok(request)
 }
 
 fn report_sequence(response: &Response<Incoming>) -> u64 {
--- a/src/process/entry/peer_watch.rs
+++ b/src/process/entry/peer_watch.rs
@@ -22,6 +22,7 @@
 
 /// Exchanges with each peer until the process stops.
 pub(super) async fn watch_peers(process: Arc<EntryProcess>) {
+    let mut told = None;
     while !process.stop.is_cancelled() {
         let period = EXCHANGE_PERIOD.mul_f64(rand::rng().random_range(0.9..1.1));
         let due = process.peers.lock().take_due(Timestamp::now(), period);
@@ -29,9 +30,13 @@
             let process = Arc::clone(&process);
             tokio::spawn(async move { exchange(&process, address).await });
         }
-        let names = process.peers.lock().names();
-        process.limiter.lock().set_entries(&names);
-        set_members(&process);
+        let members = process.peers.lock().members();
+        if told.as_ref() != Some(&members) {
+            let names = process.peers.lock().names();
+            process.limiter.lock().set_entries(&names);
+            set_members(&process);
+            told = Some(members);
+        }
         tokio::select! {
             () = tokio::time::sleep(LOOK_PERIOD) => {}
             () = process.stop.cancelled() => return,
--- a/src/process/platform/http_client.rs
+++ b/src/process/platform/http_client.rs
@@ -163,10 +163,7 @@
 ///
 /// # Errors
 /// `Decode` when the URL or the body cannot be encoded.
-pub(super) fn json_request(
-    url: &str,
-    body: &impl Serialize,
-) -> Result<Request<Full<Bytes>>, HttpFailure> {
+pub fn json_request(url: &str, body: &impl Serialize) -> Result<Request<Full<Bytes>>, HttpFailure> {
     let bytes = serde_json::to_vec(body).map_err(bad_request)?;
     Request::builder()
         .method(Method::POST)
