Serve the users' platform: entries that call targets directly

A workspace member `fleet` holds the decisions and the forwarding (routes, roster, routing, admission, retries, streams, copies of the store passed on between entries); `platform` holds the names, codecs, settings and the store's client, and decides nothing.

--- /dev/null
+++ b/fleet/src/catalog/call_kind.rs
@@ -0,0 +1,26 @@
+//! What may be repeated of a call.
+
+/// What may be repeated of a call, as its route declares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// An idempotent call with one whole answer.
+    Safe,
+    /// A call that runs at most once.
+    Unsafe,
+    /// A stream of events that another target may continue after its last whole event.
+    ResumableStream,
+    /// A stream of events that runs at most once.
+    SingleStream,
+}
+
+impl CallKind {
+    /// Returns whether the call may run again after a run whose outcome is unknown.
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Self::Safe | Self::ResumableStream)
+    }
+
+    /// Returns whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::ResumableStream | Self::SingleStream)
+    }
+}
--- /dev/null
+++ b/fleet/src/forward/call_head.rs
@@ -0,0 +1,69 @@
+//! The head of a caller's request.
+
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Uri};
+
+use crate::prelude::*;
+
+use super::header_names::{HeaderNames, strip_hop_headers};
+
+/// The head of a caller's request, with what the entry needs taken out of the headers.
+#[derive(Clone, Debug)]
+pub struct CallHead {
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub uri: Uri,
+    /// The host that was asked for.
+    pub host: Arc<str>,
+    /// The id of this try of the caller.
+    pub attempt_id: Arc<str>,
+    /// The time that the caller will wait, where it says.
+    pub patience: Option<Duration>,
+    /// The caller's key.
+    pub key: Option<Arc<str>>,
+    /// The last event that the caller has.
+    pub last_event_id: Option<u64>,
+    /// The headers to pass on.
+    pub headers: HeaderMap,
+}
+
+impl CallHead {
+    /// Reads the head of a request. Returns `None` where the request has no host.
+    pub fn read(parts: Parts, names: &HeaderNames) -> Option<Self> {
+        let mut headers = parts.headers;
+        let text = |name| {
+            headers
+                .get(name)
+                .and_then(|value: &HeaderValue| value.to_str().ok())
+        };
+        let host: Arc<str> = match text(&http::header::HOST) {
+            Some(host) => host.into(),
+            None => parts.uri.host()?.into(),
+        };
+        let attempt_id = text(&names.attempt_id).unwrap_or_default().into();
+        let patience = text(&names.deadline_ms)
+            .and_then(|value| value.trim().parse().ok())
+            .map(Duration::from_millis);
+        let key = text(&names.key)
+            .and_then(|value| value.split_once(' '))
+            .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(&names.key_scheme))
+            .map(|(_, key)| key.trim().into());
+        let last_event_id = text(&names.last_event_id).and_then(|value| value.trim().parse().ok());
+        strip_hop_headers(&mut headers);
+        headers.remove(&names.key);
+        headers.remove(&names.account);
+        headers.remove(&names.expected_target);
+        headers.remove(&names.deadline_ms);
+        Some(Self {
+            method: parts.method,
+            uri: parts.uri,
+            host,
+            attempt_id,
+            patience,
+            key,
+            last_event_id,
+            headers,
+        })
+    }
+}
--- /dev/null
+++ b/fleet/src/peers/message.rs
@@ -0,0 +1,95 @@
+//! The messages between processes, as datagrams.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// A message between processes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// What an entry tells all others, several times a second.
+    Beat(PeerBeat),
+}
+
+/// What an entry tells all others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerBeat {
+    /// The hash of the sender's name.
+    pub sender: u64,
+    /// The sender's data centre.
+    pub zone: String,
+    /// Whether the sender is stopping.
+    pub draining: bool,
+    /// How far the sender has read the operators' topic.
+    pub operator: TopicPosition,
+    /// How far the sender has read the targets' topic.
+    pub targets: TopicPosition,
+    /// The requests in progress by target.
+    pub running: Vec<(u32, u16)>,
+    /// The demand by service, in requests a second.
+    pub demand: Vec<(u32, f32)>,
+}
+
+/// How far a process knows a topic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TopicPosition {
+    /// The offset after the last record that changed something.
+    pub changed_end: u64,
+    /// The time since that was confirmed by the store, in milliseconds; the greatest value where
+    /// it never was.
+    pub age_ms: u32,
+}
+
+/// The record by which a process makes itself known in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerRecord {
+    /// The address for datagrams and for pulls.
+    pub address: std::net::SocketAddr,
+}
+
+/// A keyed topic of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StoreTopic {
+    /// The operators' configuration.
+    Operator,
+    /// The targets' own records.
+    Targets,
+    /// The records of this system's processes.
+    Peers,
+}
+
+impl StoreTopic {
+    /// Returns the label for logs, metrics and paths.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Targets => "targets",
+            Self::Peers => "peers",
+        }
+    }
+}
+
+impl PeerMessage {
+    /// Returns the bytes of a datagram.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("messages_have_a_byte_form")
+    }
+
+    /// Reads a datagram; `None` where it is no message.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
+
+impl TopicPosition {
+    /// Creates a position from the time of its confirmation.
+    pub fn new(changed_end: u64, confirmed_at: Option<Instant>, now: Instant) -> Self {
+        let age = confirmed_at.map(|at| now.saturating_duration_since(at).as_millis());
+        Self {
+            changed_end,
+            age_ms: age
+                .and_then(|age| u32::try_from(age).ok())
+                .unwrap_or(u32::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/prelude.rs
@@ -0,0 +1,12 @@
+//! The common types of this crate.
+
+pub use std::sync::Arc;
+pub use std::time::Duration;
+
+pub use bytes::Bytes;
+pub use smallvec::SmallVec;
+pub use tokio::time::Instant;
+
+pub use crate::catalog::{CallKind, RouteCatalog, RouteSpec, ServiceSpec};
+pub use crate::request::{CallerAnswer, NotRunProof};
+pub use crate::roster::TargetEntry;
--- /dev/null
+++ b/fleet/src/process/caller_body.rs
@@ -0,0 +1,54 @@
+//! The body of an answer to a caller.
+
+use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+use crate::prelude::*;
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub enum CallerBody {
+    /// A whole body.
+    Whole(Full<Bytes>),
+    /// Events as they come. An error breaks the answer off, so that it does not look complete.
+    Events(mpsc::Receiver<Result<Bytes, io::Error>>),
+}
+
+impl CallerBody {
+    /// Creates a whole body.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Full::new(bytes))
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Pin::new(body)
+                .poll_frame(context)
+                .map_err(|err: Infallible| match err {}),
+            Self::Events(events) => events
+                .poll_recv(context)
+                .map(|event| event.map(|bytes| bytes.map(Frame::data))),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Events(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/process/caller_server.rs
@@ -0,0 +1,135 @@
+//! The connections of callers.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::catalog::CallerLimits;
+use crate::forward::set_silence_timeout;
+use crate::prelude::*;
+
+use super::entry_state::EntryState;
+use super::request_run::run_request;
+
+/// The smallest read buffer of a connection, in bytes; memory is paid for on small VMs.
+const READ_BUFFER: usize = 8_192;
+
+/// How often a connection checks whether it has been idle for too long.
+const IDLE_CHECK: Duration = Duration::from_secs(2);
+
+/// Accepts callers until new requests are refused, and then only finishes those in progress.
+pub async fn serve_callers(
+    listener: TcpListener,
+    state: Arc<EntryState>,
+    n_open: Arc<AtomicUsize>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.drain.closed() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let state = state.clone();
+                let open = OpenGuard::new(&n_open);
+                tokio::spawn(async move {
+                    serve_connection(stream, state).await;
+                    drop(open);
+                });
+            }
+            // Out of descriptors for now; those in use come back.
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+struct OpenGuard(Arc<AtomicUsize>);
+
+impl OpenGuard {
+    fn new(n_open: &Arc<AtomicUsize>) -> Self {
+        n_open.fetch_add(1, Ordering::Relaxed);
+        Self(n_open.clone())
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve_connection(stream: TcpStream, state: Arc<EntryState>) {
+    // Without the option, events wait for the acknowledgement of earlier ones.
+    let _ = stream.set_nodelay(true);
+    set_silence_timeout(&stream);
+    let n_running = Arc::new(AtomicUsize::new(0));
+    let n_served = Arc::new(AtomicU64::new(0));
+    let service = {
+        let (state, n_running, n_served) = (state.clone(), n_running.clone(), n_served.clone());
+        service_fn(move |request| {
+            let running = OpenGuard::new(&n_running);
+            n_served.fetch_add(1, Ordering::Relaxed);
+            let state = state.clone();
+            async move {
+                let response = run_request(state, request).await;
+                drop(running);
+                Ok::<_, Infallible>(response)
+            }
+        })
+    };
+    let limits = caller_limits(&state);
+    let connection = http1::Builder::new()
+        .max_buf_size(limits.header_bytes.max(READ_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut idle = IdleWatch::default();
+    loop {
+        tokio::select! {
+            // The caller sees the error of its own connection.
+            _ = connection.as_mut() => return,
+            () = state.drain.closed() => break,
+            () = tokio::time::sleep(IDLE_CHECK) => {
+                let n_served = n_served.load(Ordering::Relaxed);
+                let is_busy = 0 < n_running.load(Ordering::Relaxed);
+                let timeout = caller_limits(&state).idle_timeout;
+                if idle.is_over(n_served, is_busy, timeout) {
+                    break;
+                }
+            }
+        }
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+fn caller_limits(state: &EntryState) -> CallerLimits {
+    state
+        .catalog
+        .load()
+        .as_ref()
+        .map_or_else(CallerLimits::default, |catalog| catalog.limits)
+}
+
+/// Finds connections on which nothing has been asked for longer than the limit.
+#[derive(Debug, Default)]
+struct IdleWatch {
+    seen: Option<(u64, Instant)>,
+}
+
+impl IdleWatch {
+    fn is_over(&mut self, n_served: u64, is_busy: bool, timeout: Duration) -> bool {
+        let now = Instant::now();
+        match self.seen {
+            Some((seen, at)) if seen == n_served && !is_busy => at + timeout <= now,
+            _ => {
+                self.seen = Some((n_served, now));
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/process/entry_run.rs
@@ -0,0 +1,153 @@
+//! The entry process.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use slog::{Logger, info};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::forward::HeaderNames;
+use crate::peers::StoreTopic;
+use crate::prelude::*;
+
+use super::caller_server::serve_callers;
+use super::drain::DrainState;
+use super::entry_state::{BudgetSettings, EntryState};
+use super::knowledge::{Decoders, Knowledge};
+use super::ready_server::{serve_metrics, serve_ready};
+use super::store_access::{StoreFault, StoreReply, StoreRequest};
+use super::{peer_tasks, store_tasks};
+
+/// What an entry process is started with.
+#[derive(Clone, Debug)]
+pub struct EntryConfig {
+    /// The process's name, unique in the system.
+    pub name: Arc<str>,
+    /// Its data centre.
+    pub zone: Arc<str>,
+    /// The address for callers.
+    pub caller_address: SocketAddr,
+    /// The address for the balancer's questions.
+    pub ready_address: SocketAddr,
+    /// The path of the balancer's questions.
+    pub ready_path: Arc<str>,
+    /// The address for other entries: datagrams and pulls.
+    pub peer_address: SocketAddr,
+    /// The address for metrics.
+    pub metrics_address: SocketAddr,
+    /// The names of headers.
+    pub names: HeaderNames,
+    /// The bounds of the retry budget.
+    pub budget: BudgetSettings,
+    /// The time between the order to stop and the kill.
+    pub grace: Duration,
+    /// Reads the platform's records.
+    pub decoders: Decoders,
+}
+
+impl EntryConfig {
+    /// Returns the hash by which messages name this process.
+    pub fn own_hash(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(self.name.as_bytes())
+    }
+}
+
+/// Runs an entry until it is told to stop and its requests have ended.
+///
+/// `call` makes a call to the platform's store. Returns an error where an address cannot be bound.
+pub async fn run_entry<Call, Reply>(
+    config: EntryConfig,
+    call: Call,
+    log: Logger,
+) -> std::io::Result<()>
+where
+    Call: Fn(StoreRequest) -> Reply + Clone + Send + Sync + 'static,
+    Reply: Future<Output = Result<StoreReply, StoreFault>> + Send + 'static,
+{
+    let config = Arc::new(config);
+    let callers = TcpListener::bind(config.caller_address).await?;
+    let ready = TcpListener::bind(config.ready_address).await?;
+    let metrics = TcpListener::bind(config.metrics_address).await?;
+    let pulls = TcpListener::bind(config.peer_address).await?;
+    let datagrams = Arc::new(UdpSocket::bind(config.peer_address).await?);
+    let seed = config.own_hash();
+    let state = Arc::new(EntryState::new(
+        config.names.clone(),
+        config.zone.clone(),
+        config.budget,
+        seed,
+        log.clone(),
+    ));
+    let knowledge = Arc::new(Knowledge::new(state.clone(), config.decoders));
+    info!(log, "started"; "role" => "entry", "zone" => &*config.zone,
+        "callers" => %config.caller_address, "peers" => %config.peer_address);
+
+    for topic in [StoreTopic::Operator, StoreTopic::Targets] {
+        tokio::spawn(store_tasks::keep_topic(
+            topic,
+            config.clone(),
+            knowledge.clone(),
+            state.clone(),
+            call.clone(),
+        ));
+        tokio::spawn(peer_tasks::pull_topic(
+            topic,
+            knowledge.clone(),
+            state.clone(),
+        ));
+    }
+    tokio::spawn(store_tasks::join_peers(
+        config.clone(),
+        knowledge.clone(),
+        state.clone(),
+        call,
+    ));
+    tokio::spawn(peer_tasks::hear_beats(
+        knowledge.clone(),
+        state.clone(),
+        datagrams.clone(),
+    ));
+    tokio::spawn(peer_tasks::send_beats(
+        config.clone(),
+        knowledge.clone(),
+        state.clone(),
+        datagrams,
+    ));
+    tokio::spawn(peer_tasks::serve_pulls(pulls, knowledge));
+    tokio::spawn(serve_ready(ready, config.ready_path.clone(), state.clone()));
+    tokio::spawn(serve_metrics(metrics, "/metrics".into(), state.clone()));
+    let n_open = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(serve_callers(callers, state.clone(), n_open.clone()));
+
+    wait_for_stop(&state).await?;
+    finish(&config, &state, &n_open).await;
+    info!(log, "stopped"; "open" => n_open.load(Ordering::Relaxed));
+    Ok(())
+}
+
+async fn wait_for_stop(state: &EntryState) -> std::io::Result<()> {
+    let mut stop = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = stop.recv() => return Ok(()),
+            _ = reload.recv() => info!(state.log, "reload"; "changed" => false,
+                "reason" => "addresses and bounds hold for the life of a process"),
+        }
+    }
+}
+
+/// The time between two checks of whether all connections have ended.
+const END_CHECK: Duration = Duration::from_millis(20);
+
+async fn finish(config: &EntryConfig, state: &EntryState, n_open: &AtomicUsize) {
+    let began_at = Instant::now();
+    state.drain.begin(began_at);
+    info!(state.log, "stopping"; "open" => n_open.load(Ordering::Relaxed));
+    let end_at = DrainState::end_of_grace(began_at, config.grace);
+    state.drain.closed().await;
+    while Instant::now() < end_at && 0 < n_open.load(Ordering::Relaxed) {
+        tokio::time::sleep(END_CHECK).await;
+    }
+}
--- /dev/null
+++ b/fleet/src/process/entry_state.rs
@@ -0,0 +1,147 @@
+//! The tables that the tasks of an entry share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slog::Logger;
+use tokio::sync::Notify;
+
+use crate::forward::{HeaderNames, TargetPool};
+use crate::prelude::*;
+use crate::routing::{RetryBudget, RoutingTable};
+
+use super::drain::DrainState;
+use super::metrics::EntryMetrics;
+
+/// The tables that the tasks of an entry share.
+///
+/// Lock order: `table`, then `budgets`, then `rng`. No lock is held across an await.
+#[derive(Debug)]
+pub struct EntryState {
+    /// The names of headers.
+    pub names: HeaderNames,
+    /// The configuration in force; `None` before the first one.
+    pub catalog: ArcSwapOption<RouteCatalog>,
+    /// Targets, load and limits.
+    pub table: Mutex<RoutingTable>,
+    /// Connections to targets.
+    pub pool: TargetPool,
+    /// Told whenever a request ends and a place may be free.
+    pub room: Notify,
+    /// The number of entries that share the retry budget.
+    pub n_entries: AtomicUsize,
+    /// Whether the process is stopping.
+    pub drain: DrainState,
+    /// The time of the last word from the store, by itself or a peer.
+    pub confirmed_at: Mutex<Option<Instant>>,
+    /// Counters and histograms.
+    pub metrics: EntryMetrics,
+    /// The logger.
+    pub log: Logger,
+    budget_settings: BudgetSettings,
+    budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    rng: Mutex<ChaCha8Rng>,
+}
+
+/// The bounds of the retry budget that all entries share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetSettings {
+    /// The window in which retries are counted.
+    pub window: Duration,
+    /// The retries allowed for each request.
+    pub ratio: f64,
+    /// The retries allowed besides, for all entries together.
+    pub slack: f64,
+}
+
+/// The age of the last word from the store at which a denial may rest on an outdated version.
+const CONFIRMED_AGE: Duration = Duration::from_secs(3);
+
+impl EntryState {
+    /// Creates the tables of an entry.
+    pub fn new(
+        names: HeaderNames,
+        zone: Arc<str>,
+        budget_settings: BudgetSettings,
+        seed: u64,
+        log: Logger,
+    ) -> Self {
+        Self {
+            names,
+            catalog: ArcSwapOption::empty(),
+            table: Mutex::new(RoutingTable::new(zone)),
+            pool: TargetPool::default(),
+            room: Notify::new(),
+            n_entries: AtomicUsize::new(1),
+            drain: DrainState::default(),
+            confirmed_at: Mutex::new(None),
+            metrics: EntryMetrics::new(),
+            log,
+            budget_settings,
+            budgets: Mutex::new(HashMap::new()),
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+        }
+    }
+
+    /// Returns a number from `0.0..1.0`.
+    pub fn draw(&self) -> f64 {
+        self.rng.lock().random_range(0.0..1.0)
+    }
+
+    /// Runs a function with the routing table and the random source.
+    pub fn with_table<T>(&self, work: impl FnOnce(&mut RoutingTable, &mut ChaCha8Rng) -> T) -> T {
+        let mut table = self.table.lock();
+        let mut rng = self.rng.lock();
+        work(&mut table, &mut rng)
+    }
+
+    /// Counts a request of a caller towards a service's retry budget.
+    pub fn count_request(&self, service: &Arc<str>, now: Instant) {
+        self.with_budget(service, |budget| budget.count_request(now));
+    }
+
+    /// Draws a retry from a service's budget; returns whether it may be made.
+    pub fn draw_retry(&self, service: &Arc<str>, now: Instant) -> bool {
+        let n_entries = self.n_entries.load(Ordering::Relaxed);
+        self.with_budget(service, |budget| budget.draw(now, n_entries))
+    }
+
+    /// Returns whether the configuration was confirmed a short time ago, so that what it denies
+    /// may be denied.
+    pub fn is_confirmed(&self, now: Instant) -> bool {
+        self.confirmed_at
+            .lock()
+            .is_some_and(|at| now < at + CONFIRMED_AGE)
+    }
+
+    /// Takes in that the store, or a peer that reached it, confirmed what is known at a time.
+    pub fn confirm(&self, at: Instant) {
+        let mut confirmed_at = self.confirmed_at.lock();
+        *confirmed_at = Some(confirmed_at.map_or(at, |old| old.max(at)));
+    }
+
+    /// Returns whether the entry takes new connections: it knows a configuration and a target,
+    /// and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        !self.drain.is_draining()
+            && self.catalog.load().is_some()
+            && 0 < self.table.lock().n_usable()
+    }
+
+    fn with_budget<T>(&self, service: &Arc<str>, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock();
+        let BudgetSettings {
+            window,
+            ratio,
+            slack,
+        } = self.budget_settings;
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(window, ratio, slack));
+        work(budget)
+    }
+}
--- /dev/null
+++ b/fleet/src/process/metrics.rs
@@ -0,0 +1,83 @@
+//! Counters and latency histograms of an entry.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// The upper bounds of the latency buckets, in seconds: around the objectives of plain calls and
+/// streams, up to their deadlines.
+const LATENCY_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/// Counters and latency histograms of an entry.
+#[derive(Clone, Debug)]
+pub struct EntryMetrics {
+    registry: Registry,
+    /// Requests by kind and outcome.
+    pub requests: IntCounterVec,
+    /// Dispatches to targets by outcome.
+    pub dispatches: IntCounterVec,
+    /// The time to an answer or a first event by kind, in seconds.
+    pub latency: HistogramVec,
+    /// Calls to the platform's store by topic and result.
+    pub store_calls: IntCounterVec,
+    /// The configuration version in force.
+    pub version: IntGauge,
+    /// The targets that may get work.
+    pub targets: IntGauge,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl EntryMetrics {
+    /// Creates the metrics under a registry of their own.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels);
+            let counters = counters.expect("metric_names_are_valid");
+            registry
+                .register(Box::new(counters.clone()))
+                .expect("metrics_differ");
+            counters
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("metric_names_are_valid");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("metrics_differ");
+            gauge
+        };
+        let options = HistogramOpts::new(
+            "comfrey_answer_seconds",
+            "Time to an answer or a first event",
+        );
+        let options = options.buckets(LATENCY_BUCKETS.to_vec());
+        let latency = HistogramVec::new(options, &["kind"]).expect("metric_names_are_valid");
+        registry
+            .register(Box::new(latency.clone()))
+            .expect("metrics_differ");
+        Self {
+            requests: counters("comfrey_requests", "Requests", &["kind", "outcome"]),
+            dispatches: counters("comfrey_dispatches", "Dispatches to targets", &["outcome"]),
+            store_calls: counters("comfrey_store_calls", "Store calls", &["topic", "result"]),
+            version: gauge("comfrey_config_version", "Configuration version in force"),
+            targets: gauge("comfrey_targets", "Targets that may get work"),
+            latency,
+            registry,
+        }
+    }
+
+    /// Returns all metrics in the text format.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode(&families, &mut text)
+            .expect("metrics_have_a_text_form");
+        text
+    }
+}
--- /dev/null
+++ b/fleet/src/process/mod.rs
@@ -0,0 +1,30 @@
+//! The entry process: the tables that its tasks share, and the tasks.
+
+mod caller_body;
+mod caller_server;
+mod drain;
+mod entry_run;
+mod entry_state;
+mod knowledge;
+mod logger;
+mod metrics;
+mod peer_tasks;
+mod plain_run;
+mod ready_server;
+mod request_run;
+mod running_guard;
+mod store_access;
+mod store_tasks;
+mod stream_run;
+
+pub use caller_body::CallerBody;
+pub use caller_server::serve_callers;
+pub use drain::DrainState;
+pub use entry_run::{EntryConfig, run_entry};
+pub use entry_state::{BudgetSettings, EntryState};
+pub use knowledge::{Decoders, Knowledge};
+pub use logger::root_logger;
+pub use metrics::EntryMetrics;
+pub use ready_server::{serve_metrics, serve_ready};
+pub use request_run::run_request;
+pub use store_access::{StoreFault, StoreReply, StoreRequest};
--- /dev/null
+++ b/fleet/src/process/request_run.rs
@@ -0,0 +1,311 @@
+//! A caller's request from its head to its answer.
+
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use slog::{debug, info};
+
+use crate::catalog::{Account, RouteMiss};
+use crate::forward::{AnswerHead, CallHead, TargetAnswer, TargetCall, call_target};
+use crate::prelude::*;
+use crate::request::next_step;
+use crate::request::{AttemptOutcome, CallProgress, DeniedReason, NextStep, UnknownReason};
+use crate::routing::TargetPick;
+
+use super::caller_body::CallerBody;
+use super::entry_state::EntryState;
+use super::running_guard::RunningGuard;
+use super::{plain_run, stream_run};
+
+/// The time after which a caller may come back before the first configuration is known, or while
+/// a service has no target: that of a few reads of the store.
+const RETRY_UNPREPARED: Duration = Duration::from_millis(500);
+
+/// The time after which a caller may come back whose request targets turned away as full.
+const RETRY_DISCLAIMED: Duration = Duration::from_millis(200);
+
+/// The time after which a caller may come back to another entry when this one stops.
+const RETRY_STOPPING: Duration = Duration::from_millis(50);
+
+/// A request that a route allows.
+pub(super) struct CallContext {
+    pub(super) state: Arc<EntryState>,
+    pub(super) head: CallHead,
+    pub(super) body: Bytes,
+    pub(super) route: Arc<RouteSpec>,
+    pub(super) account: Option<Account>,
+    pub(super) service: Arc<str>,
+    pub(super) received_at: Instant,
+    /// The end of the time that the caller or the route gives.
+    pub(super) deadline: Instant,
+}
+
+/// What one dispatch brought: a target's answer, and the count of the request there.
+pub(super) struct Dispatched {
+    pub(super) pick: TargetPick,
+    pub(super) guard: RunningGuard,
+    pub(super) answer: TargetAnswer,
+}
+
+/// Runs a caller's request and returns its answer.
+pub async fn run_request(
+    state: Arc<EntryState>,
+    request: Request<Incoming>,
+) -> Response<CallerBody> {
+    let received_at = Instant::now();
+    let (parts, body) = request.into_parts();
+    let Some(head) = CallHead::read(parts, &state.names) else {
+        return own_answer(
+            &state,
+            "",
+            CallerAnswer::Denied(DeniedReason::BadRequest),
+            "no host",
+        );
+    };
+    let attempt_id = head.attempt_id.clone();
+    let body_limit = match &*state.catalog.load() {
+        Some(catalog) => catalog.limits.body_bytes,
+        None => crate::catalog::CallerLimits::default().body_bytes,
+    };
+    let body = match Limited::new(body, body_limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
+            let answer = CallerAnswer::Denied(DeniedReason::BodyTooLarge);
+            return own_answer(&state, &attempt_id, answer, "body limit");
+        }
+        // The caller broke off; nobody reads the answer.
+        Err(_) => {
+            let answer = CallerAnswer::Denied(DeniedReason::BadRequest);
+            return own_answer(&state, &attempt_id, answer, "body broke off");
+        }
+    };
+    match admit_call(&state, head, body, received_at) {
+        Ok(call) if call.route.kind.is_stream() => stream_run::run(call).await,
+        Ok(call) => plain_run::run(call).await,
+        Err((answer, why)) => own_answer(&state, &attempt_id, answer, why),
+    }
+}
+
+fn admit_call(
+    state: &Arc<EntryState>,
+    head: CallHead,
+    body: Bytes,
+    received_at: Instant,
+) -> Result<CallContext, (CallerAnswer, &'static str)> {
+    let refuse = |after| CallerAnswer::Refused(NotRunProof::never_sent(), after);
+    let Some(catalog) = state.catalog.load_full() else {
+        return Err((refuse(RETRY_UNPREPARED), "no configuration"));
+    };
+    if state.drain.is_closed(received_at) {
+        return Err((refuse(RETRY_STOPPING), "stopping"));
+    }
+    let key = head.key.as_deref();
+    let (route, account) = match catalog.resolve(&head.host, head.uri.path(), key) {
+        Ok(resolved) => resolved,
+        // An outdated version may lack what a newer one allows.
+        Err(_) if !state.is_confirmed(received_at) => {
+            return Err((
+                refuse(RETRY_UNPREPARED),
+                "not allowed by an unconfirmed version",
+            ));
+        }
+        Err(RouteMiss::NoRoute) => {
+            return Err((CallerAnswer::Denied(DeniedReason::NoRoute), "no route"));
+        }
+        Err(RouteMiss::UnknownKey) => {
+            return Err((
+                CallerAnswer::Denied(DeniedReason::UnknownKey),
+                "unknown key",
+            ));
+        }
+    };
+    let Some(service) = route.pick_service(state.draw()).cloned() else {
+        return Err((refuse(RETRY_UNPREPARED), "route without a service"));
+    };
+    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    state.count_request(&service, received_at);
+    Ok(CallContext {
+        state: state.clone(),
+        head,
+        body,
+        route,
+        account,
+        service,
+        received_at,
+        deadline: received_at + patience,
+    })
+}
+
+impl CallContext {
+    /// Returns the time left until the deadline.
+    pub(super) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Chooses a target and sends the request to it.
+    pub(super) async fn dispatch(
+        &self,
+        excluded: &mut SmallVec<[Arc<str>; 2]>,
+        last_event_id: Option<u64>,
+        head_limit: Duration,
+    ) -> Result<Dispatched, AttemptOutcome> {
+        let state = &self.state;
+        let now = Instant::now();
+        let pick = state
+            .with_table(|table, rng| table.choose(&self.service, excluded, now, rng))
+            .ok_or(AttemptOutcome::NotSent)?;
+        excluded.push(pick.id.clone());
+        debug!(state.log, "dispatch"; "request" => &*self.head.attempt_id,
+            "target" => &*pick.id, "running" => pick.running, "score" => pick.score,
+            "left_ms" => self.time_left().as_millis() as u64);
+        let guard = RunningGuard::begin(state, &pick.id);
+        let time_left = self.time_left();
+        let call = TargetCall {
+            head: &self.head,
+            body: self.body.clone(),
+            pick: &pick,
+            account: self.account.as_ref().map(|account| &*account.name),
+            last_event_id,
+            time_left,
+            head_limit: head_limit.min(time_left),
+        };
+        let result = call_target(&call, &state.pool, &state.names).await;
+        self.record(&pick, result.as_ref().err().copied());
+        result.map(|answer| Dispatched {
+            pick,
+            guard,
+            answer,
+        })
+    }
+
+    /// Takes in what became of a dispatch.
+    pub(super) fn record(&self, pick: &TargetPick, outcome: Option<AttemptOutcome>) {
+        let now = Instant::now();
+        let label = match outcome {
+            None => "answered",
+            Some(AttemptOutcome::NotSent) => "not-sent",
+            Some(AttemptOutcome::NotRun) => "not-run",
+            Some(AttemptOutcome::Failed) => "failed",
+            Some(AttemptOutcome::Unknown) => "unknown",
+            Some(AttemptOutcome::Silent) => "silent",
+        };
+        self.state
+            .metrics
+            .dispatches
+            .with_label_values(&[label])
+            .inc();
+        if outcome.is_some() {
+            info!(self.state.log, "dispatch failed"; "request" => &*self.head.attempt_id,
+                "target" => &*pick.id, "outcome" => label);
+        }
+        let mut table = self.state.table.lock();
+        let Some(health) = table.health_mut(&pick.id) else {
+            return;
+        };
+        match outcome {
+            None => health.record_success(now),
+            Some(AttemptOutcome::NotSent) => health.record_unreachable(now),
+            Some(_) => health.record_failure(now),
+        }
+    }
+
+    /// Decides what follows a dispatch that brought no answer.
+    pub(super) fn next_step(&self, progress: &CallProgress, outcome: AttemptOutcome) -> NextStep {
+        let now = Instant::now();
+        let has_target = self.state.table.lock().has_target(&self.service);
+        let budget = || has_target && self.state.draw_retry(&self.service, now);
+        let step = next_step(&self.route, progress, outcome, self.time_left(), budget);
+        info!(self.state.log, "after a failed dispatch"; "request" => &*self.head.attempt_id,
+            "sends" => progress.sends, "runs" => progress.possible_runs,
+            "connects" => progress.failed_connects, "step" => ?step);
+        step
+    }
+
+    /// Returns the answer where no target's answer can be had.
+    pub(super) fn give_up(&self, step: NextStep) -> Response<CallerBody> {
+        let answer = match step {
+            NextStep::Refuse(proof) if proof == NotRunProof::never_sent() => {
+                CallerAnswer::Refused(proof, RETRY_UNPREPARED)
+            }
+            NextStep::Refuse(proof) => CallerAnswer::Refused(proof, RETRY_DISCLAIMED),
+            NextStep::GiveUp(reason) => CallerAnswer::Unknown(reason),
+            NextStep::Retry => CallerAnswer::Unknown(UnknownReason::BadAnswer),
+        };
+        self.own_answer(answer, "no target answered")
+    }
+
+    /// Returns an answer of this process.
+    pub(super) fn own_answer(&self, answer: CallerAnswer, why: &str) -> Response<CallerBody> {
+        own_answer(&self.state, &self.head.attempt_id, answer, why)
+    }
+
+    /// Returns a target's answer with a body.
+    pub(super) fn target_answer(&self, head: AnswerHead, body: CallerBody) -> Response<CallerBody> {
+        let kind = kind_label(self.route.kind);
+        let elapsed = self.received_at.elapsed();
+        let metrics = &self.state.metrics;
+        metrics
+            .requests
+            .with_label_values(&[kind, head.status.as_str()])
+            .inc();
+        metrics
+            .latency
+            .with_label_values(&[kind])
+            .observe(elapsed.as_secs_f64());
+        info!(self.state.log, "answered"; "request" => &*self.head.attempt_id,
+            "route" => &*self.route.name, "status" => head.status.as_u16(),
+            "after_ms" => elapsed.as_millis() as u64);
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = head.headers;
+        close_if_stopping(&self.state, &mut response);
+        response
+    }
+}
+
+/// Returns the label of a kind of call, for metrics.
+pub(super) fn kind_label(kind: CallKind) -> &'static str {
+    match kind {
+        CallKind::Safe => "safe",
+        CallKind::Unsafe => "unsafe",
+        CallKind::ResumableStream | CallKind::SingleStream => "stream",
+    }
+}
+
+/// Returns an answer of this process, logged and counted.
+pub(super) fn own_answer(
+    state: &EntryState,
+    attempt_id: &str,
+    answer: CallerAnswer,
+    why: &str,
+) -> Response<CallerBody> {
+    info!(state.log, "own answer"; "request" => attempt_id, "answer" => ?answer, "why" => why);
+    let status = answer.status();
+    state
+        .metrics
+        .requests
+        .with_label_values(&["own", status.as_str()])
+        .inc();
+    let mut response = Response::new(CallerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(attempt_id) {
+        headers.insert(state.names.attempt_id.clone(), id);
+    }
+    if let CallerAnswer::Refused(_, after) = answer {
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        let value = HeaderValue::from_str(&seconds).expect("digits_make_a_header_value");
+        headers.insert(state.names.retry_after.clone(), value);
+    }
+    close_if_stopping(state, &mut response);
+    response
+}
+
+fn close_if_stopping(state: &EntryState, response: &mut Response<CallerBody>) {
+    if state.drain.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+}
--- /dev/null
+++ b/fleet/src/process/stream_run.rs
@@ -0,0 +1,288 @@
+//! Calls whose answer is a stream of events.
+
+use std::io;
+
+use http::Response;
+use slog::{debug, info};
+use tokio::sync::mpsc;
+
+use crate::forward::{RelayEnd, StreamEvent, StreamRelay};
+use crate::prelude::*;
+use crate::request::{AttemptOutcome, CallProgress, NextStep, UnknownReason};
+use crate::routing::AdmitDecision;
+
+use super::caller_body::CallerBody;
+use super::request_run::{CallContext, Dispatched};
+
+/// The events that may wait for a slow caller.
+const EVENT_QUEUE: usize = 4;
+
+/// The part of the objective for which a stream waits for room before it is refused.
+const WAIT_PART: f64 = 0.125;
+
+/// The time without a first event after which a stream is sent to another target, while the other
+/// streams of the group go on.
+const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// The pause between events, in allowed pauses, after which a stream goes on at another target
+/// while the other streams of the group go on.
+const SILENT_PAUSES: u32 = 5;
+
+/// The shortest time that counts as silence.
+const LEAST_SILENCE: Duration = Duration::from_millis(500);
+
+/// A stream in progress.
+struct StreamState {
+    progress: CallProgress,
+    excluded: SmallVec<[Arc<str>; 2]>,
+    relay: StreamRelay,
+    last_event_at: Option<Instant>,
+}
+
+/// Runs a call whose answer is a stream of events.
+pub(super) async fn run(call: CallContext) -> Response<CallerBody> {
+    if let Err(answer) = admit(&call).await {
+        return call.own_answer(answer, "no room in the group");
+    }
+    let mut stream = StreamState {
+        progress: CallProgress::default(),
+        excluded: SmallVec::new(),
+        relay: StreamRelay::new(call.head.last_event_id),
+        last_event_at: None,
+    };
+    let starting = start(&call, &mut stream);
+    let started = match tokio::time::timeout_at(call.deadline, starting).await {
+        Ok(Ok(started)) => started,
+        Ok(Err(step)) => return call.give_up(step),
+        Err(_) => {
+            let answer = CallerAnswer::Unknown(UnknownReason::Timeout);
+            return call.own_answer(answer, "deadline before the first event");
+        }
+    };
+    let (dispatched, first) = started;
+    let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
+    let response = call.target_answer(dispatched.answer.head.clone(), CallerBody::Events(receiver));
+    // A head that is no stream of success is passed on like any answer; its body may be any.
+    tokio::spawn(pump(call, stream, dispatched, first, sender));
+    response
+}
+
+/// Waits a short time for room in the group, or refuses.
+async fn admit(call: &CallContext) -> Result<(), CallerAnswer> {
+    let state = &call.state;
+    let has_engine = state.catalog.load().as_ref().and_then(|catalog| {
+        catalog
+            .services
+            .get(&call.service)
+            .map(|spec| spec.engine.is_some())
+    });
+    if has_engine != Some(true) {
+        return Ok(());
+    }
+    state
+        .table
+        .lock()
+        .limit_mut(&call.service)
+        .observe_arrival(call.received_at);
+    let wait_until = call.received_at + call.route.objective.mul_f64(WAIT_PART);
+    loop {
+        let room = state.room.notified();
+        let now = Instant::now();
+        let (decision, load) = state
+            .table
+            .lock()
+            .admit(&call.service, call.route.pause, now);
+        debug!(state.log, "admit"; "request" => &*call.head.attempt_id, "decision" => ?decision,
+            "running" => load.running, "own" => load.own, "slots" => load.slots,
+            "peer_demand" => load.peer_demand);
+        let retry_after = match decision {
+            AdmitDecision::Admit => return Ok(()),
+            AdmitDecision::Full(retry_after) => retry_after,
+        };
+        if tokio::time::timeout_at(wait_until, room).await.is_err() {
+            return Err(CallerAnswer::Refused(
+                NotRunProof::never_sent(),
+                retry_after,
+            ));
+        }
+    }
+}
+
+/// Sends the request until a target's first event is there.
+async fn start(
+    call: &CallContext,
+    stream: &mut StreamState,
+) -> Result<(Dispatched, Result<StreamEvent, RelayEnd>), NextStep> {
+    loop {
+        let outcome = match attempt_start(call, stream).await {
+            Ok(started) => return Ok(started),
+            Err(outcome) => outcome,
+        };
+        stream.progress.record(outcome);
+        match call.next_step(&stream.progress, outcome) {
+            NextStep::Retry => stream.relay.restart(),
+            step => return Err(step),
+        }
+    }
+}
+
+async fn attempt_start(
+    call: &CallContext,
+    stream: &mut StreamState,
+) -> Result<(Dispatched, Result<StreamEvent, RelayEnd>), AttemptOutcome> {
+    let last_id = stream.relay.last_id();
+    let dispatching = call.dispatch(&mut stream.excluded, last_id, call.time_left());
+    let silence = silence_limit(call, FIRST_EVENT_SILENCE);
+    let mut dispatched = tokio::select! {
+        dispatched = dispatching => dispatched?,
+        () = silent(call, silence) => return Err(AttemptOutcome::Silent),
+    };
+    if !dispatched.answer.head.status.is_success() {
+        return Err(AttemptOutcome::Failed);
+    }
+    let first = tokio::select! {
+        first = stream.relay.next_event(&mut dispatched.answer) => first,
+        () = silent(call, silence) => return Err(AttemptOutcome::Silent),
+    };
+    if let Err(RelayEnd::Broken(outcome)) = first {
+        call.record(&dispatched.pick, Some(outcome));
+        return Err(outcome);
+    }
+    Ok((dispatched, first))
+}
+
+/// Returns the time after which a target that sends nothing counts as silent; streams that may
+/// run only once wait until their deadline.
+fn silence_limit(call: &CallContext, limit: Duration) -> Duration {
+    match call.route.kind {
+        CallKind::ResumableStream => limit.max(LEAST_SILENCE),
+        _ => call.time_left(),
+    }
+}
+
+/// Waits until a target counts as silent: the time is over, and other streams of the group have
+/// shown events meanwhile. A group that stalls as a whole is no target's fault.
+async fn silent(call: &CallContext, limit: Duration) {
+    tokio::time::sleep(limit).await;
+    loop {
+        let now = Instant::now();
+        let goes_on = call
+            .state
+            .table
+            .lock()
+            .limit_mut(&call.service)
+            .pause_at(now)
+            .is_some();
+        if goes_on {
+            return;
+        }
+        tokio::time::sleep(LEAST_SILENCE / 2).await;
+    }
+}
+
+/// Passes events on until the stream is complete, the caller leaves, or no target goes on.
+async fn pump(
+    call: CallContext,
+    mut stream: StreamState,
+    dispatched: Dispatched,
+    first: Result<StreamEvent, RelayEnd>,
+    sender: mpsc::Sender<Result<Bytes, io::Error>>,
+) {
+    let ended = tokio::select! {
+        ended = pump_events(&call, &mut stream, dispatched, first, &sender) => ended,
+        () = sender.closed() => PumpEnd::CallerLeft,
+        () = tokio::time::sleep_until(call.deadline) => PumpEnd::Deadline,
+    };
+    info!(call.state.log, "stream ended"; "request" => &*call.head.attempt_id,
+        "end" => ?ended, "last_event" => stream.relay.last_id(),
+        "runs" => stream.progress.possible_runs + 1,
+        "after_ms" => call.received_at.elapsed().as_millis() as u64);
+    let is_cut = matches!(ended, PumpEnd::Broken(_) | PumpEnd::Deadline);
+    if is_cut {
+        // A caller that left needs no error.
+        let _ = sender
+            .send(Err(io::Error::from(io::ErrorKind::ConnectionAborted)))
+            .await;
+    }
+}
+
+/// How a stream ended.
+#[derive(Debug)]
+enum PumpEnd {
+    Complete,
+    CallerLeft,
+    Deadline,
+    Broken(#[expect(dead_code, reason = "shown in the log line")] AttemptOutcome),
+}
+
+async fn pump_events(
+    call: &CallContext,
+    stream: &mut StreamState,
+    mut dispatched: Dispatched,
+    first: Result<StreamEvent, RelayEnd>,
+    sender: &mpsc::Sender<Result<Bytes, io::Error>>,
+) -> PumpEnd {
+    let mut next = first;
+    loop {
+        let outcome = match next {
+            Ok(event) => {
+                if sender.send(Ok(event.bytes)).await.is_err() {
+                    return PumpEnd::CallerLeft;
+                }
+                observe_event(call, stream);
+                next = next_event(call, stream, &mut dispatched).await;
+                continue;
+            }
+            Err(RelayEnd::Complete) => {
+                drop(dispatched.guard);
+                dispatched
+                    .answer
+                    .keep_connection(&call.state.pool, &dispatched.pick);
+                return PumpEnd::Complete;
+            }
+            Err(RelayEnd::Broken(outcome)) => outcome,
+        };
+        call.record(&dispatched.pick, Some(outcome));
+        drop(dispatched);
+        stream.progress.record(outcome);
+        let step = call.next_step(&stream.progress, outcome);
+        if step != NextStep::Retry {
+            return PumpEnd::Broken(outcome);
+        }
+        stream.relay.restart();
+        stream.last_event_at = None;
+        match start(call, stream).await {
+            Ok((resumed, event)) => {
+                dispatched = resumed;
+                next = event;
+            }
+            Err(_) => return PumpEnd::Broken(outcome),
+        }
+    }
+}
+
+async fn next_event(
+    call: &CallContext,
+    stream: &mut StreamState,
+    dispatched: &mut Dispatched,
+) -> Result<StreamEvent, RelayEnd> {
+    let pauses = call.route.pause.unwrap_or(LEAST_SILENCE) * SILENT_PAUSES;
+    let limit = silence_limit(call, pauses);
+    tokio::select! {
+        event = stream.relay.next_event(&mut dispatched.answer) => event,
+        () = silent(call, limit) => Err(RelayEnd::Broken(AttemptOutcome::Silent)),
+    }
+}
+
+fn observe_event(call: &CallContext, stream: &mut StreamState) {
+    let now = Instant::now();
+    if let Some(last_at) = stream.last_event_at {
+        let pause = now.saturating_duration_since(last_at);
+        call.state
+            .table
+            .lock()
+            .limit_mut(&call.service)
+            .observe_pause(pause, now);
+    }
+    stream.last_event_at = Some(now);
+}
--- /dev/null
+++ b/fleet/src/request/caller_answer.rs
@@ -0,0 +1,52 @@
+//! The answers that a process gives of its own.
+
+use crate::prelude::*;
+
+/// An answer that a process gives of its own, in place of a target's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerAnswer {
+    /// The request did not run; the caller may come back after the time given.
+    Refused(NotRunProof, Duration),
+    /// The request is not allowed.
+    Denied(DeniedReason),
+    /// The request may have run.
+    Unknown(UnknownReason),
+}
+
+/// Why a request is not allowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeniedReason {
+    /// No route has the host and path.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// A header that the request needs is missing or malformed.
+    BadRequest,
+}
+
+/// Why it is not known whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnknownReason {
+    /// The target's answer was lost or spoiled.
+    BadAnswer,
+    /// No answer came in time.
+    Timeout,
+}
+
+impl CallerAnswer {
+    /// Returns the HTTP status that tells the caller the truth.
+    pub fn status(&self) -> http::StatusCode {
+        use http::StatusCode;
+        match self {
+            Self::Refused(..) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Denied(DeniedReason::NoRoute) => StatusCode::NOT_FOUND,
+            Self::Denied(DeniedReason::UnknownKey) => StatusCode::UNAUTHORIZED,
+            Self::Denied(DeniedReason::BodyTooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Denied(DeniedReason::BadRequest) => StatusCode::BAD_REQUEST,
+            Self::Unknown(UnknownReason::BadAnswer) => StatusCode::BAD_GATEWAY,
+            Self::Unknown(UnknownReason::Timeout) => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
