Switch expert maps by the agent beside rank 0, planned from counts that ranks read locally

Ruled out: the balancer's uneven spread over entries (busiest target 1.07 times the mean) and processor time (0.0045 of a core an entry).

An agent runs beside each rank. The one beside rank 0 gathers the counts twice a second, plans with the product's placement (now with a bound on what may be new to a rank in a round), lets all ranks copy the map, holds a pass, arms all ranks for it and releases it.

--- a/examples/measure/capacity/group.rs
+++ b/examples/measure/capacity/group.rs
@@ -269,6 +269,7 @@
         speeds: &[1.0; 64],
         expert_bytes: 40 << 20,
         weights: &PlacementConfig::default(),
+        headroom: u16::MAX,
     };
     measure_cpu(|| plan(&input))
 }
--- a/examples/measure/placement/policy.rs
+++ b/examples/measure/placement/policy.rs
@@ -85,6 +85,7 @@
                     speeds,
                     expert_bytes,
                     weights,
+                    headroom: u16::MAX,
                 };
                 let plan = plan(&input);
                 plan.changes_map().then_some(plan.map)
--- /dev/null
+++ b/fleet/src/expert/map_planner.rs
@@ -0,0 +1,149 @@
+//! Which map a group runs next, from what its requests chose.
+
+use comfreyhead::version::config::PlacementConfig;
+use comfreyhead::version::expert_map::{
+    ExpertId, ExpertLoads, ExpertMap, MapNumber, MapShape, PlanInput, plan,
+};
+
+use crate::catalog::EngineSpec;
+
+/// The part of the older popularity that stays after one more window of counts. What is liked
+/// changes within seconds, so that most weight is on the last window.
+const OLD_PART: f32 = 0.35;
+
+/// The lowering of the skew that one copied expert must bring, as `move_weight` over the slots of
+/// all ranks: a copy is paid for, and slows passes down.
+const LEAST_GAIN_PER_COPY: f64 = 0.005;
+
+/// The least lowering of the skew that a switch is made for: holding a pass costs some time.
+const LEAST_GAIN: f64 = 0.12;
+
+/// The horizon at which `PlacementConfig` compares skew and moves one to one, in seconds.
+const REFERENCE_HORIZON_S: u32 = 600;
+
+/// The choices that a window must hold to be planned from; fewer are mostly chance.
+const LEAST_CHOICES: f32 = 2_000.0;
+
+/// The popularity of a group's experts, from the counts of its ranks.
+#[derive(Debug, Default)]
+pub struct MapPlanner {
+    counts: Vec<Option<Vec<u32>>>,
+    popularity: Vec<f32>,
+}
+
+/// What a map is planned from.
+#[derive(Clone, Debug)]
+pub struct PlannerInput<'a> {
+    /// What the engines have in common.
+    pub engine: &'a EngineSpec,
+    /// The experts that each rank holds now, by rank and set.
+    pub held: &'a [Vec<Vec<u16>>],
+    /// The version of the planned map.
+    pub version: u64,
+}
+
+/// A planned map.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedMap {
+    /// The version.
+    pub version: u64,
+    /// The experts by set and rank.
+    pub mapping: Vec<Vec<Vec<u16>>>,
+    /// The load of the slowest rank over the mean, as a mean over the sets, with the present map.
+    pub skew_before: f64,
+    /// The same with the planned map.
+    pub skew_after: f64,
+    /// The experts that ranks copy.
+    pub copies: usize,
+}
+
+impl MapPlanner {
+    /// Forgets everything, for a new formation of the group.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Takes in the counts of all ranks since their starts; `None` where a rank has not answered.
+    pub fn observe(&mut self, counts: &[Option<Vec<u32>>]) {
+        let mut window: Vec<f32> = Vec::new();
+        self.counts.resize(counts.len(), None);
+        for (before, now) in self.counts.iter_mut().zip(counts) {
+            let Some(now) = now else { continue };
+            window.resize(window.len().max(now.len()), 0.0);
+            if let Some(before) = before.as_ref().filter(|before| before.len() == now.len()) {
+                for (sum, (now, before)) in window.iter_mut().zip(now.iter().zip(before)) {
+                    *sum += now.saturating_sub(*before) as f32;
+                }
+            }
+            *before = Some(now.clone());
+        }
+        if window.iter().sum::<f32>() < LEAST_CHOICES {
+            return;
+        }
+        self.popularity.resize(window.len(), 0.0);
+        for (old, new) in self.popularity.iter_mut().zip(window) {
+            *old = OLD_PART * *old + (1.0 - OLD_PART) * new;
+        }
+    }
+
+    /// Plans the next map; `None` where none is worth its copies.
+    pub fn plan(&self, input: &PlannerInput<'_>) -> Option<PlannedMap> {
+        let engine = input.engine;
+        let shape = MapShape {
+            ranks: u16::try_from(input.held.len()).ok()?,
+            experts: engine.experts,
+            layers: engine.sets,
+            slots_per_rank: engine.places,
+        };
+        let n_experts = usize::from(engine.sets) * usize::from(engine.experts);
+        if self.popularity.len() != n_experts || n_experts == 0 {
+            return None;
+        }
+        let slots = slots_of(input.held, engine);
+        let current = ExpertMap::from_slots(MapNumber(0), shape, slots).ok()?;
+        let loads = ExpertLoads::new(engine.experts, self.popularity.clone());
+        let speeds = vec![1.0; input.held.len()];
+        let n_slots = usize::from(engine.places) * input.held.len();
+        let weights = PlacementConfig {
+            skew_weight: 1.0,
+            move_weight: LEAST_GAIN_PER_COPY * n_slots as f64,
+            max_moves: u32::MAX,
+            horizon_s: REFERENCE_HORIZON_S,
+        };
+        let plan = plan(&PlanInput {
+            current: &current,
+            loads: &loads,
+            speeds: &speeds,
+            expert_bytes: (engine.expert_mb * 1e6) as u64,
+            weights: &weights,
+            headroom: engine.headroom,
+        });
+        if plan.skew_before - plan.skew_after < LEAST_GAIN {
+            return None;
+        }
+        let experts = |set, rank| plan.map.experts_of(set, rank).collect();
+        let mapping = (0..engine.sets)
+            .map(|set| (0..shape.ranks).map(|rank| experts(set, rank)).collect())
+            .collect();
+        Some(PlannedMap {
+            version: input.version,
+            mapping,
+            skew_before: plan.skew_before,
+            skew_after: plan.skew_after,
+            copies: plan.moves.len(),
+        })
+    }
+}
+
+fn slots_of(held: &[Vec<Vec<u16>>], engine: &EngineSpec) -> Vec<ExpertId> {
+    let places = usize::from(engine.places);
+    let mut slots = Vec::new();
+    for set in 0..usize::from(engine.sets) {
+        for rank in held {
+            let experts = rank.get(set).map_or(&[][..], Vec::as_slice);
+            let empty = std::iter::repeat(ExpertMap::EMPTY_SLOT);
+            slots.extend(experts.iter().copied().chain(empty).take(places));
+        }
+    }
+    slots
+}
--- /dev/null
+++ b/fleet/src/expert/mod.rs
@@ -0,0 +1,11 @@
+//! Expert maps: what ranks report, which map comes next, and how all ranks switch to it.
+
+mod map_order;
+mod map_planner;
+mod rank_report;
+mod switch_leader;
+
+pub use map_order::{MapOrder, OrderKind, mapping_digest};
+pub use map_planner::{MapPlanner, PlannedMap, PlannerInput};
+pub use rank_report::{ArmedMap, PreparedMap, RankReport};
+pub use switch_leader::{LeaderAction, LeaderActions, RankView, SwitchLeader, SwitchPhase};
--- /dev/null
+++ b/fleet/src/expert/switch_leader.rs
@@ -0,0 +1,265 @@
+//! The switch of all ranks of a group to one map, as the group's leader carries it out.
+//!
+//! Orders may be lost, repeated, and carried out seconds late. A pass runs on one map because:
+//! 1. every rank has copied one version with the planned content before any pass is held;
+//! 2. a pass is held, as the holding rank itself reports, before any rank is armed for it;
+//! 3. the pass is released only when every rank reports to be armed for it with that version;
+//! 4. a version and a pass are used for one attempt only, and a late order for an earlier pass is
+//!    refused by the rank since that pass has begun.
+//!
+//! An attempt that holds a pass is never given up but carried to its end; only a new formation of
+//! the group, which forgets all holds and maps, ends it. `spec/map_switch.pml` checks this.
+
+use crate::prelude::*;
+
+use super::map_order::{MapOrder, OrderKind, mapping_digest};
+use super::map_planner::PlannedMap;
+use super::rank_report::{ArmedMap, PreparedMap, RankReport};
+
+/// The passes between the last one known and the one that is held: the one in progress may end
+/// before the hold arrives.
+const HOLD_AHEAD: u64 = 2;
+
+/// The longest time for all ranks to copy a map: some times the copy of the experts that may be
+/// new to a rank.
+const PREPARE_TIME: Duration = Duration::from_secs(3);
+
+/// The age at which a report no longer tells a rank's state while nothing is held.
+const REPORT_AGE: Duration = Duration::from_millis(400);
+
+/// A rank's last report and the time at which it was asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RankView {
+    /// When the report was asked for.
+    pub asked_at: Instant,
+    /// The report.
+    pub report: RankReport,
+}
+
+/// Where a switch stands.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum SwitchPhase {
+    /// Nothing is in progress.
+    #[default]
+    Idle,
+    /// Ranks copy a map.
+    Preparing(Arc<PlannedMap>, Instant),
+    /// The leader's rank is to hold a pass.
+    Holding(u64, u64),
+    /// Ranks are to be armed with a version for a held pass.
+    Arming(u64, u64),
+    /// The held pass is to begin.
+    Releasing(u64),
+}
+
+/// What the leader is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeaderAction {
+    /// Send an order to a rank.
+    Order(u16, MapOrder),
+    /// Note a change of the phase.
+    Note(&'static str),
+}
+
+/// What the leader is to do, in order.
+pub type LeaderActions = SmallVec<[LeaderAction; 16]>;
+
+/// The leader of a group: the process beside rank 0, so that there is one in each formation.
+#[derive(Debug, Default)]
+pub struct SwitchLeader {
+    phase: SwitchPhase,
+    epoch: u64,
+}
+
+impl SwitchLeader {
+    /// Returns where the switch stands.
+    pub fn phase(&self) -> &SwitchPhase {
+        &self.phase
+    }
+
+    /// Returns whether a map may be planned.
+    pub fn is_idle(&self) -> bool {
+        self.phase == SwitchPhase::Idle
+    }
+
+    /// Begins a switch to a map whose version is higher than all that ranks have reported.
+    pub fn begin(&mut self, planned: Arc<PlannedMap>, now: Instant) {
+        self.phase = SwitchPhase::Preparing(planned, now);
+    }
+
+    /// Decides what to do next. `ranks` holds the newest report of each rank of the group; the
+    /// first is the leader's own.
+    pub fn on_tick(&mut self, ranks: &[Option<RankView>], now: Instant) -> LeaderActions {
+        let mut actions = LeaderActions::new();
+        let Some(Some(own)) = ranks.first() else {
+            return actions;
+        };
+        let own = &own.report;
+        if own.epoch != self.epoch || !own.open {
+            self.epoch = own.epoch;
+            self.set_phase(SwitchPhase::Idle, "formation changed", &mut actions);
+            return actions;
+        }
+        match self.phase.clone() {
+            SwitchPhase::Idle => self.recover(own, ranks, now, &mut actions),
+            SwitchPhase::Preparing(_, since) if since + PREPARE_TIME < now => {
+                self.set_phase(SwitchPhase::Idle, "not prepared in time", &mut actions);
+            }
+            SwitchPhase::Preparing(planned, _) => self.prepare(&planned, ranks, &mut actions),
+            SwitchPhase::Holding(version, step) => self.hold(version, step, own, &mut actions),
+            SwitchPhase::Arming(version, step) => self.arm(version, step, ranks, &mut actions),
+            SwitchPhase::Releasing(step) if own.held == Some(step) => {
+                actions.push(self.order(0, OrderKind::Release(step)));
+            }
+            SwitchPhase::Releasing(_) => {
+                self.set_phase(SwitchPhase::Idle, "released", &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// Finishes what an earlier process beside this rank, or a hold that came late, left held.
+    fn recover(
+        &mut self,
+        own: &RankReport,
+        ranks: &[Option<RankView>],
+        now: Instant,
+        actions: &mut LeaderActions,
+    ) {
+        let Some(step) = own.held else {
+            return;
+        };
+        let fresh = |view: &&RankView| now < view.asked_at + REPORT_AGE;
+        let views: SmallVec<[&RankView; 32]> = ranks
+            .iter()
+            .flatten()
+            .filter(fresh)
+            .filter(|view| self.is_current(view))
+            .collect();
+        if views.len() < ranks.len() {
+            return;
+        }
+        let armed = views
+            .iter()
+            .find_map(|view| view.report.armed.filter(|map| map.step == step));
+        if let Some(map) = armed {
+            let phase = SwitchPhase::Arming(map.version, step);
+            return self.set_phase(phase, "continue armed", actions);
+        }
+        // Arms are sent only once every rank has copied one version, so unanswered arms can only
+        // be for a version that all ranks still report.
+        let first = own
+            .prepared
+            .map(|map| map.version)
+            .filter(|version| *version != own.version);
+        let common = first.filter(|version| {
+            views
+                .iter()
+                .all(|view| view.report.prepared.map(|map| map.version) == Some(*version))
+        });
+        match common {
+            Some(version) => {
+                self.set_phase(
+                    SwitchPhase::Arming(version, step),
+                    "continue prepared",
+                    actions,
+                );
+            }
+            None => self.set_phase(SwitchPhase::Releasing(step), "nothing prepared", actions),
+        }
+    }
+
+    fn prepare(
+        &mut self,
+        planned: &PlannedMap,
+        ranks: &[Option<RankView>],
+        actions: &mut LeaderActions,
+    ) {
+        let mut n_missing = 0;
+        for (rank, view) in ranks.iter().enumerate() {
+            let expected = PreparedMap {
+                version: planned.version,
+                digest: Some(planned.digest_of(rank)),
+            };
+            let current = view.as_ref().filter(|view| self.is_current(view));
+            if current.is_some_and(|view| view.report.prepared == Some(expected)) {
+                continue;
+            }
+            n_missing += 1;
+            let kind = OrderKind::Prepare(planned.version, planned.mapping.clone());
+            actions.push(self.order(rank as u16, kind));
+        }
+        if n_missing == 0 {
+            let step = next_step(ranks);
+            self.set_phase(
+                SwitchPhase::Holding(planned.version, step),
+                "prepared",
+                actions,
+            );
+            actions.push(self.order(0, OrderKind::Hold(step)));
+        }
+    }
+
+    fn hold(&mut self, version: u64, step: u64, own: &RankReport, actions: &mut LeaderActions) {
+        if own.held == Some(step) {
+            return self.set_phase(SwitchPhase::Arming(version, step), "held", actions);
+        }
+        if step <= own.step {
+            let step = own.step + HOLD_AHEAD;
+            self.set_phase(SwitchPhase::Holding(version, step), "pass begun", actions);
+            return actions.push(self.order(0, OrderKind::Hold(step)));
+        }
+        actions.push(self.order(0, OrderKind::Hold(step)));
+    }
+
+    fn arm(
+        &mut self,
+        version: u64,
+        step: u64,
+        ranks: &[Option<RankView>],
+        actions: &mut LeaderActions,
+    ) {
+        let expected = Some(ArmedMap { version, step });
+        let mut n_missing = 0;
+        for (rank, view) in ranks.iter().enumerate() {
+            let current = view.as_ref().filter(|view| self.is_current(view));
+            if current.is_some_and(|view| view.report.armed == expected) {
+                continue;
+            }
+            n_missing += 1;
+            actions.push(self.order(rank as u16, OrderKind::Arm(version, step)));
+        }
+        if n_missing == 0 {
+            self.set_phase(SwitchPhase::Releasing(step), "armed", actions);
+            actions.push(self.order(0, OrderKind::Release(step)));
+        }
+    }
+
+    fn is_current(&self, view: &RankView) -> bool {
+        view.report.epoch == self.epoch && view.report.open
+    }
+
+    fn order(&self, rank: u16, kind: OrderKind) -> LeaderAction {
+        let epoch = self.epoch;
+        LeaderAction::Order(rank, MapOrder { epoch, kind })
+    }
+
+    fn set_phase(&mut self, phase: SwitchPhase, note: &'static str, actions: &mut LeaderActions) {
+        if self.phase != phase {
+            self.phase = phase;
+            actions.push(LeaderAction::Note(note));
+        }
+    }
+}
+
+fn next_step(ranks: &[Option<RankView>]) -> u64 {
+    let last = ranks.iter().flatten().map(|view| view.report.step).max();
+    last.unwrap_or(0) + HOLD_AHEAD
+}
+
+impl PlannedMap {
+    /// Returns the digest of the experts that a rank holds.
+    pub fn digest_of(&self, rank: usize) -> u64 {
+        mapping_digest(self.mapping.iter().map(|set| set[rank].as_slice()))
+    }
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! of a platform's headers, fields and calls come in as values from its adapter.
 
 pub mod catalog;
+pub mod expert;
 pub mod forward;
 pub mod mirror;
 pub mod peers;
--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::expert::{MapOrder, RankReport};
 use crate::prelude::*;
 
 /// A message between processes.
@@ -9,6 +10,31 @@
 pub enum PeerMessage {
     /// What an entry tells all others, several times a second.
     Beat(PeerBeat),
+    /// The leader of a group asks an agent for the state of its rank, and for its counts.
+    Ask,
+    /// The leader of a group passes an order on to an agent.
+    Order(MapOrder),
+    /// An agent tells the state of its rank.
+    State(Box<RankState>),
+}
+
+/// What an agent tells of its rank.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RankState {
+    /// The rank's report, read on its own machine.
+    pub report: RankReport,
+    /// The experts that the rank holds, by set, and the choices of its requests since its start;
+    /// only in the answer to a question.
+    pub details: Option<RankDetails>,
+}
+
+/// What only the answer to a question holds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RankDetails {
+    /// The experts that the rank holds now, by set.
+    pub held: Vec<Vec<u16>>,
+    /// How often the rank's requests chose each expert, set by set.
+    pub counts: Vec<u32>,
 }
 
 /// What an entry tells all others.
--- a/fleet/src/peers/mod.rs
+++ b/fleet/src/peers/mod.rs
@@ -4,6 +4,8 @@
 mod peer_table;
 mod reader_choice;
 
-pub use message::{PeerBeat, PeerMessage, PeerRecord, StoreTopic, TopicPosition};
+pub use message::{
+    PeerBeat, PeerMessage, PeerRecord, RankDetails, RankState, StoreTopic, TopicPosition,
+};
 pub use peer_table::{PeerRow, PeerTable};
 pub use reader_choice::{ReaderChoice, ReaderInput, choose_reader};
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -1,15 +1,19 @@
-//! The entry process: the tables that its tasks share, and the tasks.
+//! The processes: the tables that their tasks share, and the tasks.
 
+mod agent_run;
 mod caller_body;
 mod caller_server;
 mod drain;
 mod entry_run;
 mod entry_state;
 mod knowledge;
+mod leader_table;
+mod leader_task;
 mod logger;
 mod metrics;
 mod peer_tasks;
 mod plain_run;
+mod rank_link;
 mod ready_server;
 mod request_run;
 mod running_guard;
@@ -17,6 +21,7 @@
 mod store_tasks;
 mod stream_run;
 
+pub use agent_run::{AgentConfig, run_agent};
 pub use caller_body::CallerBody;
 pub use caller_server::serve_callers;
 pub use drain::DrainState;
@@ -27,4 +32,4 @@
 pub use metrics::EntryMetrics;
 pub use ready_server::{serve_metrics, serve_ready};
 pub use request_run::run_request;
-pub use store_access::{StoreFault, StoreReply, StoreRequest};
+pub use store_access::{CallFault, StoreReply, StoreRequest, TargetReply, TargetRequest};
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -100,7 +100,9 @@
                     .update(beat.sender, running, demand, now);
                 knowledge.with_peers(|peers| peers.hear(address, beat, now));
             }
-            None => debug!(state.log, "unreadable datagram"; "from" => %address, "len" => len),
+            Some(_) | None => {
+                debug!(state.log, "unexpected datagram"; "from" => %address, "len" => len)
+            }
         }
     }
 }
--- a/fleet/src/process/store_access.rs
+++ b/fleet/src/process/store_access.rs
@@ -1,7 +1,8 @@
-//! The calls to the platform's store, as the product needs them.
+//! The calls to the platform's store and to targets, as the product needs them.
 
 use derive_more::Display;
 
+use crate::expert::{MapOrder, RankReport};
 use crate::mirror::MirrorDelta;
 use crate::peers::StoreTopic;
 use crate::prelude::*;
@@ -28,16 +29,42 @@
     Written,
 }
 
-/// Why a call to the store brought nothing.
+/// A call to a target's control interface.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TargetRequest {
+    /// The state of the rank.
+    Report,
+    /// How often the rank's requests chose each expert.
+    Counts,
+    /// The experts that the rank holds and has copied.
+    Listings,
+    /// An order.
+    Order(MapOrder),
+}
+
+/// An answer of a target's control interface.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TargetReply {
+    /// The state of the rank; `None` where the target is no rank of a group.
+    Report(Option<RankReport>),
+    /// How often the rank's requests chose each expert, set by set.
+    Counts(Vec<u32>),
+    /// The experts that the rank holds, and the copied version with its experts, by set.
+    Listings(Vec<Vec<u16>>, Option<(u64, Vec<Vec<u16>>)>),
+    /// The status of an order.
+    Ordered(u16),
+}
+
+/// Why a call to the platform brought nothing.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum StoreFault {
+pub enum CallFault {
     /// No connection, or it broke.
     #[display("unreachable")]
     Unreachable,
     /// No answer in time.
     #[display("silent")]
     Silent,
-    /// The store turned the call away with a status.
+    /// The call was turned away with a status.
     #[display("status {_0}")]
     Refused(u16),
     /// The answer could not be read.
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -8,7 +8,7 @@
 use super::entry_run::EntryConfig;
 use super::entry_state::EntryState;
 use super::knowledge::Knowledge;
-use super::store_access::{StoreFault, StoreReply, StoreRequest};
+use super::store_access::{CallFault, StoreReply, StoreRequest};
 
 /// The time between two reads of the targets' records by a reader.
 const TARGETS_PERIOD: Duration = Duration::from_millis(450);
@@ -32,7 +32,7 @@
     call: Call,
 ) where
     Call: Fn(StoreRequest) -> Reply,
-    Reply: Future<Output = Result<StoreReply, StoreFault>>,
+    Reply: Future<Output = Result<StoreReply, CallFault>>,
 {
     let mut needs_newest = true;
     let mut pause = FAILURE_PAUSES.0;
@@ -107,7 +107,7 @@
     call: Call,
 ) where
     Call: Fn(StoreRequest) -> Reply,
-    Reply: Future<Output = Result<StoreReply, StoreFault>>,
+    Reply: Future<Output = Result<StoreReply, CallFault>>,
 {
     let record = PeerRecord {
         address: config.peer_address,
--- a/src/process/agent/steps/placement_round.rs
+++ b/src/process/agent/steps/placement_round.rs
@@ -59,6 +59,7 @@
                 speeds: &speeds,
                 expert_bytes: EXPERT_BYTES,
                 weights: &weights,
+                headroom: u16::MAX,
             })
         });
         planned.await.ok()
--- a/src/version/expert_map/layer_search.rs
+++ b/src/version/expert_map/layer_search.rs
@@ -33,6 +33,8 @@
     pub(super) speeds: &'a [f64],
     /// The lowering of the slowest rank's time over the ideal that one load must bring to pay.
     pub(super) load_price: f64,
+    /// The most experts that may be new to a rank.
+    pub(super) headroom: usize,
 }
 
 impl LayerInput<'_> {
@@ -85,6 +87,11 @@
         };
         let most_time = state.ideal * (1.0 + REBUILD_SLACK);
         let rebuilt = resolve_layer_near(&loads, input.slots, most_time);
+        let len = usize::from(input.shape.slots_per_rank);
+        let mut ranks = rebuilt.chunks(len).zip(input.slots.chunks(len));
+        if ranks.any(|(slots, before)| input.headroom < n_new(slots, before)) {
+            return best;
+        }
         let trail = Self::follow(input, Some(rebuilt));
         if trail.cost(input) < best.cost(input) {
             best = trail;
@@ -264,12 +271,7 @@
     fn loads(&self) -> usize {
         let len = usize::from(self.input.shape.slots_per_rank);
         let ranks = self.slots.chunks(len).zip(self.input.slots.chunks(len));
-        let added = |(now, before): (&[ExpertId], &[ExpertId])| {
-            let is_new =
-                |expert: &&ExpertId| **expert != ExpertMap::EMPTY_SLOT && !before.contains(expert);
-            now.iter().filter(is_new).count()
-        };
-        ranks.map(added).sum()
+        ranks.map(|(now, before)| n_new(now, before)).sum()
     }
 
     fn ratio(&self) -> f64 {
@@ -316,7 +318,8 @@
         let mut best: Option<RatedChange> = None;
         let mut consider = |change: SmallChange| {
             let drop_per_load = self.drop_of(change) / change.loads() as f64;
-            if LEAST_DROP < drop_per_load && best.is_none_or(|b| b.drop_per_load < drop_per_load) {
+            let is_better = best.is_none_or(|b| b.drop_per_load < drop_per_load);
+            if LEAST_DROP < drop_per_load && is_better && self.fits_headroom(change) {
                 best = Some(RatedChange {
                     change,
                     drop_per_load,
@@ -386,6 +389,20 @@
             && !self.holds(rank, other_expert)
     }
 
+    /// Returns whether the ranks that a change concerns may load what is new to them then.
+    fn fits_headroom(&self, change: SmallChange) -> bool {
+        let mut slots = self.slots.clone();
+        LayerChange::from(change).apply_to(&mut slots);
+        let concerned: SmallVec<[usize; 2]> = match change {
+            SmallChange::Replace { slot, .. } => SmallVec::from_slice(&[slot]),
+            SmallChange::Swap { slot, other } => SmallVec::from_slice(&[slot, other]),
+        };
+        concerned.into_iter().all(|slot| {
+            let range = self.slots_of(self.rank_of(slot));
+            n_new(&slots[range.clone()], &self.input.slots[range]) <= self.input.headroom
+        })
+    }
+
     fn experts_at(&self, rank: usize) -> impl Iterator<Item = ExpertId> + '_ {
         let slots = &self.slots[self.slots_of(rank)];
         slots
@@ -446,6 +463,12 @@
     }
 }
 
+/// Returns the number of experts in a rank's slots that it did not hold before.
+fn n_new(slots: &[ExpertId], before: &[ExpertId]) -> usize {
+    let is_new = |expert: &&ExpertId| **expert != ExpertMap::EMPTY_SLOT && !before.contains(expert);
+    slots.iter().filter(is_new).count()
+}
+
 fn add_delta(deltas: &mut LoadDeltas, rank: usize, delta: f64) {
     match deltas.iter_mut().find(|(known, _)| *known == rank) {
         Some((_, sum)) => *sum += delta,
--- a/src/version/expert_map/plan.rs
+++ b/src/version/expert_map/plan.rs
@@ -23,6 +23,8 @@
     pub expert_bytes: u64,
     /// The weights of the group's operators.
     pub weights: &'a PlacementConfig,
+    /// The most experts of a layer that may be new to a rank in one round.
+    pub headroom: u16,
 }
 
 /// Plans the next map: the moves whose gain over the horizon pays, best gain per load first.
@@ -65,6 +67,7 @@
         rates: input.loads.layer(layer),
         speeds: input.speeds,
         load_price: least_gain_per_load(input) * f64::from(input.current.shape().layers),
+        headroom: usize::from(input.headroom),
     }
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -51,6 +51,7 @@
         speeds,
         expert_bytes: EXPERT_BYTES,
         weights,
+        headroom: u16::MAX,
     })
 }
 
