--- a/fleet/src/catalog/route_catalog.rs
+++ b/fleet/src/catalog/route_catalog.rs
@@ -71,6 +71,18 @@
         routes.insert(at, Arc::new(route));
     }
 
+    /// Returns the shortest pause between events that a route of a service allows.
+    pub fn shortest_pause(&self, service: &str) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        let of_service = routes.filter(|route| {
+            route
+                .backends
+                .iter()
+                .any(|backend| &*backend.service == service)
+        });
+        of_service.filter_map(|route| route.pause).min()
+    }
+
     /// Returns the route of a host and path.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<RouteSpec>> {
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
--- a/fleet/src/catalog/service_spec.rs
+++ b/fleet/src/catalog/service_spec.rs
@@ -30,4 +30,6 @@
     pub link_mbps: f64,
     /// The time in which a broken group forms again once its ranks are back.
     pub form_time: Duration,
+    /// The shortest pause between events that a route of the service allows.
+    pub pause: Duration,
 }
--- a/fleet/src/expert/map_planner.rs
+++ b/fleet/src/expert/map_planner.rs
@@ -14,13 +14,20 @@
 /// has changed and the older windows tell nothing any more.
 const CHANGE_DISTANCE: f32 = 0.18;
 
-/// The lowering of the skew that one copied expert must bring, as `move_weight` over the slots of
-/// all ranks: a copy is paid for, and slows passes down.
-const LEAST_GAIN_PER_COPY: f64 = 0.005;
+/// The lowering of the skew that one copied expert must bring where passes take as long as they
+/// may: a copy is paid for, and slows passes down.
+const LEAST_GAIN_PER_COPY: f64 = 0.006;
 
-/// The least lowering of the skew that a switch is made for: holding a pass costs some time.
+/// The least lowering of the skew that a switch is made for where passes take as long as they may:
+/// holding a pass costs some time.
 const LEAST_GAIN: f64 = 0.12;
 
+/// The part of the allowed pause that a pass may take, so that single longer ones stay within it.
+const PASS_PART: f64 = 0.6;
+
+/// The bounds of how urgent shorter passes are, from a pass as long as it may be, at 1.
+const URGENCY_BOUNDS: (f64, f64) = (0.12, 1.5);
+
 /// The horizon at which `PlacementConfig` compares skew and moves one to one, in seconds.
 const REFERENCE_HORIZON_S: u32 = 600;
 
@@ -44,6 +51,8 @@
     pub held: &'a [Vec<Vec<u16>>],
     /// The version of the planned map.
     pub version: u64,
+    /// The time of a pass now, in seconds; `None` where no pass was seen.
+    pub pass_s: Option<f64>,
 }
 
 /// A planned map.
@@ -62,9 +71,10 @@
 }
 
 impl MapPlanner {
-    /// Forgets everything, for a new formation of the group.
-    pub fn reset(&mut self) {
-        *self = Self::default();
+    /// Forgets the counts, for a new formation of the group. What is liked outlasts it, so that
+    /// the first map of a formation need not wait for new counts.
+    pub fn restart_counts(&mut self) {
+        self.counts.clear();
     }
 
     /// Takes in the counts of all ranks since their starts; `None` where a rank has not answered.
@@ -118,9 +128,10 @@
         let loads = ExpertLoads::new(engine.experts, self.popularity.clone());
         let speeds = vec![1.0; input.held.len()];
         let n_slots = usize::from(engine.places) * input.held.len();
+        let urgency = urgency(input);
         let weights = PlacementConfig {
             skew_weight: 1.0,
-            move_weight: LEAST_GAIN_PER_COPY * n_slots as f64,
+            move_weight: LEAST_GAIN_PER_COPY / urgency * n_slots as f64,
             max_moves: u32::MAX,
             horizon_s: REFERENCE_HORIZON_S,
         };
@@ -132,7 +143,7 @@
             weights: &weights,
             headroom: engine.headroom,
         });
-        if plan.skew_before - plan.skew_after < LEAST_GAIN {
+        if plan.skew_before - plan.skew_after < LEAST_GAIN / urgency {
             return None;
         }
         let experts = |set, rank| plan.map.experts_of(set, rank).collect();
@@ -149,13 +160,24 @@
     }
 }
 
+/// Returns how urgent shorter passes are: streams gain nothing where passes are short already.
+fn urgency(input: &PlannerInput<'_>) -> f64 {
+    let longest = PASS_PART * input.engine.pause.as_secs_f64();
+    let part = input.pass_s.map_or(1.0, |pass_s| pass_s / longest);
+    part.powi(3).clamp(URGENCY_BOUNDS.0, URGENCY_BOUNDS.1)
+}
+
 /// Returns the part of the choices by which two tables of counts differ, from 0 to 1.
 fn distance(a: &[f32], b: &[f32]) -> f32 {
     let (sum_a, sum_b) = (a.iter().sum::<f32>(), b.iter().sum::<f32>());
     if sum_a <= 0.0 || sum_b <= 0.0 {
         return 1.0;
     }
-    a.iter().zip(b).map(|(a, b)| (a / sum_a - b / sum_b).abs()).sum::<f32>() / 2.0
+    a.iter()
+        .zip(b)
+        .map(|(a, b)| (a / sum_a - b / sum_b).abs())
+        .sum::<f32>()
+        / 2.0
 }
 
 fn slots_of(held: &[Vec<Vec<u16>>], engine: &EngineSpec) -> Vec<ExpertId> {
--- a/fleet/src/expert/mod.rs
+++ b/fleet/src/expert/mod.rs
@@ -2,10 +2,12 @@
 
 mod map_order;
 mod map_planner;
+mod pass_clock;
 mod rank_report;
 mod switch_leader;
 
 pub use map_order::{MapOrder, OrderKind, mapping_digest};
 pub use map_planner::{MapPlanner, PlannedMap, PlannerInput};
+pub use pass_clock::PassClock;
 pub use rank_report::{ArmedMap, PreparedMap, RankReport};
 pub use switch_leader::{LeaderAction, LeaderActions, RankView, SwitchLeader, SwitchPhase};
--- a/fleet/src/peers/reader_choice.rs
+++ b/fleet/src/peers/reader_choice.rs
@@ -1,4 +1,4 @@
-//! Which entries of a data centre read the store.
+//! Which entry reads the store for the others.
 
 use crate::prelude::*;
 
@@ -17,13 +17,11 @@
 
 /// What the choice is made from.
 #[derive(Clone, Copy, Debug)]
-pub struct ReaderInput<'a> {
+pub struct ReaderInput {
     /// The topic.
     pub topic: StoreTopic,
     /// The hash of this entry's name.
     pub own: u64,
-    /// This entry's data centre.
-    pub zone: &'a str,
     /// The last time at which this entry read the topic itself.
     pub own_read_at: Option<Instant>,
     /// A number from `0.0..1.0`, so that entries do not all read at once.
@@ -33,7 +31,7 @@
 /// Whether an entry reads the store now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReaderChoice {
-    /// It is the reader of its data centre.
+    /// It reads for all that hear it.
     Reader,
     /// It is not the reader, but its copy is too old.
     Stale,
@@ -41,9 +39,9 @@
     Leave,
 }
 
-/// Chooses whether an entry reads a topic: the lowest name in a data centre does, of those that
-/// reach the store, and everybody whose copy grows old.
-pub fn choose_reader(input: &ReaderInput<'_>, peers: &PeerTable, now: Instant) -> ReaderChoice {
+/// Chooses whether an entry reads a topic: the lowest name does, of those that reach the store,
+/// and everybody whose copy grows old, as behind a partition.
+pub fn choose_reader(input: &ReaderInput, peers: &PeerTable, now: Instant) -> ReaderChoice {
     let own_age = input
         .own_read_at
         .map(|at| now.saturating_duration_since(at));
@@ -51,7 +49,7 @@
         let reads = beat
             .position(input.topic)
             .is_some_and(|at| at.age_ms < READER_AGE_MS);
-        beat.zone == input.zone && beat.sender < input.own && reads && !beat.draining
+        beat.sender < input.own && reads && !beat.draining
     });
     let reaches = own_age.is_some_and(|age| age < Duration::from_millis(u64::from(READER_AGE_MS)));
     if !lower_reader && reaches {
--- a/fleet/src/process/leader_task.rs
+++ b/fleet/src/process/leader_task.rs
@@ -8,8 +8,8 @@
 
 use crate::catalog::EngineSpec;
 use crate::expert::{
-    LeaderAction, MapOrder, MapPlanner, PlannerInput, RankReport, RankView, SwitchLeader,
-    SwitchPhase,
+    LeaderAction, MapOrder, MapPlanner, PassClock, PlannerInput, RankReport, RankView,
+    SwitchLeader, SwitchPhase,
 };
 use crate::peers::{PeerMessage, RankDetails, StoreTopic};
 use crate::prelude::*;
@@ -22,6 +22,9 @@
 /// The time between two looks at the own rank while this agent does not lead.
 const FOLLOW_PERIOD: Duration = Duration::from_millis(700);
 
+/// The time between two looks at the own rank while the group that this agent led does not run.
+const FORMING_PERIOD: Duration = Duration::from_millis(100);
+
 /// The time between two questions for counts: a window that holds enough choices, and is short
 /// against the seconds in which what is liked changes.
 const COUNT_PERIOD: Duration = Duration::from_millis(250);
@@ -59,6 +62,8 @@
     asked_at: Option<Instant>,
     roster_at: Option<Instant>,
     counts_used: Option<Instant>,
+    pass: PassClock,
+    was_rank_0: bool,
     own: Option<RankDetails>,
 }
 
@@ -75,8 +80,10 @@
         loop {
             let pause = match self.link.report().await {
                 Some(report) if report.rank == 0 && report.open => {
+                    memory.was_rank_0 = true;
                     self.lead(&mut memory, report).await
                 }
+                _ if memory.was_rank_0 => FORMING_PERIOD,
                 _ => FOLLOW_PERIOD,
             };
             tokio::time::sleep(pause).await;
@@ -88,9 +95,11 @@
         if memory.epoch != own.epoch {
             info!(self.log, "leading"; "epoch" => own.epoch, "size" => own.size);
             memory.epoch = own.epoch;
-            memory.planner.reset();
+            memory.planner.restart_counts();
+            memory.pass = PassClock::default();
             memory.roster_at = None;
         }
+        memory.pass.observe(own.step, now);
         let rows = self.table.lock().ranks(&own);
         let n_missing = rows.iter().skip(1).filter(|row| row.is_none()).count();
         self.refresh(memory, n_missing, now).await;
@@ -235,6 +244,7 @@
             engine,
             held: &held,
             version: highest.unwrap_or(0) + 1,
+            pass_s: memory.pass.pass_s(),
         };
         let started_at = std::time::Instant::now();
         let Some(planned) = memory.planner.plan(&input) else {
@@ -242,7 +252,7 @@
         };
         info!(self.log, "map planned"; "version" => planned.version, "epoch" => own.epoch,
             "step" => own.step, "skew_before" => planned.skew_before,
-            "skew_after" => planned.skew_after, "copies" => planned.copies, "distance" => memory.planner.last_distance(),
+            "skew_after" => planned.skew_after, "pass_s" => memory.pass.pass_s(), "copies" => planned.copies, "distance" => memory.planner.last_distance(),
             "planning_us" => started_at.elapsed().as_micros() as u64);
         memory.switch.begin(Arc::new(planned), now);
     }
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -242,8 +242,16 @@
 
     /// Returns when a caller may come back whose request targets turned away.
     fn retry_disclaimed(&self) -> Duration {
-        let is_broken = self.state.table.lock().is_group_broken(&self.service, Instant::now());
-        if is_broken { GROUP_FORM_TIME } else { RETRY_DISCLAIMED }
+        let is_broken = self
+            .state
+            .table
+            .lock()
+            .is_group_broken(&self.service, Instant::now());
+        if is_broken {
+            GROUP_FORM_TIME
+        } else {
+            RETRY_DISCLAIMED
+        }
     }
 
     /// Returns an answer of this process.
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -41,7 +41,6 @@
         let input = ReaderInput {
             topic,
             own: config.own_hash(),
-            zone: &config.zone,
             own_read_at: knowledge.read_at(topic),
             jitter: state.draw(),
         };
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -99,7 +99,10 @@
             AdmitDecision::Admit => return Ok(()),
             AdmitDecision::Full(retry_after) => retry_after,
             AdmitDecision::Broken(retry_after) => {
-                return Err(CallerAnswer::Refused(NotRunProof::never_sent(), retry_after));
+                return Err(CallerAnswer::Refused(
+                    NotRunProof::never_sent(),
+                    retry_after,
+                ));
             }
         };
         if tokio::time::timeout_at(wait_until, room).await.is_err() {
--- a/fleet/src/routing/group_health.rs
+++ b/fleet/src/routing/group_health.rs
@@ -45,15 +45,19 @@
 
     /// Takes in that a target stated not to have run a request.
     pub fn record_refusal(&mut self, target: &Arc<str>, now: Instant) {
-        self.refusals.retain(|(id, at)| id != target && now < *at + REFUSAL_TIME);
+        self.refusals
+            .retain(|(id, at)| id != target && now < *at + REFUSAL_TIME);
         self.refusals.push((target.clone(), now));
     }
 
     /// Returns whether the group does not serve, with this entry's streams in progress.
     pub fn is_broken(&self, own_running: u32, now: Instant) -> bool {
-        let refused = self.refusals.iter().filter(|(_, at)| now < *at + REFUSAL_TIME).count();
-        let stalled = 1 < own_running
-            && self.progress_at.is_some_and(|at| at + STALL_TIME <= now);
+        let refused = self
+            .refusals
+            .iter()
+            .filter(|(_, at)| now < *at + REFUSAL_TIME)
+            .count();
+        let stalled = 1 < own_running && self.progress_at.is_some_and(|at| at + STALL_TIME <= now);
         1 < refused || stalled
     }
 
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -184,7 +184,9 @@
     /// Returns whether a service's group is known not to serve.
     pub fn is_group_broken(&self, service: &str, now: Instant) -> bool {
         let own = self.group_load(service, now).own;
-        self.groups.get(service).is_some_and(|group| group.is_broken(own, now))
+        self.groups
+            .get(service)
+            .is_some_and(|group| group.is_broken(own, now))
     }
 
     /// Returns the load of a service's targets as one group.
