Give slow ranks fewer experts and requests, shed only what shortens passes, ramp the retry budget

The agent tells entries its target's pace; the planner divides by it; the limit reckons with the time of a pass that no shedding shortens. The slack grows over the first window after a start.

--- a/fleet/src/catalog/service_spec.rs
+++ b/fleet/src/catalog/service_spec.rs
@@ -30,6 +30,8 @@
     pub link_mbps: f64,
     /// The time in which a broken group forms again once its ranks are back.
     pub form_time: Duration,
+    /// The time of a pass without any work for tokens.
+    pub base_pass: Duration,
     /// The shortest pause between events that a route of the service allows.
     pub pause: Duration,
 }
--- a/fleet/src/expert/map_planner.rs
+++ b/fleet/src/expert/map_planner.rs
@@ -51,6 +51,8 @@
     pub held: &'a [Vec<Vec<u16>>],
     /// The version of the planned map.
     pub version: u64,
+    /// How many times as long as usual each rank takes.
+    pub paces: &'a [f32],
     /// The time of a pass now, in seconds; `None` where no pass was seen.
     pub pass_s: Option<f64>,
 }
@@ -126,7 +128,14 @@
         let slots = slots_of(input.held, engine);
         let current = ExpertMap::from_slots(MapNumber(0), shape, slots).ok()?;
         let loads = ExpertLoads::new(engine.experts, self.popularity.clone());
-        let speeds = vec![1.0; input.held.len()];
+        let speeds: Vec<f64> = input
+            .paces
+            .iter()
+            .map(|pace| 1.0 / f64::from(*pace))
+            .collect();
+        if speeds.len() != input.held.len() {
+            return None;
+        }
         let n_slots = usize::from(engine.places) * input.held.len();
         let urgency = urgency(input);
         let weights = PlacementConfig {
--- a/fleet/src/expert/rank_report.rs
+++ b/fleet/src/expert/rank_report.rs
@@ -27,6 +27,10 @@
     pub armed: Option<ArmedMap>,
     /// The pass that the group does not begin until it is released.
     pub held: Option<u64>,
+    /// How many times as long as usual the rank takes; over 1 where it is slow.
+    pub pace: f32,
+    /// The requests that run on the rank.
+    pub active: u32,
 }
 
 /// A map that a rank has copied.
--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -1,5 +1,7 @@
 //! The messages between processes, as datagrams.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::expert::{MapOrder, RankReport};
@@ -16,6 +18,8 @@
     Order(MapOrder),
     /// An agent tells the state of its rank.
     State(Box<RankState>),
+    /// An agent tells entries that the target at an address takes so many times as long as usual.
+    Pace(SocketAddr, f32),
 }
 
 /// What an agent tells of its rank.
@@ -70,7 +74,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerRecord {
     /// The address for datagrams and for pulls.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
 }
 
 /// A keyed topic of the store.
--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -7,7 +7,7 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::peers::{PeerMessage, RankState};
+use crate::peers::{PeerMessage, PeerRecord, RankState, StoreTopic};
 use crate::prelude::*;
 
 use super::knowledge::Decoders;
@@ -19,6 +19,15 @@
 /// The largest datagram that is read, in bytes.
 const LARGEST_DATAGRAM: usize = 60_000;
 
+/// The time between two messages about a slow target.
+const PACE_PERIOD: Duration = Duration::from_millis(700);
+
+/// The pace at which a target counts as slow; smaller differences even out.
+const SLOW_PACE: f32 = 1.2;
+
+/// The age at which the list of entries is read again while a target is slow.
+const ENTRIES_AGE: Duration = Duration::from_secs(10);
+
 /// The pause after a datagram could not be read.
 const READ_PAUSE: Duration = Duration::from_millis(50);
 
@@ -55,7 +64,7 @@
 where
     TargetCall: Fn(SocketAddr, TargetRequest) -> TargetFuture + Clone + Send + Sync + 'static,
     TargetFuture: Future<Output = Result<TargetReply, CallFault>> + Send + 'static,
-    StoreCall: Fn(StoreRequest) -> StoreFuture + Send + Sync + 'static,
+    StoreCall: Fn(StoreRequest) -> StoreFuture + Clone + Send + Sync + 'static,
     StoreFuture: Future<Output = Result<StoreReply, CallFault>> + Send + 'static,
 {
     let config = Arc::new(config);
@@ -66,15 +75,22 @@
     info!(log, "started"; "role" => "agent", "target" => %config.target_address,
         "service" => &*config.service);
     let leader = Leader {
-        config,
+        config: config.clone(),
         link: link.clone(),
         target_call,
-        store_call,
+        store_call: store_call.clone(),
         socket: socket.clone(),
         table: table.clone(),
         log: log.clone(),
     };
     tokio::spawn(leader.run());
+    tokio::spawn(tell_pace(
+        config,
+        link.clone(),
+        store_call,
+        socket.clone(),
+        log.clone(),
+    ));
     let mut stop = signal(SignalKind::terminate())?;
     let mut buffer = vec![0; LARGEST_DATAGRAM];
     loop {
@@ -107,7 +123,7 @@
             Some(PeerMessage::State(state)) => {
                 table.lock().hear(from, *state, Instant::now());
             }
-            Some(PeerMessage::Beat(_)) | None => {
+            Some(PeerMessage::Beat(_) | PeerMessage::Pace(..)) | None => {
                 debug!(log, "unexpected datagram"; "from" => %from, "len" => len);
             }
         }
@@ -116,6 +132,52 @@
     Ok(())
 }
 
+/// Tells the entries for as long as the target beside this agent is slow.
+async fn tell_pace<TargetCall, TargetFuture, StoreCall, StoreFuture>(
+    config: Arc<AgentConfig>,
+    link: Arc<RankLink<TargetCall>>,
+    store_call: StoreCall,
+    socket: Arc<UdpSocket>,
+    log: Logger,
+) where
+    TargetCall: Fn(SocketAddr, TargetRequest) -> TargetFuture,
+    TargetFuture: Future<Output = Result<TargetReply, CallFault>>,
+    StoreCall: Fn(StoreRequest) -> StoreFuture,
+    StoreFuture: Future<Output = Result<StoreReply, CallFault>>,
+{
+    let mut entries: Vec<SocketAddr> = Vec::new();
+    let mut read_at: Option<Instant> = None;
+    loop {
+        tokio::time::sleep(PACE_PERIOD).await;
+        let Some(report) = link
+            .report()
+            .await
+            .filter(|report| SLOW_PACE <= report.pace)
+        else {
+            continue;
+        };
+        let now = Instant::now();
+        if read_at.is_none_or(|at| at + ENTRIES_AGE <= now)
+            && let Ok(StoreReply::Records(delta)) =
+                store_call(StoreRequest::Newest(StoreTopic::Peers)).await
+        {
+            read_at = Some(now);
+            let values = delta
+                .records
+                .iter()
+                .filter_map(|record| record.value.as_ref());
+            let records = values.filter_map(|bytes| postcard::from_bytes::<PeerRecord>(bytes).ok());
+            entries = records.map(|record| record.address).collect();
+            info!(log, "target slow"; "pace" => report.pace, "entries" => entries.len());
+        }
+        let bytes = PeerMessage::Pace(config.target_address, report.pace).encode();
+        for entry in &entries {
+            // A lost message is followed by the next one.
+            let _ = socket.send_to(&bytes, entry).await;
+        }
+    }
+}
+
 async fn reply(socket: &UdpSocket, to: SocketAddr, state: Option<RankState>) {
     let Some(state) = state else { return };
     let bytes = PeerMessage::State(Box::new(state)).encode();
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -43,6 +43,7 @@
     /// The logger.
     pub log: Logger,
     budget_settings: BudgetSettings,
+    started_at: Instant,
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -82,6 +83,7 @@
             metrics: EntryMetrics::new(),
             log,
             budget_settings,
+            started_at: Instant::now(),
             budgets: Mutex::new(HashMap::new()),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
         }
@@ -141,7 +143,7 @@
         } = self.budget_settings;
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(window, ratio, slack));
+            .or_insert_with(|| RetryBudget::new(window, ratio, slack, self.started_at));
         work(budget)
     }
 }
--- a/fleet/src/process/leader_task.rs
+++ b/fleet/src/process/leader_task.rs
@@ -240,8 +240,12 @@
             .flatten()
             .max();
         let held: Vec<Vec<Vec<u16>>> = details.into_iter().map(|details| details.held).collect();
+        let paces: Vec<f32> = std::iter::once(own.pace)
+            .chain(rows.iter().skip(1).map(|row| pace_of(row.as_ref())))
+            .collect();
         let input = PlannerInput {
             engine,
+            paces: &paces,
             held: &held,
             version: highest.unwrap_or(0) + 1,
             pass_s: memory.pass.pass_s(),
@@ -288,6 +292,11 @@
     }
 }
 
+fn pace_of(row: Option<&(SocketAddr, LeaderRow)>) -> f32 {
+    let view = row.and_then(|(_, row)| row.view.as_ref());
+    view.map_or(1.0, |view| view.report.pace)
+}
+
 fn phase_label(switch: &SwitchLeader) -> String {
     match switch.phase() {
         SwitchPhase::Idle => "idle".to_owned(),
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -100,6 +100,9 @@
                     .update(beat.sender, running, demand, now);
                 knowledge.with_peers(|peers| peers.hear(address, beat, now));
             }
+            Some(PeerMessage::Pace(target, pace)) => {
+                state.table.lock().observe_pace(target, pace, now);
+            }
             Some(_) | None => {
                 debug!(state.log, "unexpected datagram"; "from" => %address, "len" => len)
             }
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -70,15 +70,13 @@
 /// Waits a short time for room in the group, or refuses.
 async fn admit(call: &CallContext) -> Result<(), CallerAnswer> {
     let state = &call.state;
-    let has_engine = state.catalog.load().as_ref().and_then(|catalog| {
-        catalog
-            .services
-            .get(&call.service)
-            .map(|spec| spec.engine.is_some())
-    });
-    if has_engine != Some(true) {
+    let Some(catalog) = state.catalog.load_full() else {
         return Ok(());
-    }
+    };
+    let spec = catalog.services.get(&call.service);
+    let Some(engine) = spec.and_then(|spec| spec.engine.as_ref()) else {
+        return Ok(());
+    };
     state
         .table
         .lock()
@@ -88,10 +86,7 @@
     loop {
         let room = state.room.notified();
         let now = Instant::now();
-        let (decision, load) = state
-            .table
-            .lock()
-            .admit(&call.service, call.route.pause, now);
+        let (decision, load) = state.table.lock().admit(&call.service, engine, now);
         debug!(state.log, "admit"; "request" => &*call.head.attempt_id, "decision" => ?decision,
             "running" => load.running, "own" => load.own, "slots" => load.slots,
             "peer_demand" => load.peer_demand);
--- a/fleet/src/routing/group_limit.rs
+++ b/fleet/src/routing/group_limit.rs
@@ -12,6 +12,9 @@
 /// The part of the way to the computed limit that one update goes.
 const LIMIT_STEP: f64 = 0.15;
 
+/// The factor by which one update may see the limit too low.
+const MOST_GROWTH: f64 = 2.0;
+
 /// The time between two updates of the limit.
 const UPDATE_PERIOD: Duration = Duration::from_millis(100);
 
@@ -50,6 +53,8 @@
     pub own: u32,
     /// The demand of the other entries, in requests a second.
     pub peer_demand: f64,
+    /// The time of a pass that no shedding shortens: that of the slowest rank without any work.
+    pub least_pass: Duration,
 }
 
 /// Whether a stream may begin.
@@ -110,8 +115,17 @@
             return;
         };
         let target = PAUSE_TARGET * allowed_pause.as_secs_f64();
-        let fitting = f64::from(load.running.max(1)) * target / pause.max(1e-3);
+        let least = load.least_pass.as_secs_f64();
         let limit = self.limit(load.slots);
+        let fitting = match least < target {
+            true => {
+                let running = f64::from(load.running.max(1));
+                running * (target - least) / (pause - least).max(1e-3)
+            }
+            // No shedding brings the pauses down to the target: late streams are better than none.
+            false => slots,
+        };
+        let fitting = fitting.min(MOST_GROWTH * limit);
         let moved = limit + LIMIT_STEP * (fitting - limit);
         self.limit = Some(moved.clamp(LEAST_PART * slots, slots.max(1.0)));
     }
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -5,6 +5,7 @@
 
 use rand::{Rng, RngExt};
 
+use crate::catalog::EngineSpec;
 use crate::prelude::*;
 use crate::roster::RosterChange;
 
@@ -17,8 +18,8 @@
 /// chosen: traffic between data centres costs, and a pass takes as long on every rank.
 const OTHER_ZONE_PENALTY: f64 = 1.0;
 
-/// The pause between events that is aimed at where a route names none.
-const DEFAULT_PAUSE: Duration = Duration::from_millis(120);
+/// The age at which an agent's word that its target is slow no longer counts: two of its messages.
+const PACE_AGE: Duration = Duration::from_millis(1_600);
 
 /// The targets, their load and health, and the limits of each service.
 #[derive(Debug, Default)]
@@ -37,6 +38,8 @@
     hash: u32,
     own: u32,
     health: TargetHealth,
+    /// How many times as long as usual the target takes, and when its agent told so.
+    pace: Option<(f64, Instant)>,
     gone: bool,
 }
 
@@ -76,6 +79,7 @@
                         hash: name_hash(&entry.id),
                         own: 0,
                         health: TargetHealth::default(),
+                        pace: None,
                         gone: false,
                     };
                     self.targets.insert(entry.id.clone(), row);
@@ -132,7 +136,21 @@
             id: row.entry.id.clone(),
             address: row.entry.address,
             running,
-            score: f64::from(running) + row.health.penalty(now) + distance + jitter,
+            // Every rank waits for the slowest one, so a slow one gets work last.
+            score: (f64::from(running) + jitter) * row.pace_at(now).powi(2)
+                + row.health.penalty(now)
+                + distance,
+        }
+    }
+
+    /// Takes in how many times as long as usual the target at an address takes.
+    pub fn observe_pace(&mut self, address: SocketAddr, pace: f32, now: Instant) {
+        for row in self
+            .targets
+            .values_mut()
+            .filter(|row| row.entry.address == address)
+        {
+            row.pace = Some((f64::from(pace).max(1.0), now));
         }
     }
 
@@ -213,15 +231,17 @@
     pub fn admit(
         &mut self,
         service: &Arc<str>,
-        pause: Option<Duration>,
+        engine: &EngineSpec,
         now: Instant,
     ) -> (AdmitDecision, GroupLoad) {
-        let load = self.group_load(service, now);
+        let mut load = self.group_load(service, now);
+        let paces = self.usable(service).map(|row| row.pace_at(now));
+        load.least_pass = engine.base_pass.mul_f64(paces.fold(1.0, f64::max));
         if let GroupState::Broken(retry_after) = self.group_mut(service).admit(load.own, now) {
             return (AdmitDecision::Broken(retry_after), load);
         }
         let limit = self.limit_mut(service);
-        limit.update(&load, pause.unwrap_or(DEFAULT_PAUSE), now);
+        limit.update(&load, engine.pause, now);
         (limit.admit(&load, now), load)
     }
 
@@ -250,6 +270,12 @@
 }
 
 impl TargetRow {
+    fn pace_at(&self, now: Instant) -> f64 {
+        self.pace
+            .filter(|(_, at)| now < *at + PACE_AGE)
+            .map_or(1.0, |(pace, _)| pace)
+    }
+
     fn is_usable(&self) -> bool {
         !self.gone && !self.entry.draining
     }
