Never release a pass that no rank is armed for, and reset requests that are given up

(1) spec/map_switch.pml, written for the switch, found that a leader which finds a pass held and nothing copied must not release it: that release may be carried out seconds late, when a later attempt has armed only some ranks for the same pass. It also found that two lives of a leader may choose one version for two maps, and a third one take both for one.

Such a hold now ends with all ranks armed for any map; versions bear the life of the process that chose them; connections to targets are reset when a request on them is given up.

--- a/fleet/src/expert/map_planner.rs
+++ b/fleet/src/expert/map_planner.rs
@@ -189,6 +189,23 @@
         / 2.0
 }
 
+impl PlannedMap {
+    /// Returns the present placement under a new version.
+    pub fn unchanged(input: &PlannerInput<'_>) -> Self {
+        let experts = |set: usize, rank: &Vec<Vec<u16>>| rank.get(set).cloned().unwrap_or_default();
+        let mapping = (0..usize::from(input.engine.sets))
+            .map(|set| input.held.iter().map(|rank| experts(set, rank)).collect())
+            .collect();
+        Self {
+            version: input.version,
+            mapping,
+            skew_before: 1.0,
+            skew_after: 1.0,
+            copies: 0,
+        }
+    }
+}
+
 fn slots_of(held: &[Vec<Vec<u16>>], engine: &EngineSpec) -> Vec<ExpertId> {
     let places = usize::from(engine.places);
     let mut slots = Vec::new();
--- a/fleet/src/expert/switch_leader.rs
+++ b/fleet/src/expert/switch_leader.rs
@@ -4,8 +4,8 @@
 //! 1. every rank has copied one version with the planned content before any pass is held;
 //! 2. a pass is held, as the holding rank itself reports, before any rank is armed for it;
 //! 3. the pass is released only when every rank reports to be armed for it with that version;
-//! 4. a version and a pass are used for one attempt only, and a late order for an earlier pass is
-//!    refused by the rank since that pass has begun.
+//! 4. a version is used for one attempt only, as it bears the life of the process that chose it,
+//!    and a late order for an earlier pass is refused by the rank since that pass has begun.
 //!
 //! An attempt that holds a pass is never given up but carried to its end; only a new formation of
 //! the group, which forgets all holds and maps, ends it. `spec/map_switch.pml` checks this.
@@ -20,6 +20,9 @@
 /// before the hold arrives.
 const HOLD_AHEAD: u64 = 2;
 
+/// The low bits of a version, which bear the life of the process that chose it.
+const LIFE_BITS: u32 = 16;
+
 /// The longest time for all ranks to copy a map: some times the copy of the experts that may be
 /// new to a rank.
 const PREPARE_TIME: Duration = Duration::from_secs(3);
@@ -69,6 +72,7 @@
 pub struct SwitchLeader {
     phase: SwitchPhase,
     epoch: u64,
+    needs_map: bool,
 }
 
 impl SwitchLeader {
@@ -82,6 +86,18 @@
         self.phase == SwitchPhase::Idle
     }
 
+    /// Returns whether a pass is held for which no map is copied: any map is to be switched to,
+    /// as a release without arms might be carried out late, when only some ranks are armed.
+    pub fn needs_map(&self) -> bool {
+        self.needs_map
+    }
+
+    /// Returns a version that is higher than all that ranks have had, and that no other life of
+    /// the process chooses.
+    pub fn next_version(highest: u64, life: u16) -> u64 {
+        (((highest >> LIFE_BITS) + 1) << LIFE_BITS) | u64::from(life)
+    }
+
     /// Begins a switch to a map whose version is higher than all that ranks have reported.
     pub fn begin(&mut self, planned: Arc<PlannedMap>, now: Instant) {
         self.phase = SwitchPhase::Preparing(planned, now);
@@ -126,6 +142,7 @@
         now: Instant,
         actions: &mut LeaderActions,
     ) {
+        self.needs_map = false;
         let Some(step) = own.held else {
             return;
         };
@@ -165,7 +182,7 @@
                     actions,
                 );
             }
-            None => self.set_phase(SwitchPhase::Releasing(step), "nothing prepared", actions),
+            None => self.needs_map = true,
         }
     }
 
@@ -189,15 +206,14 @@
             let kind = OrderKind::Prepare(planned.version, planned.mapping.clone());
             actions.push(self.order(rank as u16, kind));
         }
-        if n_missing == 0 {
-            let step = next_step(ranks);
-            self.set_phase(
-                SwitchPhase::Holding(planned.version, step),
-                "prepared",
-                actions,
-            );
-            actions.push(self.order(0, OrderKind::Hold(step)));
+        if n_missing != 0 {
+            return;
         }
+        let held = ranks.first().and_then(|view| view.as_ref()?.report.held);
+        let step = held.unwrap_or_else(|| next_step(ranks));
+        let phase = SwitchPhase::Holding(planned.version, step);
+        self.set_phase(phase, "prepared", actions);
+        actions.push(self.order(0, OrderKind::Hold(step)));
     }
 
     fn hold(&mut self, version: u64, step: u64, own: &RankReport, actions: &mut LeaderActions) {
--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -103,6 +103,11 @@
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
             set_silence_timeout(&stream);
+            // A request that is given up must not reach its target later: without a reset, bytes
+            // held up by a partition are sent on after the connection was closed.
+            socket2::SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .ok()?;
             http1::handshake(TokioIo::new(stream)).await.ok()
         };
         let (sender, connection) = tokio::time::timeout(limit, connecting).await.ok()??;
--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -42,6 +42,8 @@
     pub service: Arc<str>,
     /// Reads the platform's records.
     pub decoders: Decoders,
+    /// A number that differs between the lives of the process beside one target.
+    pub life: u16,
 }
 
 impl AgentConfig {
--- a/fleet/src/process/leader_task.rs
+++ b/fleet/src/process/leader_task.rs
@@ -8,7 +8,7 @@
 
 use crate::catalog::EngineSpec;
 use crate::expert::{
-    LeaderAction, MapOrder, MapPlanner, PassClock, PlannerInput, RankReport, RankView,
+    LeaderAction, MapOrder, MapPlanner, PassClock, PlannedMap, PlannerInput, RankReport, RankView,
     SwitchLeader, SwitchPhase,
 };
 use crate::peers::{PeerMessage, RankDetails, StoreTopic};
@@ -247,12 +247,14 @@
             engine,
             paces: &paces,
             held: &held,
-            version: highest.unwrap_or(0) + 1,
+            version: SwitchLeader::next_version(highest.unwrap_or(0), self.config.life),
             pass_s: memory.pass.pass_s(),
         };
         let started_at = std::time::Instant::now();
-        let Some(planned) = memory.planner.plan(&input) else {
-            return;
+        let planned = match memory.planner.plan(&input) {
+            Some(planned) => planned,
+            None if memory.switch.needs_map() => PlannedMap::unchanged(&input),
+            None => return,
         };
         info!(self.log, "map planned"; "version" => planned.version, "epoch" => own.epoch,
             "step" => own.step, "skew_before" => planned.skew_before,
--- /dev/null
+++ b/spec/map_switch.pml
@@ -0,0 +1,250 @@
+// Map switches: no pass of a group begins while two ranks have different maps.
+//
+// MUTANT: ARM_FIRST       ranks are armed before the hold is confirmed
+// MUTANT: RELEASE_EARLY   the pass is released when some rank is armed
+// MUTANT: RELEASE_UNARMED a hold that is found with nothing copied is released without arming
+// MUTANT: RELEASE_BLIND   a new leader releases the hold that it finds without reading the ranks
+// MUTANT: PARTIAL         the pass is held before every rank has copied the map
+// MUTANT: NO_DIGEST       a copy is confirmed by its version alone, which does not bear the life
+// MUTANT: SAME_VERSIONS   a new leader takes equal versions of two lives for one map
+// SPIN: -m400000 -w25
+//
+// Abstractions, each of which keeps or adds behaviour:
+// - An order is a cell that the leader fills once and that may be carried out at any later time,
+//   again, or never: lost, late, repeated and reordered orders, also of leaders that have died.
+// - The leader reads the ranks one by one, and each may change before the next is read.
+// - A leader dies at any moment and forgets all; the next one is another life of the same agent,
+//   as only the agent beside rank 0 leads. There is no second leader at a time.
+// - One formation of the group: orders name it, and a new one forgets maps, holds and orders.
+// - The content of a map is the number of the attempt that planned it. Two attempts of different
+//   lives may pick the same number; that versions bear the life as well is a comparison of
+//   number and content.
+// - Passes begin whenever they may; an idle group is one that begins none for a while.
+
+#define RANKS 3
+#define ATTEMPTS 3
+#define PASSES 2
+#define DEATHS 2
+
+// Ranks.
+byte map_content[RANKS];     // the content of the map in use, 0: the first map
+byte map_version[RANKS];
+byte copied_version[RANKS];  // 0: nothing copied
+byte copied_content[RANKS];
+byte armed_version[RANKS];   // 0: not armed
+byte armed_content[RANKS];
+byte armed_pass[RANKS];
+byte held;                   // the pass that rank 0 holds, 0: none
+byte begun;                  // the last pass that was begun
+
+// Orders under way; each may be carried out at any time once sent.
+byte prepare_version[ATTEMPTS + 1];        // 0: not sent
+bool prepare_sent[(ATTEMPTS + 1) * RANKS];
+bool hold_sent[PASSES + 2];
+bool release_sent[PASSES + 2];
+byte arm_version[(PASSES + 2) * RANKS];    // by pass and rank, 0: not sent
+
+// The leader; all of it but the count of attempts is lost with its process.
+mtype = { IDLE, PREPARING, HOLDING, ARMING, RELEASING, READING };
+mtype phase = IDLE;
+byte attempt;
+byte version;
+byte pass;
+byte confirmed;              // bits of the ranks whose state was read as wanted
+byte read_at;                // the next rank that is read
+byte highest;                // the highest version read
+byte common;                 // the version copied by all ranks read so far, 0: none
+byte common_content;
+byte armed_seen;             // a version that a rank is armed with for the held pass
+byte n_attempts;
+byte deaths;
+
+#define ALL ((1 << RANKS) - 1)
+
+inline forget() {
+  phase = IDLE; attempt = 0; version = 0; pass = 0; confirmed = 0; read_at = 0; highest = 0;
+  common = 0; common_content = 0; armed_seen = 0
+}
+
+active proctype Group() {
+  byte r;
+end:
+  do
+  :: atomic { begun < PASSES && held != begun + 1 ->
+      begun++;
+      r = 0;
+      do
+      :: r < RANKS ->
+          if
+          :: armed_version[r] != 0 && armed_pass[r] == begun ->
+              map_version[r] = armed_version[r];
+              map_content[r] = armed_content[r];
+              armed_version[r] = 0; armed_content[r] = 0; armed_pass[r] = 0
+          :: else
+          fi;
+          r++
+      :: else -> break
+      od;
+      r = 1;
+      do
+      :: r < RANKS ->
+          assert(map_version[r] == map_version[0] && map_content[r] == map_content[0]);
+          r++
+      :: else -> break
+      od;
+      r = 0 }
+  od
+}
+
+active proctype Orders() {
+  byte a, r, s;
+end:
+  do
+  :: atomic { select(a : 1 .. ATTEMPTS); select(r : 0 .. 2);
+      if
+      :: prepare_sent[a * RANKS + r] && armed_version[r] == 0 &&
+         copied_version[r] < prepare_version[a] && map_version[r] < prepare_version[a] ->
+          copied_version[r] = prepare_version[a];
+          copied_content[r] = a
+      :: else
+      fi; a = 0; r = 0 }
+  :: atomic { select(s : 1 .. PASSES);
+      if
+      :: hold_sent[s] && held == 0 && begun < s -> held = s
+      :: else
+      fi; s = 0 }
+  :: atomic { select(s : 1 .. PASSES);
+      if
+      :: release_sent[s] && held == s -> held = 0
+      :: else
+      fi; s = 0 }
+  :: atomic { select(s : 1 .. PASSES); select(r : 0 .. 2);
+      if
+      :: arm_version[s * RANKS + r] != 0 && begun < s && armed_version[r] == 0 &&
+         copied_version[r] == arm_version[s * RANKS + r] ->
+          armed_version[r] = copied_version[r];
+          armed_content[r] = copied_content[r];
+          armed_pass[r] = s
+      :: else
+      fi; s = 0; r = 0 }
+  od
+}
+
+active proctype Leader() {
+  byte r;
+end:
+  do
+  // Death at any moment.
+  :: atomic { deaths < DEATHS && phase != IDLE -> deaths++; forget() }
+
+  // Idle: read all ranks, then finish what is held or begin an attempt.
+  :: atomic { phase == IDLE -> phase = READING; read_at = 0; highest = 0; armed_seen = 0; common = 255 }
+  :: atomic { phase == READING && read_at < RANKS ->
+      if :: highest < map_version[read_at] -> highest = map_version[read_at] :: else fi;
+      if :: highest < copied_version[read_at] -> highest = copied_version[read_at] :: else fi;
+      if
+      :: armed_version[read_at] != 0 && armed_pass[read_at] == held -> armed_seen = armed_version[read_at]
+      :: else
+      fi;
+      if
+      :: copied_version[read_at] == map_version[read_at] -> common = 0
+      :: else ->
+          if
+          :: common == 255 -> common = copied_version[read_at]; common_content = copied_content[read_at]
+#ifdef SAME_VERSIONS
+          :: common != 255 && common != copied_version[read_at] -> common = 0
+#else
+          // Versions bear the life that chose them, so that equal versions have one content.
+          :: common != 255 && (common != copied_version[read_at] || common_content != copied_content[read_at]) ->
+              common = 0
+#endif
+          :: else
+          fi
+      fi;
+      read_at++ }
+  :: atomic { phase == READING && read_at == RANKS ->
+      if
+      :: held != 0 ->
+          pass = held; confirmed = 0;
+#ifdef RELEASE_BLIND
+          release_sent[pass] = true; phase = RELEASING
+#else
+          if
+          :: armed_seen != 0 -> version = armed_seen; phase = ARMING
+          :: armed_seen == 0 && common != 0 && common != 255 -> version = common; phase = ARMING
+#ifdef RELEASE_UNARMED
+          :: else -> release_sent[pass] = true; phase = RELEASING
+#else
+          // Copy some map, then arm it for the pass that is held: a release that may still be
+          // carried out late must never meet a pass for which only some ranks are armed.
+          :: armed_seen == 0 && (common == 0 || common == 255) && n_attempts < ATTEMPTS ->
+              n_attempts++; attempt = n_attempts; version = highest + 1;
+              prepare_version[attempt] = version;
+              phase = PREPARING
+          :: else -> phase = IDLE
+#endif
+          fi
+#endif
+      :: held == 0 && n_attempts < ATTEMPTS && armed_version[0] == 0 && armed_version[1] == 0 &&
+         armed_version[2] == 0 ->
+          n_attempts++; attempt = n_attempts; version = highest + 1; confirmed = 0;
+          prepare_version[attempt] = version;
+          phase = PREPARING
+      :: else -> phase = IDLE
+      fi }
+
+  // Preparing: order each rank, confirm each by its state.
+  :: atomic { phase == PREPARING ->
+      select(r : 0 .. 2);
+      prepare_sent[attempt * RANKS + r] = true;
+      if
+#ifdef NO_DIGEST
+      :: copied_version[r] == version -> confirmed = confirmed | (1 << r)
+#else
+      :: copied_version[r] == version && copied_content[r] == attempt -> confirmed = confirmed | (1 << r)
+#endif
+      :: else
+      fi; r = 0 }
+#ifdef PARTIAL
+  :: atomic { phase == PREPARING && confirmed != 0 && begun + 1 <= PASSES ->
+#else
+  :: atomic { phase == PREPARING && confirmed == ALL && begun + 1 <= PASSES ->
+#endif
+      if
+      :: held != 0 -> pass = held
+      :: else -> pass = begun + 1
+      fi;
+      confirmed = 0; phase = HOLDING }
+  :: atomic { phase == PREPARING -> forget() }
+
+  // Holding: the pass ahead, or a later one where it has begun.
+  :: atomic { phase == HOLDING -> 
+      if
+      :: begun < pass -> hold_sent[pass] = true
+      :: begun >= pass && begun < PASSES -> pass = begun + 1
+      :: else -> forget()
+      fi }
+#ifdef ARM_FIRST
+  :: atomic { phase == HOLDING -> confirmed = 0; phase = ARMING }
+#else
+  :: atomic { phase == HOLDING && held == pass -> confirmed = 0; phase = ARMING }
+#endif
+
+  // Arming: never given up.
+  :: atomic { phase == ARMING ->
+      select(r : 0 .. 2);
+      arm_version[pass * RANKS + r] = version;
+      if
+      :: armed_version[r] == version && armed_pass[r] == pass -> confirmed = confirmed | (1 << r)
+      :: else
+      fi; r = 0 }
+#ifdef RELEASE_EARLY
+  :: atomic { phase == ARMING && confirmed != 0 -> release_sent[pass] = true; phase = RELEASING }
+#else
+  :: atomic { phase == ARMING && confirmed == ALL -> release_sent[pass] = true; phase = RELEASING }
+#endif
+
+  // Releasing: until the state shows no hold.
+  :: atomic { phase == RELEASING && held != pass -> forget() }
+  od
+}
