--- /dev/null
+++ b/fleet/tests/overload_burst.rs
@@ -0,0 +1,95 @@
+//! A burst beyond what a group can serve in time: entries shed what would make all streams late,
+//! share the places by demand, and find the limit from the pauses that streams show.
+
+use std::time::Duration;
+
+use comfreyhead_fleet::prelude::*;
+use comfreyhead_fleet::routing::{AdmitDecision, GroupLimit, GroupLoad};
+
+const PAUSE: Duration = Duration::from_millis(120);
+const SLOTS: u32 = 192;
+
+fn load(running: u32, own: u32, peer_demand: f64) -> GroupLoad {
+    GroupLoad {
+        slots: SLOTS,
+        running,
+        own,
+        peer_demand,
+        least_pass: Duration::from_millis(29),
+    }
+}
+
+/// Runs the limit against a group whose passes take `base` and `per_stream` milliseconds, at
+/// endless demand; returns the limit and the pause at the end.
+fn settle(base: f64, per_stream: f64) -> (f64, f64) {
+    let mut limit = GroupLimit::default();
+    let start = Instant::now();
+    let mut now = start;
+    let mut pause = 0.0;
+    for _ in 0..600 {
+        let running = limit.limit(SLOTS);
+        pause = base + per_stream * running;
+        for _ in 0..10 {
+            now += Duration::from_millis(10);
+            limit.observe_pause(Duration::from_secs_f64(pause / 1e3), now);
+        }
+        limit.update(&load(running as u32, 9, 70.0), PAUSE, now);
+    }
+    (limit.limit(SLOTS), pause)
+}
+
+#[test]
+fn pauses_settle_below_the_allowed_one() {
+    let (_, pause) = settle(29.0, 0.8);
+    assert!(
+        (70.0..=PAUSE.as_millis() as f64).contains(&pause),
+        "{pause} ms"
+    );
+}
+
+#[test]
+fn a_group_with_room_keeps_all_its_slots() {
+    let (limit, _) = settle(29.0, 0.2);
+    assert!(f64::from(SLOTS) * 0.95 <= limit, "{limit}");
+}
+
+#[test]
+fn an_entry_with_twice_the_demand_gets_twice_the_places() {
+    // Arrange
+    let now = Instant::now();
+    let mut small = GroupLimit::default();
+    let mut large = GroupLimit::default();
+    for _ in 0..10 {
+        small.observe_arrival(now);
+    }
+    for _ in 0..20 {
+        large.observe_arrival(now);
+    }
+
+    // Act
+    let small_share = small.own_share(&load(0, 0, large.demand_at(now)), now);
+    let large_share = large.own_share(&load(0, 0, small.demand_at(now)), now);
+
+    // Assert
+    assert!((large_share / small_share - 2.0).abs() < 0.01);
+    assert!((small_share + large_share - f64::from(SLOTS)).abs() < 1.0);
+}
+
+#[test]
+fn a_full_group_refuses_with_a_time_and_one_with_room_lends_places() {
+    // Arrange
+    let now = Instant::now();
+    let mut limit = GroupLimit::default();
+    limit.observe_arrival(now);
+
+    // Act
+    let full = limit.admit(&load(SLOTS, 40, 70.0), now);
+    let lending = limit.admit(&load(SLOTS / 2, 40, 70.0), now);
+
+    // Assert
+    let AdmitDecision::Full(after) = full else {
+        panic!("{full:?}");
+    };
+    assert!(Duration::from_millis(50) <= after && after <= Duration::from_millis(500));
+    assert_eq!(lending, AdmitDecision::Admit);
+}
--- /dev/null
+++ b/fleet/tests/wire/mod.rs
@@ -0,0 +1,337 @@
+//! An entry with its real connections, and targets that follow a script on the wire.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
+
+use comfreyhead_fleet::catalog::{Account, Backend};
+use comfreyhead_fleet::forward::HeaderNames;
+use comfreyhead_fleet::prelude::*;
+use comfreyhead_fleet::process::{BudgetSettings, EntryState, serve_callers};
+use comfreyhead_fleet::roster::RosterChange;
+use http::HeaderName;
+use slog::{Discard, Logger, o};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The timeout of the route that all tests use.
+pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What a scripted target does with one request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Writes bytes and keeps the connection, or closes it after `connection: close`.
+    Raw(String),
+    /// Writes bytes and resets the connection.
+    Reset(String),
+    /// Closes the connection without an answer.
+    Close,
+    /// Answers nothing and waits for the other side.
+    Silence,
+}
+
+impl Reply {
+    pub fn raw(text: &str) -> Self {
+        Self::Raw(text.to_owned())
+    }
+
+    pub fn whole(status: &str, body: &str) -> Self {
+        let length = body.len();
+        Self::Raw(format!(
+            "HTTP/1.1 {status}\r\nx-seal: s1\r\ncontent-length: {length}\r\n\r\n{body}"
+        ))
+    }
+
+    pub fn stream(events: &str) -> Self {
+        let length = events.len();
+        Self::Raw(format!(
+            "HTTP/1.1 200 OK\r\nx-seal: s1\r\ntransfer-encoding: chunked\r\n\r\n\
+             {length:x}\r\n{events}\r\n0\r\n\r\n"
+        ))
+    }
+
+    pub fn cut_stream(events: &str) -> Self {
+        let length = events.len();
+        Self::Reset(format!(
+            "HTTP/1.1 200 OK\r\nx-seal: s1\r\ntransfer-encoding: chunked\r\n\r\n\
+             {length:x}\r\n{events}\r\n"
+        ))
+    }
+}
+
+/// A target that follows a script, one reply a request, whatever the connection.
+pub struct ScriptedTarget {
+    pub address: SocketAddr,
+    script: Arc<Mutex<Vec<Reply>>>,
+    seen: Arc<Mutex<Vec<String>>>,
+    end: Arc<Mutex<Option<ErrorKind>>>,
+}
+
+impl ScriptedTarget {
+    pub async fn start(script: Vec<Reply>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let target = Self {
+            address: listener.local_addr().unwrap(),
+            script: Arc::new(Mutex::new(script)),
+            seen: Arc::default(),
+            end: Arc::default(),
+        };
+        let (script, seen, end) = (
+            target.script.clone(),
+            target.seen.clone(),
+            target.end.clone(),
+        );
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (script, seen, end) = (script.clone(), seen.clone(), end.clone());
+                tokio::spawn(async move {
+                    if let Err(err) = follow(stream, &script, &seen).await {
+                        *end.lock().unwrap() = Some(err.kind());
+                    }
+                });
+            }
+        });
+        target
+    }
+
+    /// Adds a reply to the script.
+    pub fn then(&self, reply: Reply) {
+        self.script.lock().unwrap().push(reply);
+    }
+
+    /// Returns the heads of the requests that arrived.
+    pub fn requests(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Returns the error by which the last connection ended.
+    pub fn last_end(&self) -> Option<ErrorKind> {
+        *self.end.lock().unwrap()
+    }
+}
+
+async fn follow(
+    mut stream: TcpStream,
+    script: &Mutex<Vec<Reply>>,
+    seen: &Mutex<Vec<String>>,
+) -> std::io::Result<()> {
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            if stream.read(&mut byte).await? == 0 {
+                return Ok(());
+            }
+            head.push(byte[0]);
+        }
+        seen.lock()
+            .unwrap()
+            .push(String::from_utf8_lossy(&head).into_owned());
+        let reply = {
+            let mut script = script.lock().unwrap();
+            if script.is_empty() {
+                Reply::Close
+            } else {
+                script.remove(0)
+            }
+        };
+        match reply {
+            Reply::Raw(text) => {
+                stream.write_all(text.as_bytes()).await?;
+                if text.contains("connection: close") || text.contains("content-length: 9") {
+                    return Ok(());
+                }
+            }
+            Reply::Reset(text) => {
+                stream.write_all(text.as_bytes()).await?;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+                return Ok(());
+            }
+            Reply::Close => return Ok(()),
+            Reply::Silence => {
+                let mut rest = Vec::new();
+                stream.read_to_end(&mut rest).await?;
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// An entry that serves callers, with one route and one account.
+pub struct Entry {
+    state: Arc<EntryState>,
+    address: SocketAddr,
+}
+
+/// What a caller received.
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    pub is_complete: bool,
+}
+
+fn header_names() -> HeaderNames {
+    HeaderNames {
+        attempt_id: HeaderName::from_static("x-id"),
+        deadline_ms: HeaderName::from_static("x-deadline"),
+        expected_target: HeaderName::from_static("x-expect"),
+        account: HeaderName::from_static("x-account"),
+        signature: HeaderName::from_static("x-seal"),
+        not_run: HeaderName::from_static("x-not-run"),
+        last_event_id: HeaderName::from_static("last-event-id"),
+        retry_after: http::header::RETRY_AFTER,
+        key: http::header::AUTHORIZATION,
+        key_scheme: "Token".into(),
+    }
+}
+
+fn catalog(kind: CallKind) -> RouteCatalog {
+    let mut catalog = RouteCatalog::default();
+    catalog.add_route(
+        "shop.example",
+        RouteSpec {
+            name: "r".into(),
+            prefix: "/r/".into(),
+            kind,
+            timeout: ROUTE_TIMEOUT,
+            objective: Duration::from_millis(100),
+            attempts: 2,
+            priority: 2,
+            public: false,
+            backends: SmallVec::from_elem(
+                Backend {
+                    service: "svc".into(),
+                    weight: 1,
+                },
+                1,
+            ),
+            pause: None,
+        },
+    );
+    let account = Account {
+        name: "ana".into(),
+        priority: None,
+    };
+    catalog.accounts = Some([("k1".into(), account)].into());
+    catalog
+}
+
+impl Entry {
+    pub async fn start(kind: CallKind, targets: &[&ScriptedTarget]) -> Self {
+        let entry = Self::without_configuration().await;
+        entry.state.catalog.store(Some(Arc::new(catalog(kind))));
+        entry.state.confirm(Instant::now());
+        for (n_target, target) in targets.iter().enumerate() {
+            let change = RosterChange::Changed(TargetEntry {
+                id: format!("t{n_target}").into(),
+                service: "svc".into(),
+                address: target.address,
+                zone: "a".into(),
+                slots: 4,
+                draining: false,
+                started_ms: 0,
+            });
+            entry.state.table.lock().apply(&change);
+        }
+        entry
+    }
+
+    pub async fn without_configuration() -> Self {
+        let budget = BudgetSettings {
+            window: Duration::from_millis(1),
+            ratio: 100.0,
+            slack: 1_000.0,
+        };
+        let log = Logger::root(Discard, o!());
+        let state = Arc::new(EntryState::new(header_names(), "a".into(), budget, 1, log));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(serve_callers(
+            listener,
+            state.clone(),
+            Arc::new(AtomicUsize::new(0)),
+        ));
+        // The retry budget grows over its first window.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        Self { state, address }
+    }
+
+    /// Lets the last word from the store grow old.
+    pub fn outdate(&self) {
+        let old = Instant::now().checked_sub(Duration::from_secs(60));
+        *self.state.confirmed_at.lock() = old;
+    }
+
+    pub async fn call(&self, id: &str) -> Answer {
+        self.exchange("/r/x", id, "k1").await
+    }
+
+    pub async fn call_path(&self, path: &str, key: &str) -> Answer {
+        self.exchange(path, "r1", key).await
+    }
+
+    /// Sends a request and leaves without an answer after a time.
+    pub async fn call_and_leave(&self, id: &str, after: Duration) {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        stream
+            .write_all(request("/r/x", id, "k1").as_bytes())
+            .await
+            .unwrap();
+        tokio::time::sleep(after).await;
+    }
+
+    async fn exchange(&self, path: &str, id: &str, key: &str) -> Answer {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        stream
+            .write_all(request(path, id, key).as_bytes())
+            .await
+            .unwrap();
+        let mut bytes = Vec::new();
+        let ended = stream.read_to_end(&mut bytes).await.is_ok();
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let head = head.to_lowercase();
+        let status = head
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0);
+        let is_chunked = head.contains("transfer-encoding: chunked");
+        let is_complete = ended && (!is_chunked || body.ends_with("0\r\n\r\n"));
+        let body = if is_chunked {
+            dechunked(body)
+        } else {
+            body.to_owned()
+        };
+        Answer {
+            status,
+            head,
+            body,
+            is_complete,
+        }
+    }
+}
+
+fn request(path: &str, id: &str, key: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: shop.example\r\nx-id: {id}\r\nx-account: forged\r\n\
+         authorization: Token {key}\r\nconnection: close\r\n\r\n"
+    )
+}
+
+fn dechunked(mut body: &str) -> String {
+    let mut text = String::new();
+    while let Some((length, rest)) = body.split_once("\r\n") {
+        let length = usize::from_str_radix(length, 16).unwrap_or(0);
+        if length == 0 || rest.len() < length {
+            break;
+        }
+        text.push_str(&rest[..length]);
+        body = rest[length..].trim_start_matches("\r\n");
+    }
+    text
+}
