Wait for all processes to be known before the operators' tool counts them

The report was true: it counts the processes that the entry knows, and the entry had not met the fifth yet. Ruled out: a lagging process, which the report would name. The test waits for the fleet to be whole, as the tests of versions do; what it asserts is unchanged.

--- a/tests/whole_path/operators.rs
+++ b/tests/whole_path/operators.rs
@@ -11,6 +11,7 @@
 use crate::caller::{OPERATOR_TOKEN, get_json, read_stream, send};
 use crate::fleet::{CALLER_TOKEN, Fleet, FleetShape};
 use crate::requests::{bearer, completion};
+use crate::versions::wait_until_everywhere;
 
 /// What the tool printed, and its exit code.
 struct ToolRun {
@@ -54,6 +55,8 @@
         services: 1,
     })
     .await;
+    // A report counts the processes that its entry knows; a new fleet gets to know all by and by.
+    wait_until_everywhere(&fleet, 0, 1).await;
     let operators = fleet.entries[0].operators;
     let file = changes_file("operators-changes.json");
     let patch = [
--- a/tests/whole_path/versions.rs
+++ b/tests/whole_path/versions.rs
@@ -18,7 +18,7 @@
 }
 
 /// Waits until an entry VM has a version in force at every process.
-async fn wait_until_everywhere(fleet: &Fleet, entry: usize, version: u64) {
+pub async fn wait_until_everywhere(fleet: &Fleet, entry: usize, version: u64) {
     let n_processes = fleet.entries.len() + fleet.agents.len();
     fleet
         .wait_for(entry, &format!("/in-force/{version}"), |report| {
