--- a/fleet/src/expert/switch_leader.rs
+++ b/fleet/src/expert/switch_leader.rs
@@ -16,9 +16,9 @@
 use super::map_planner::PlannedMap;
 use super::rank_report::{ArmedMap, PreparedMap, RankReport};
 
-/// The passes between the last one known and the one that is held: the one in progress may end
-/// before the hold arrives.
-const HOLD_AHEAD: u64 = 2;
+/// The passes between the last one known and the one that is held: far enough ahead that all
+/// ranks are armed and the pass is released before it is due, also where some orders are lost.
+const HOLD_AHEAD: u64 = 4;
 
 /// The low bits of a version, which bear the life of the process that chose it.
 const LIFE_BITS: u32 = 16;
