--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -196,7 +196,7 @@
     };
     info!(call.state.log, "stream ended"; "request" => &*call.head.attempt_id,
         "end" => ?ended, "last_event" => stream.relay.last_id(),
-        "runs" => stream.progress.possible_runs + 1,
+        "failed_runs" => stream.progress.possible_runs,
         "after_ms" => call.received_at.elapsed().as_millis() as u64);
     let is_cut = matches!(ended, PumpEnd::Broken(_) | PumpEnd::Deadline);
     if is_cut {
