--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -62,7 +62,6 @@
     let (dispatched, first) = started;
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
     let response = call.target_answer(dispatched.answer.head.clone(), CallerBody::Events(receiver));
-    // A head that is no stream of success is passed on like any answer; its body may be any.
     tokio::spawn(pump(call, stream, dispatched, first, sender));
     response
 }
