Check the echoed id of an answer once, and remove methods that nothing calls

`read_head` and `AnswerHead::answers` both compared the id that a target echoes; the first must do so before it looks at a statement of 'not run', so the second keeps only what is left to check. Three methods of the roster and one of the routing table had no caller.

--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -168,7 +168,7 @@
     if disclaims {
         return Err(AttemptOutcome::NotRun);
     }
-    if !AnswerHead::answers(parts.status, &parts.headers, &call.head.attempt_id, names) {
+    if !is_own_answer(parts.status, &parts.headers, names) {
         return Err(AttemptOutcome::Unknown);
     }
     let idle = keep_alive_timeout(&parts.headers);
@@ -180,6 +180,14 @@
     })
 }
 
+/// Returns whether a head is that of an answer of the target's own: a success bears its signature,
+/// and bodies are not encoded, as callers ask for no encoding.
+fn is_own_answer(status: StatusCode, headers: &http::HeaderMap, names: &HeaderNames) -> bool {
+    let whole = !headers.contains_key(http::header::CONTENT_ENCODING);
+    let signed = headers.contains_key(&names.signature);
+    whole && (signed || !status.is_success()) && !status.is_informational()
+}
+
 fn keep_alive_timeout(headers: &http::HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = value
--- a/fleet/src/roster/target_roster.rs
+++ b/fleet/src/roster/target_roster.rs
@@ -78,21 +78,6 @@
         gone
     }
 
-    /// Returns a target by its id.
-    pub fn get(&self, id: &str) -> Option<&TargetEntry> {
-        self.entries.get(id)
-    }
-
-    /// Returns all targets.
-    pub fn iter(&self) -> impl Iterator<Item = &TargetEntry> {
-        self.entries.values()
-    }
-
-    /// Returns the number of targets.
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
     /// Returns whether no target is known.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -164,11 +164,6 @@
         self.targets.values().filter(|row| row.is_usable()).count()
     }
 
-    /// Returns whether a target is still to get work.
-    pub fn is_usable(&self, id: &str) -> bool {
-        self.targets.get(id).is_some_and(TargetRow::is_usable)
-    }
-
     /// Counts a request that is sent to a target.
     pub fn begin(&mut self, id: &str) {
         if let Some(row) = self.targets.get_mut(id) {
