Switch expert maps in groups of up to 512 ranks beside narrow links

Cause: on the grown deployments no map was ever planned. A group of more than 64 ranks made no map, and the error was dropped without a line. Behind it, the counts of 72 ranks (5 KB each, four times a second) do not fit a link of 8 Mbit/s, and an order with the map of all ranks was repeated to each of them every 40 ms.

Groups have up to 512 ranks; a group that makes no map is logged. Counts come from 16 ranks, spread over the group, as what was chosen since the last answer; a plan needs no answer of the last round from every rank. Maps go out through 16 relays, and an agent tells once the copy is complete instead of being asked. A copy is weighed by its size and the number of ranks.

Ruled out: lost datagrams (all 72 ranks answer within 60 ms).

--- a/fleet/src/expert/map_order.rs
+++ b/fleet/src/expert/map_order.rs
@@ -2,6 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::prelude::*;
+
+/// The experts of a map, by set and rank.
+pub type ExpertMapping = Arc<Vec<Vec<Vec<u16>>>>;
+
 /// An order to a rank, valid in one formation of its group only.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MapOrder {
@@ -14,8 +19,8 @@
 /// What is ordered.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OrderKind {
-    /// Copy the experts of a map: a version, and the experts by set and rank.
-    Prepare(u64, Vec<Vec<Vec<u16>>>),
+    /// Copy the experts of a map of a version.
+    Prepare(u64, ExpertMapping),
     /// Switch to a version as a pass begins.
     Arm(u64, u64),
     /// Do not begin a pass.
--- a/fleet/src/expert/map_planner.rs
+++ b/fleet/src/expert/map_planner.rs
@@ -1,5 +1,6 @@
 //! Which map a group runs next, from what its requests chose.
 
+use comfreyhead::error::Result;
 use comfreyhead::version::config::PlacementConfig;
 use comfreyhead::version::expert_map::{
     ExpertId, ExpertLoads, ExpertMap, MapNumber, MapShape, PlanInput, plan,
@@ -7,6 +8,8 @@
 
 use crate::catalog::EngineSpec;
 
+use super::map_order::ExpertMapping;
+
 /// The part of the older popularity that stays after one more window of counts.
 const OLD_PART: f32 = 0.5;
 
@@ -14,9 +17,10 @@
 /// has changed and the older windows tell nothing any more.
 const CHANGE_DISTANCE: f32 = 0.18;
 
-/// The lowering of the skew that one copied expert must bring where passes take as long as they
-/// may: a copy is paid for, and slows passes down.
-const LEAST_GAIN_PER_COPY: f64 = 0.006;
+/// The lowering of the skew, as a mean over the sets, that a copied gigabyte must bring in a group
+/// of one rank where passes take as long as they may: a copy is paid for, and slows passes down.
+/// In a larger group a part of it is enough, as all its ranks gain.
+const LEAST_GAIN_PER_GB: f64 = 0.0273;
 
 /// The least lowering of the skew that a switch is made for where passes take as long as they may:
 /// holding a pass costs some time.
@@ -63,7 +67,7 @@
     /// The version.
     pub version: u64,
     /// The experts by set and rank.
-    pub mapping: Vec<Vec<Vec<u16>>>,
+    pub mapping: ExpertMapping,
     /// The load of the slowest rank over the mean, as a mean over the sets, with the present map.
     pub skew_before: f64,
     /// The same with the planned map.
@@ -112,21 +116,23 @@
         self.last_distance
     }
 
-    /// Plans the next map; `None` where none is worth its copies.
-    pub fn plan(&self, input: &PlannerInput<'_>) -> Option<PlannedMap> {
+    /// Plans the next map; `None` where none is worth its copies, or there are too few counts.
+    ///
+    /// Returns an error where the group's size or what its ranks hold makes no map.
+    pub fn plan(&self, input: &PlannerInput<'_>) -> Result<Option<PlannedMap>> {
         let engine = input.engine;
         let shape = MapShape {
-            ranks: u16::try_from(input.held.len()).ok()?,
+            ranks: u16::try_from(input.held.len()).unwrap_or(u16::MAX),
             experts: engine.experts,
             layers: engine.sets,
             slots_per_rank: engine.places,
         };
         let n_experts = usize::from(engine.sets) * usize::from(engine.experts);
         if self.popularity.len() != n_experts || n_experts == 0 {
-            return None;
+            return Ok(None);
         }
         let slots = slots_of(input.held, engine);
-        let current = ExpertMap::from_slots(MapNumber(0), shape, slots).ok()?;
+        let current = ExpertMap::from_slots(MapNumber(0), shape, slots)?;
         let loads = ExpertLoads::new(engine.experts, self.popularity.clone());
         let speeds: Vec<f64> = input
             .paces
@@ -134,13 +140,13 @@
             .map(|pace| 1.0 / f64::from(*pace))
             .collect();
         if speeds.len() != input.held.len() {
-            return None;
+            return Ok(None);
         }
-        let n_slots = usize::from(engine.places) * input.held.len();
+        let n_slots = usize::from(engine.sets) * usize::from(engine.places) * input.held.len();
         let urgency = urgency(input);
         let weights = PlacementConfig {
             skew_weight: 1.0,
-            move_weight: LEAST_GAIN_PER_COPY / urgency * n_slots as f64,
+            move_weight: least_gain_per_copy(input) / urgency * n_slots as f64,
             max_moves: u32::MAX,
             horizon_s: REFERENCE_HORIZON_S,
         };
@@ -153,22 +159,28 @@
             headroom: engine.headroom,
         });
         if plan.skew_before - plan.skew_after < LEAST_GAIN / urgency {
-            return None;
+            return Ok(None);
         }
         let experts = |set, rank| plan.map.experts_of(set, rank).collect();
-        let mapping = (0..engine.sets)
+        let mapping: Vec<Vec<Vec<u16>>> = (0..engine.sets)
             .map(|set| (0..shape.ranks).map(|rank| experts(set, rank)).collect())
             .collect();
-        Some(PlannedMap {
+        Ok(Some(PlannedMap {
             version: input.version,
-            mapping,
+            mapping: mapping.into(),
             skew_before: plan.skew_before,
             skew_after: plan.skew_after,
             copies: plan.moves.len(),
-        })
+        }))
     }
 }
 
+/// Returns the lowering of the mean skew that one copied expert must bring.
+fn least_gain_per_copy(input: &PlannerInput<'_>) -> f64 {
+    let expert_gb = input.engine.expert_mb / 1_000.0;
+    LEAST_GAIN_PER_GB * expert_gb / input.held.len().max(1) as f64
+}
+
 /// Returns how urgent shorter passes are: streams gain nothing where passes are short already.
 fn urgency(input: &PlannerInput<'_>) -> f64 {
     let longest = PASS_PART * input.engine.pause.as_secs_f64();
@@ -193,12 +205,12 @@
     /// Returns the present placement under a new version.
     pub fn unchanged(input: &PlannerInput<'_>) -> Self {
         let experts = |set: usize, rank: &Vec<Vec<u16>>| rank.get(set).cloned().unwrap_or_default();
-        let mapping = (0..usize::from(input.engine.sets))
+        let mapping: Vec<Vec<Vec<u16>>> = (0..usize::from(input.engine.sets))
             .map(|set| input.held.iter().map(|rank| experts(set, rank)).collect())
             .collect();
         Self {
             version: input.version,
-            mapping,
+            mapping: mapping.into(),
             skew_before: 1.0,
             skew_after: 1.0,
             copies: 0,
--- a/fleet/src/expert/mod.rs
+++ b/fleet/src/expert/mod.rs
@@ -1,12 +1,14 @@
 //! Expert maps: what ranks report, which map comes next, and how all ranks switch to it.
 
+mod count_window;
 mod map_order;
 mod map_planner;
 mod pass_clock;
 mod rank_report;
 mod switch_leader;
 
-pub use map_order::{MapOrder, OrderKind, mapping_digest};
+pub use count_window::{CountWindow, is_counted};
+pub use map_order::{ExpertMapping, MapOrder, OrderKind, mapping_digest};
 pub use map_planner::{MapPlanner, PlannedMap, PlannerInput};
 pub use pass_clock::PassClock;
 pub use rank_report::{ArmedMap, PreparedMap, RankReport};
--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -12,23 +12,44 @@
 pub enum PeerMessage {
     /// What an entry tells all others, several times a second.
     Beat(PeerBeat),
-    /// The leader of a group asks an agent for the state of its rank, and for its counts.
-    Ask,
+    /// The leader of a group asks an agent for the state of its rank.
+    Ask(RankQuestion),
     /// The leader of a group passes an order on to an agent.
     Order(MapOrder),
+    /// An order that some agents pass on to others.
+    Relayed(RelayedOrder),
     /// An agent tells the state of its rank.
     State(Box<RankState>),
     /// An agent tells entries that the target at an address takes so many times as long as usual.
     Pace(SocketAddr, f32),
 }
 
+/// What the leader of a group asks an agent for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RankQuestion {
+    /// The state of its rank.
+    State,
+    /// The state of its rank, and what its requests chose since the last such answer.
+    Counts,
+}
+
+/// An order that some agents pass on to others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RelayedOrder {
+    /// The leader, to which each agent answers.
+    pub leader: SocketAddr,
+    /// The agents that the order is still passed on to.
+    pub receivers: Vec<SocketAddr>,
+    /// The order.
+    pub order: MapOrder,
+}
+
 /// What an agent tells of its rank.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RankState {
     /// The rank's report, read on its own machine.
     pub report: RankReport,
-    /// The experts that the rank holds, by set, and the choices of its requests since its start;
-    /// only in the answer to a question.
+    /// What only the answer to a question holds.
     pub details: Option<RankDetails>,
 }
 
@@ -37,8 +58,9 @@
 pub struct RankDetails {
     /// The experts that the rank holds now, by set.
     pub held: Vec<Vec<u16>>,
-    /// How often the rank's requests chose each expert, set by set.
-    pub counts: Vec<u32>,
+    /// How often the rank's requests chose each expert since the last answer, set by set; empty
+    /// where that is not known or was not asked for.
+    pub window: Vec<u32>,
 }
 
 /// What an entry tells all others.
--- a/fleet/src/peers/mod.rs
+++ b/fleet/src/peers/mod.rs
@@ -3,9 +3,12 @@
 mod message;
 mod peer_table;
 mod reader_choice;
+mod relay_batches;
 
 pub use message::{
-    PeerBeat, PeerMessage, PeerRecord, RankDetails, RankState, StoreTopic, TopicPosition,
+    PeerBeat, PeerMessage, PeerRecord, RankDetails, RankQuestion, RankState, RelayedOrder,
+    StoreTopic, TopicPosition,
 };
 pub use peer_table::{PeerRow, PeerTable};
 pub use reader_choice::{ReaderChoice, ReaderInput, choose_reader};
+pub use relay_batches::relay_batches;
--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -7,7 +7,8 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::peers::{PeerMessage, PeerRecord, RankState, StoreTopic};
+use crate::expert::MapOrder;
+use crate::peers::{PeerMessage, PeerRecord, RankState, RelayedOrder, StoreTopic};
 use crate::prelude::*;
 
 use super::knowledge::Decoders;
@@ -105,22 +106,19 @@
             continue;
         };
         match PeerMessage::decode(&buffer[..len]) {
-            Some(PeerMessage::Ask) => {
+            Some(PeerMessage::Ask(question)) => {
                 let (link, socket) = (link.clone(), socket.clone());
                 tokio::spawn(async move {
-                    reply(&socket, from, link.state().await).await;
+                    reply(&socket, from, link.state(question).await).await;
                 });
             }
             Some(PeerMessage::Order(order)) => {
-                let (link, socket) = (link.clone(), socket.clone());
-                tokio::spawn(async move {
-                    let report = link.order(&order).await;
-                    let state = report.map(|report| RankState {
-                        report,
-                        details: None,
-                    });
-                    reply(&socket, from, state).await;
-                });
+                tokio::spawn(carry_out(link.clone(), socket.clone(), from, order));
+            }
+            Some(PeerMessage::Relayed(relayed)) => {
+                pass_on(&socket, &relayed).await;
+                let RelayedOrder { leader, order, .. } = relayed;
+                tokio::spawn(carry_out(link.clone(), socket.clone(), leader, order));
             }
             Some(PeerMessage::State(state)) => {
                 table.lock().hear(from, *state, Instant::now());
@@ -134,6 +132,42 @@
     Ok(())
 }
 
+/// Passes a relayed order on to its receivers.
+async fn pass_on(socket: &UdpSocket, relayed: &RelayedOrder) {
+    if relayed.receivers.is_empty() {
+        return;
+    }
+    let rest = RelayedOrder {
+        leader: relayed.leader,
+        receivers: Vec::new(),
+        order: relayed.order.clone(),
+    };
+    let bytes = PeerMessage::Relayed(rest).encode();
+    for receiver in &relayed.receivers {
+        // The leader sees who has not answered, and sends to them itself.
+        let _ = socket.send_to(&bytes, receiver).await;
+    }
+}
+
+/// Gives the rank an order, and tells the leader how things stand then and, where a copy began,
+/// once it is complete.
+async fn carry_out<Call, Reply>(
+    link: Arc<RankLink<Call>>,
+    socket: Arc<UdpSocket>,
+    leader: SocketAddr,
+    order: MapOrder,
+) where
+    Call: Fn(SocketAddr, TargetRequest) -> Reply,
+    Reply: Future<Output = Result<TargetReply, CallFault>>,
+{
+    let state = |report| RankState {
+        report,
+        details: None,
+    };
+    reply(&socket, leader, link.order(&order).await.map(state)).await;
+    reply(&socket, leader, link.copied(&order).await.map(state)).await;
+}
+
 /// Tells the entries for as long as the target beside this agent is slow.
 async fn tell_pace<TargetCall, TargetFuture, StoreCall, StoreFuture>(
     config: Arc<AgentConfig>,
--- a/fleet/src/process/entry_run.rs
+++ b/fleet/src/process/entry_run.rs
@@ -6,6 +6,7 @@
 use slog::{Logger, info};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 use crate::forward::HeaderNames;
 use crate::peers::StoreTopic;
@@ -13,7 +14,7 @@
 
 use super::caller_server::serve_callers;
 use super::drain::DrainState;
-use super::entry_state::{BudgetSettings, EntryState};
+use super::entry_state::{EntryState, ProcessBounds};
 use super::knowledge::{Decoders, Knowledge};
 use super::ready_server::{serve_metrics, serve_ready};
 use super::store_access::{CallFault, StoreReply, StoreRequest};
@@ -38,10 +39,8 @@
     pub metrics_address: SocketAddr,
     /// The names of headers.
     pub names: HeaderNames,
-    /// The bounds of the retry budget.
-    pub budget: BudgetSettings,
-    /// The time between the order to stop and the kill.
-    pub grace: Duration,
+    /// The bounds that may change while the process runs.
+    pub bounds: watch::Receiver<ProcessBounds>,
     /// Reads the platform's records.
     pub decoders: Decoders,
 }
@@ -75,7 +74,7 @@
     let state = Arc::new(EntryState::new(
         config.names.clone(),
         config.zone.clone(),
-        config.budget,
+        config.bounds.clone(),
         seed,
         log.clone(),
     ));
@@ -120,32 +119,20 @@
     let n_open = Arc::new(AtomicUsize::new(0));
     tokio::spawn(serve_callers(callers, state.clone(), n_open.clone()));
 
-    wait_for_stop(&state).await?;
-    finish(&config, &state, &n_open).await;
+    signal(SignalKind::terminate())?.recv().await;
+    finish(&state, &n_open).await;
     info!(log, "stopped"; "open" => n_open.load(Ordering::Relaxed));
     Ok(())
 }
 
-async fn wait_for_stop(state: &EntryState) -> std::io::Result<()> {
-    let mut stop = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = stop.recv() => return Ok(()),
-            _ = reload.recv() => info!(state.log, "reload"; "changed" => false,
-                "reason" => "addresses and bounds hold for the life of a process"),
-        }
-    }
-}
-
 /// The time between two checks of whether all connections have ended.
 const END_CHECK: Duration = Duration::from_millis(20);
 
-async fn finish(config: &EntryConfig, state: &EntryState, n_open: &AtomicUsize) {
+async fn finish(state: &EntryState, n_open: &AtomicUsize) {
     let began_at = Instant::now();
     state.drain.begin(began_at);
     info!(state.log, "stopping"; "open" => n_open.load(Ordering::Relaxed));
-    let end_at = DrainState::end_of_grace(began_at, config.grace);
+    let end_at = DrainState::end_of_grace(began_at, state.grace());
     state.drain.closed().await;
     while Instant::now() < end_at && 0 < n_open.load(Ordering::Relaxed) {
         tokio::time::sleep(END_CHECK).await;
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::forward::{HeaderNames, TargetPool};
 use crate::prelude::*;
@@ -42,12 +42,21 @@
     pub metrics: EntryMetrics,
     /// The logger.
     pub log: Logger,
-    budget_settings: BudgetSettings,
+    bounds: watch::Receiver<ProcessBounds>,
     started_at: Instant,
     budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
     rng: Mutex<ChaCha8Rng>,
 }
 
+/// The bounds that may change while a process runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ProcessBounds {
+    /// The bounds of the retry budget.
+    pub budget: BudgetSettings,
+    /// The time between the order to stop and the kill.
+    pub grace: Duration,
+}
+
 /// The bounds of the retry budget that all entries share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetSettings {
@@ -67,7 +76,7 @@
     pub fn new(
         names: HeaderNames,
         zone: Arc<str>,
-        budget_settings: BudgetSettings,
+        bounds: watch::Receiver<ProcessBounds>,
         seed: u64,
         log: Logger,
     ) -> Self {
@@ -82,7 +91,7 @@
             confirmed_at: Mutex::new(None),
             metrics: EntryMetrics::new(),
             log,
-            budget_settings,
+            bounds,
             started_at: Instant::now(),
             budgets: Mutex::new(HashMap::new()),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -126,6 +135,11 @@
         *confirmed_at = Some(confirmed_at.map_or(at, |old| old.max(at)));
     }
 
+    /// Returns the time between the order to stop and the kill.
+    pub fn grace(&self) -> Duration {
+        self.bounds.borrow().grace
+    }
+
     /// Returns whether the entry takes new connections: it knows a configuration and a target,
     /// and is not stopping.
     pub fn is_ready(&self) -> bool {
@@ -140,10 +154,11 @@
             window,
             ratio,
             slack,
-        } = self.budget_settings;
+        } = self.bounds.borrow().budget;
         let budget = budgets
             .entry(service.clone())
             .or_insert_with(|| RetryBudget::new(window, ratio, slack, self.started_at));
+        budget.set_bounds(window, ratio, slack);
         work(budget)
     }
 }
--- a/fleet/src/process/leader_table.rs
+++ b/fleet/src/process/leader_table.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::expert::{RankReport, RankView};
-use crate::peers::{RankDetails, RankState};
+use crate::peers::RankState;
 use crate::prelude::*;
 
 /// What the leader of a group knows of the other ranks, by the address of their agents.
@@ -20,8 +20,12 @@
     pub(super) target: SocketAddr,
     /// The last report.
     pub(super) view: Option<RankView>,
-    /// The last answer to a question.
-    pub(super) details: Option<(Instant, RankDetails)>,
+    /// When a question was last answered.
+    pub(super) told_at: Option<Instant>,
+    /// The experts that the rank holds by set, and the version of the map that says so.
+    pub(super) held: Option<(u64, Arc<Vec<Vec<u16>>>)>,
+    /// The sum of the windows of choices that the agent told.
+    pub(super) counts: Arc<Vec<u32>>,
     /// The last message to the agent.
     pub(super) sent_at: Option<Instant>,
     /// The messages since the agent's last word.
@@ -37,7 +41,9 @@
             self.rows.entry(*agent).or_insert(LeaderRow {
                 target: *target,
                 view: None,
-                details: None,
+                told_at: None,
+                held: None,
+                counts: Arc::default(),
                 sent_at: None,
                 unanswered: 0,
             });
@@ -49,14 +55,16 @@
         let Some(row) = self.rows.get_mut(&agent) else {
             return;
         };
+        if let Some(details) = state.details {
+            row.told_at = Some(now);
+            row.held = Some((state.report.version, details.held.into()));
+            add_window(&mut row.counts, &details.window);
+        }
         row.view = Some(RankView {
             // The report was made after the last message left, or in the time of one exchange.
             asked_at: now,
             report: state.report,
         });
-        if let Some(details) = state.details {
-            row.details = Some((now, details));
-        }
         row.unanswered = 0;
     }
 
@@ -87,9 +95,16 @@
         Some(row.unanswered)
     }
 
-    /// Returns the agents of all targets.
-    pub(super) fn agents(&self) -> Vec<SocketAddr> {
-        self.rows.keys().copied().collect()
+    /// Returns the agents of all targets, each with the rank that it last told in a formation.
+    pub(super) fn agents(&self, epoch: u64) -> Vec<(SocketAddr, Option<u16>)> {
+        let rank = |row: &LeaderRow| {
+            let report = &row.view.as_ref()?.report;
+            (report.epoch == epoch).then_some(report.rank)
+        };
+        self.rows
+            .iter()
+            .map(|(agent, row)| (*agent, rank(row)))
+            .collect()
     }
 
     /// Returns the rows of a group's ranks; the first is left out, as the leader is beside it.
@@ -109,3 +124,16 @@
         ranks
     }
 }
+
+/// Adds a window of choices to the counts of a rank; an empty window adds nothing.
+pub(super) fn add_window(counts: &mut Arc<Vec<u32>>, window: &[u32]) {
+    if window.is_empty() {
+        return;
+    }
+    let counts = Arc::make_mut(counts);
+    counts.resize(window.len(), 0);
+    for (count, chosen) in counts.iter_mut().zip(window) {
+        // The sum wraps after many hours; the window in which it does counts as empty.
+        *count = count.wrapping_add(*chosen);
+    }
+}
--- a/fleet/src/process/leader_task.rs
+++ b/fleet/src/process/leader_task.rs
@@ -3,19 +3,21 @@
 use std::net::SocketAddr;
 
 use parking_lot::Mutex;
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::net::UdpSocket;
 
 use crate::catalog::EngineSpec;
 use crate::expert::{
-    LeaderAction, MapOrder, MapPlanner, PassClock, PlannedMap, PlannerInput, RankReport, RankView,
-    SwitchLeader, SwitchPhase,
+    LeaderAction, MapOrder, MapPlanner, OrderKind, PassClock, PlannedMap, PlannerInput, RankReport,
+    RankView, SwitchLeader, SwitchPhase, is_counted,
+};
+use crate::peers::{
+    PeerMessage, RankDetails, RankQuestion, RelayedOrder, StoreTopic, relay_batches,
 };
-use crate::peers::{PeerMessage, RankDetails, StoreTopic};
 use crate::prelude::*;
 
 use super::agent_run::AgentConfig;
-use super::leader_table::{LeaderRow, LeaderTable};
+use super::leader_table::{LeaderRow, LeaderTable, add_window};
 use super::rank_link::RankLink;
 use super::store_access::{CallFault, StoreReply, StoreRequest, TargetReply, TargetRequest};
 
@@ -35,6 +37,20 @@
 /// The time between two messages to one agent about the same order.
 const ORDER_GAP: Duration = Duration::from_millis(40);
 
+/// The time between two messages to one agent about the same map while many have not copied it:
+/// that of the copy of the experts that may be new to a rank, after which agents answer again.
+const MAP_GAP: Duration = Duration::from_millis(250);
+
+/// The ranks that have not copied a map up to which the gap is that of other orders.
+const FEW_RANKS: usize = 8;
+
+/// The part of `COUNT_PERIOD` after which a map is planned without the counts still missing.
+const COUNT_WAIT: f64 = 0.4;
+
+/// The age of an answer at which it no longer tells a rank's state for a plan: two questions may
+/// be lost.
+const ANSWER_AGE: Duration = Duration::from_millis(600);
+
 /// The unanswered messages to an agent after which the leader orders its target directly.
 const DIRECT_AFTER: u32 = 4;
 
@@ -64,7 +80,8 @@
     counts_used: Option<Instant>,
     pass: PassClock,
     was_rank_0: bool,
-    own: Option<RankDetails>,
+    own_held: Vec<Vec<u16>>,
+    own_counts: Arc<Vec<u32>>,
 }
 
 impl<TargetCall, TargetFuture, StoreCall, StoreFuture> Leader<TargetCall, StoreCall>
@@ -103,7 +120,7 @@
         let rows = self.table.lock().ranks(&own);
         let n_missing = rows.iter().skip(1).filter(|row| row.is_none()).count();
         self.refresh(memory, n_missing, now).await;
-        self.ask_counts(memory, now).await;
+        self.ask_counts(memory, &own, now).await;
         if memory.switch.is_idle() && n_missing == 0 {
             self.plan(memory, &own, &rows, now);
         }
@@ -117,6 +134,7 @@
                 report: own,
             });
         }
+        let mut copies = Vec::new();
         for action in memory.switch.on_tick(&views, now) {
             match action {
                 LeaderAction::Note(note) => {
@@ -127,11 +145,17 @@
                     let _ = self.link.order(&order).await;
                 }
                 LeaderAction::Order(rank, order) => {
-                    self.send_order(rows.get(usize::from(rank)), order, now)
-                        .await;
+                    let Some(Some((agent, row))) = rows.get(usize::from(rank)) else {
+                        continue;
+                    };
+                    match order.kind {
+                        OrderKind::Prepare(..) => copies.push((*agent, row.target, order)),
+                        _ => self.send_order(*agent, row.target, order, now).await,
+                    }
                 }
             }
         }
+        self.send_copies(copies, now).await;
         match memory.switch.is_idle() {
             true => COUNT_PERIOD / 8,
             false => SWITCH_PERIOD,
@@ -180,21 +204,32 @@
         catalog.services.get(&self.config.service)?.engine.clone()
     }
 
-    async fn ask_counts(&self, memory: &mut LeaderMemory, now: Instant) {
+    /// Asks all ranks for their state, and some for their counts.
+    async fn ask_counts(&self, memory: &mut LeaderMemory, own: &RankReport, now: Instant) {
         if memory.asked_at.is_some_and(|at| now < at + COUNT_PERIOD) {
             return;
         }
         memory.asked_at = Some(now);
-        let ask = PeerMessage::Ask.encode();
-        let agents = self.table.lock().agents();
-        for agent in agents {
+        let agents = self.table.lock().agents(own.epoch);
+        for (agent, rank) in agents {
+            let question = match rank {
+                Some(rank) if is_counted(rank, own.size) => RankQuestion::Counts,
+                _ => RankQuestion::State,
+            };
             // A lost question is asked again a period later.
-            let _ = self.socket.send_to(&ask, agent).await;
+            let _ = self
+                .socket
+                .send_to(&PeerMessage::Ask(question).encode(), agent)
+                .await;
+        }
+        let state = self.link.state(RankQuestion::Counts).await;
+        if let Some(RankDetails { held, window }) = state.and_then(|state| state.details) {
+            memory.own_held = held;
+            add_window(&mut memory.own_counts, &window);
         }
-        memory.own = self.link.state().await.and_then(|state| state.details);
     }
 
-    /// Plans the next map once all ranks have answered the last question.
+    /// Plans the next map once the ranks have answered the last question.
     fn plan(
         &self,
         memory: &mut LeaderMemory,
@@ -205,26 +240,39 @@
         let Some(asked_at) = memory.asked_at.filter(|at| memory.counts_used != Some(*at)) else {
             return;
         };
-        let (Some(engine), Some(own_details)) = (&memory.engine, &memory.own) else {
+        let Some(engine) = memory.engine.as_ref().filter(|engine| engine.sets != 0) else {
             return;
         };
-        let fresh = |row: &(SocketAddr, LeaderRow)| {
-            let details = row.1.details.as_ref().filter(|(at, _)| asked_at <= *at);
-            details.map(|(_, details)| details.clone())
-        };
-        let mut details = vec![own_details.clone()];
-        for row in rows.iter().skip(1).flatten() {
-            details.extend(fresh(row));
-        }
-        if details.len() < rows.len() || engine.sets == 0 {
+        let others = || rows.iter().skip(1).flatten().map(|(_, row)| row);
+        let has_answered = |row: &&LeaderRow| row.told_at.is_some_and(|at| asked_at <= at);
+        let is_complete = others().all(|row| has_answered(&row));
+        if !is_complete && now < asked_at + COUNT_PERIOD.mul_f64(COUNT_WAIT) {
             return;
         }
         memory.counts_used = Some(asked_at);
-        let counts: Vec<Option<Vec<u32>>> = details
-            .iter()
-            .map(|details| Some(details.counts.clone()))
+        let told = others().map(|row| {
+            let is_counted = has_answered(&row) && !row.counts.is_empty();
+            is_counted.then(|| row.counts.to_vec())
+        });
+        let counts: Vec<Option<Vec<u32>>> = std::iter::once(Some(memory.own_counts.to_vec()))
+            .chain(told)
             .collect();
         memory.planner.observe(&counts);
+        let held = others().filter(|row| row.told_at.is_some_and(|at| now < at + ANSWER_AGE));
+        let held = held.filter_map(|row| row.held.as_ref());
+        let held: Vec<Vec<Vec<u16>>> = std::iter::once(memory.own_held.clone())
+            .chain(
+                held.filter(|(version, _)| *version == own.version)
+                    .map(|(_, held)| held.to_vec()),
+            )
+            .collect();
+        debug!(self.log, "counts gathered"; "epoch" => own.epoch, "ranks" => rows.len(),
+            "answered" => others().filter(has_answered).count(), "held" => held.len(),
+            "age_ms" => (now - asked_at).as_millis() as u64,
+            "distance" => memory.planner.last_distance());
+        if held.len() < rows.len() {
+            return;
+        }
         let reports = || {
             let others = rows
                 .iter()
@@ -239,7 +287,6 @@
             .flat_map(|report| [Some(report.version), report.prepared.map(|map| map.version)])
             .flatten()
             .max();
-        let held: Vec<Vec<Vec<u16>>> = details.into_iter().map(|details| details.held).collect();
         let paces: Vec<f32> = std::iter::once(own.pace)
             .chain(rows.iter().skip(1).map(|row| pace_of(row.as_ref())))
             .collect();
@@ -252,9 +299,14 @@
         };
         let started_at = std::time::Instant::now();
         let planned = match memory.planner.plan(&input) {
-            Some(planned) => planned,
-            None if memory.switch.needs_map() => PlannedMap::unchanged(&input),
-            None => return,
+            Ok(Some(planned)) => planned,
+            Ok(None) if memory.switch.needs_map() => PlannedMap::unchanged(&input),
+            Ok(None) => return,
+            Err(err) => {
+                warn!(self.log, "no map can be planned"; "epoch" => own.epoch,
+                    "reason" => %err);
+                return;
+            }
         };
         info!(self.log, "map planned"; "version" => planned.version, "epoch" => own.epoch,
             "step" => own.step, "skew_before" => planned.skew_before,
@@ -266,26 +318,64 @@
     /// Passes an order on to the agent beside a rank, or gives it directly where that is silent.
     async fn send_order(
         &self,
-        row: Option<&Option<(SocketAddr, LeaderRow)>>,
+        agent: SocketAddr,
+        target: SocketAddr,
         order: MapOrder,
         now: Instant,
     ) {
-        let Some(Some((agent, row))) = row else {
-            return;
-        };
-        let Some(unanswered) = self.table.lock().note_sent(*agent, ORDER_GAP, now) else {
+        let Some(unanswered) = self.table.lock().note_sent(agent, ORDER_GAP, now) else {
             return;
         };
         let bytes = PeerMessage::Order(order.clone()).encode();
         // A lost order is sent again at the next look.
-        let _ = self.socket.send_to(&bytes, *agent).await;
+        let _ = self.socket.send_to(&bytes, agent).await;
+        self.order_directly(agent, target, order, unanswered);
+    }
+
+    /// Passes the order to copy a map on to the agents of all ranks that have not copied it.
+    async fn send_copies(&self, copies: Vec<(SocketAddr, SocketAddr, MapOrder)>, now: Instant) {
+        let gap = match copies.len() <= FEW_RANKS {
+            true => ORDER_GAP,
+            false => MAP_GAP,
+        };
+        let Some((_, _, order)) = copies.first().cloned() else {
+            return;
+        };
+        let mut agents = Vec::with_capacity(copies.len());
+        for (agent, target, order) in copies {
+            let Some(unanswered) = self.table.lock().note_sent(agent, gap, now) else {
+                continue;
+            };
+            agents.push(agent);
+            self.order_directly(agent, target, order, unanswered);
+        }
+        for (agent, receivers) in relay_batches(&agents) {
+            let relayed = RelayedOrder {
+                leader: self.config.peer_address,
+                receivers,
+                order: order.clone(),
+            };
+            let bytes = PeerMessage::Relayed(relayed).encode();
+            // A lost order is sent again after the gap.
+            let _ = self.socket.send_to(&bytes, agent).await;
+        }
+    }
+
+    /// Gives an order to a target whose agent has left some messages unanswered.
+    fn order_directly(
+        &self,
+        agent: SocketAddr,
+        target: SocketAddr,
+        order: MapOrder,
+        unanswered: u32,
+    ) {
         if unanswered < DIRECT_AFTER || !unanswered.is_multiple_of(DIRECT_AFTER) {
             return;
         }
         warn!(self.log, "agent silent"; "agent" => %agent, "messages" => unanswered,
             "order" => order.kind.label());
-        let link = RankLink::new(row.target, self.target_call.clone(), self.log.clone());
-        let (agent, table) = (*agent, self.table.clone());
+        let link = RankLink::new(target, self.target_call.clone(), self.log.clone());
+        let table = self.table.clone();
         tokio::spawn(async move {
             if let Some(report) = link.order(&order).await {
                 table.lock().read(agent, report, Instant::now());
--- a/fleet/src/process/rank_link.rs
+++ b/fleet/src/process/rank_link.rs
@@ -6,8 +6,8 @@
 use parking_lot::Mutex;
 use slog::{Logger, info};
 
-use crate::expert::{MapOrder, OrderKind, RankReport, mapping_digest};
-use crate::peers::{RankDetails, RankState};
+use crate::expert::{CountWindow, MapOrder, OrderKind, RankReport, mapping_digest};
+use crate::peers::{RankDetails, RankQuestion, RankState};
 use crate::prelude::*;
 
 use super::store_access::{CallFault, TargetReply, TargetRequest};
@@ -18,6 +18,10 @@
 /// The time within which a copy that has begun is not ordered again: a rank would begin it anew.
 const COPY_TIME: Duration = Duration::from_millis(1_500);
 
+/// The time between two looks at a copy in progress: some passes, and a part of the copy of the
+/// experts that may be new to a rank.
+const COPY_CHECK: Duration = Duration::from_millis(25);
+
 /// An agent's view of a rank: reads its state and gives it orders.
 pub(super) struct RankLink<Call> {
     address: SocketAddr,
@@ -28,6 +32,8 @@
     digest: Mutex<Option<((u64, u64), u64)>>,
     /// The formation and version of the copy that the rank has begun, and when it did.
     copying: Mutex<Option<((u64, u64), Instant)>>,
+    /// The counts as they were last told.
+    window: Mutex<CountWindow>,
 }
 
 impl<Call, Reply> RankLink<Call>
@@ -43,6 +49,7 @@
             is_busy: AtomicBool::new(false),
             digest: Mutex::new(None),
             copying: Mutex::new(None),
+            window: Mutex::default(),
         }
     }
 
@@ -58,23 +65,43 @@
         Some(report)
     }
 
-    /// Reads the rank's state, its experts and its counts.
-    pub(super) async fn state(&self) -> Option<RankState> {
+    /// Reads the rank's state, its experts and, where asked for, what was chosen of late.
+    pub(super) async fn state(&self, question: RankQuestion) -> Option<RankState> {
         let report = self.report().await?;
-        let Ok(TargetReply::Counts(counts)) =
-            (self.call)(self.address, TargetRequest::Counts).await
-        else {
-            return None;
+        let window = match question {
+            RankQuestion::State => Vec::new(),
+            RankQuestion::Counts => self.counted().await?,
         };
         let Ok(TargetReply::Listings(held, _)) =
             (self.call)(self.address, TargetRequest::Listings).await
         else {
             return None;
         };
-        let details = Some(RankDetails { held, counts });
+        let details = Some(RankDetails { held, window });
         Some(RankState { report, details })
     }
 
+    async fn counted(&self) -> Option<Vec<u32>> {
+        let reply = (self.call)(self.address, TargetRequest::Counts).await;
+        let Ok(TargetReply::Counts(counts)) = reply else {
+            return None;
+        };
+        Some(self.window.lock().advance(counts, Instant::now()))
+    }
+
+    /// Waits until a copy that an order began is complete, and returns the state then; `None`
+    /// where the order began no copy, or it has not become complete in time.
+    pub(super) async fn copied(&self, order: &MapOrder) -> Option<RankReport> {
+        while self.is_copying(order) {
+            tokio::time::sleep(COPY_CHECK).await;
+            let report = self.report().await.filter(|report| is_done(order, report));
+            if report.is_some() {
+                return report;
+            }
+        }
+        None
+    }
+
     /// Gives the rank an order until its state shows that it holds, some times at most; returns
     /// the state. `None` where another order is being given or the state cannot be had.
     pub(super) async fn order(&self, order: &MapOrder) -> Option<RankReport> {
--- a/fleet/src/routing/retry_budget.rs
+++ b/fleet/src/routing/retry_budget.rs
@@ -35,6 +35,13 @@
         }
     }
 
+    /// Takes in bounds that may have changed.
+    pub fn set_bounds(&mut self, window: Duration, ratio: f64, slack: f64) {
+        self.window = window;
+        self.ratio = ratio;
+        self.slack = slack;
+    }
+
     /// Counts a request of a caller.
     pub fn count_request(&mut self, now: Instant) {
         self.requests.push_back(now);
--- a/fleet/tests/changed_popularity.rs
+++ b/fleet/tests/changed_popularity.rs
@@ -51,13 +51,15 @@
 fn plan(planner: &MapPlanner, pass_s: f64) -> Option<PlannedMap> {
     let engine = engine();
     let held = held();
-    planner.plan(&PlannerInput {
-        engine: &engine,
-        held: &held,
-        version: 1,
-        paces: &[1.0; RANKS],
-        pass_s: Some(pass_s),
-    })
+    planner
+        .plan(&PlannerInput {
+            engine: &engine,
+            held: &held,
+            version: 1,
+            paces: &[1.0; RANKS],
+            pass_s: Some(pass_s),
+        })
+        .unwrap()
 }
 
 fn replicas(planned: &PlannedMap, expert: u16) -> usize {
--- a/fleet/tests/map_switch.rs
+++ b/fleet/tests/map_switch.rs
@@ -114,7 +114,7 @@
     let mut rank = || vec![rng.random_range(0..50_u16)];
     PlannedMap {
         version,
-        mapping: vec![(0..RANKS).map(|_| rank()).collect()],
+        mapping: vec![(0..RANKS).map(|_| rank()).collect()].into(),
         skew_before: 2.0,
         skew_after: 1.0,
         copies: RANKS,
--- a/fleet/tests/slow_rank.rs
+++ b/fleet/tests/slow_rank.rs
@@ -133,7 +133,7 @@
     };
 
     // Act
-    let planned = planner.plan(&input).unwrap();
+    let planned = planner.plan(&input).unwrap().unwrap();
 
     // Assert
     let replicas = |expert| {
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -9,12 +9,13 @@
 use comfreyhead_fleet::catalog::{Account, Backend};
 use comfreyhead_fleet::forward::HeaderNames;
 use comfreyhead_fleet::prelude::*;
-use comfreyhead_fleet::process::{BudgetSettings, EntryState, serve_callers};
+use comfreyhead_fleet::process::{BudgetSettings, EntryState, ProcessBounds, serve_callers};
 use comfreyhead_fleet::roster::RosterChange;
 use http::HeaderName;
 use slog::{Discard, Logger, o};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// The timeout of the route that all tests use.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -246,8 +247,14 @@
             ratio: 100.0,
             slack: 1_000.0,
         };
+        let bounds = ProcessBounds {
+            budget,
+            grace: Duration::from_secs(8),
+        };
+        // The bounds stay readable after their sender is gone.
+        let (_, bounds) = watch::channel(bounds);
         let log = Logger::root(Discard, o!());
-        let state = Arc::new(EntryState::new(header_names(), "a".into(), budget, 1, log));
+        let state = Arc::new(EntryState::new(header_names(), "a".into(), bounds, 1, log));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         tokio::spawn(serve_callers(
--- a/src/process/step_window/rank_set.rs
+++ b/src/process/step_window/rank_set.rs
@@ -2,9 +2,15 @@
 
 use crate::version::expert_map::{MapShape, RankId};
 
-/// A set of ranks of one group, at most 64.
+/// The bits of one word of a set.
+const WORD_BITS: u16 = u64::BITS as u16;
+
+/// The words that hold the most ranks of a group.
+const WORDS: usize = (MapShape::MAX_RANKS / WORD_BITS) as usize;
+
+/// A set of ranks of one group, at most `MapShape::MAX_RANKS`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RankSet(u64);
+pub struct RankSet([u64; WORDS]);
 
 impl RankSet {
     /// Creates the set of all ranks of a group.
@@ -13,37 +19,44 @@
             (1..=MapShape::MAX_RANKS).contains(&ranks),
             "ranks_of_a_group_are_bounded"
         );
-        Self(u64::MAX >> (MapShape::MAX_RANKS - ranks))
+        let mut set = Self::default();
+        (0..ranks).for_each(|rank| set.insert(rank));
+        set
     }
 
     /// Adds a rank.
     pub fn insert(&mut self, rank: RankId) {
-        self.0 |= 1 << rank;
+        self.0[usize::from(rank / WORD_BITS)] |= 1 << (rank % WORD_BITS);
     }
 
     /// Removes a rank.
     pub fn remove(&mut self, rank: RankId) {
-        self.0 &= !(1 << rank);
+        self.0[usize::from(rank / WORD_BITS)] &= !(1 << (rank % WORD_BITS));
     }
 
     /// Returns whether the set holds a rank.
     pub fn contains(self, rank: RankId) -> bool {
-        rank < MapShape::MAX_RANKS && self.0 >> rank & 1 == 1
+        let word = self.0.get(usize::from(rank / WORD_BITS));
+        word.is_some_and(|word| word >> (rank % WORD_BITS) & 1 == 1)
     }
 
     /// Returns the ranks of this set that are not in another.
     pub fn without(self, other: Self) -> Self {
-        Self(self.0 & !other.0)
+        let mut set = self;
+        for (word, other) in set.0.iter_mut().zip(other.0) {
+            *word &= !other;
+        }
+        set
     }
 
     /// Returns whether the set is empty.
     pub fn is_empty(self) -> bool {
-        self.0 == 0
+        self.0 == [0; WORDS]
     }
 
     /// Returns the number of ranks.
     pub fn len(self) -> usize {
-        self.0.count_ones() as usize
+        self.0.iter().map(|word| word.count_ones() as usize).sum()
     }
 
     /// Returns the ranks in order.
--- a/src/version/expert_map/map_shape.rs
+++ b/src/version/expert_map/map_shape.rs
@@ -24,10 +24,10 @@
 }
 
 impl MapShape {
-    /// The most ranks of a group.
-    pub const MAX_RANKS: u16 = 64;
-    /// The most experts of a layer.
-    pub const MAX_EXPERTS: u16 = 256;
+    /// The most ranks of a group: some times the largest published one, of 72 ranks.
+    pub const MAX_RANKS: u16 = 512;
+    /// The most experts of a layer: some times the largest published layer, of 256 experts.
+    pub const MAX_EXPERTS: u16 = 1_024;
     /// The most layers of a model.
     pub const MAX_LAYERS: u16 = 60;
 
