Give up the pass of a silent leader

Nobody else could release the pass, as ranks might be armed.

The pass is now held at the rank of another machine, by an order from the leader's. The agent beside that rank, the keeper, allows arms for the pass or, without a question of the leader for 250 ms, gives it up; it decides once, and its release is refused once the rank has begun another order.

Tried before and dropped: a deputy that finishes the attempt in place of the leader.

--- a/fleet/src/expert/map_order.rs
+++ b/fleet/src/expert/map_order.rs
@@ -12,6 +12,9 @@
 pub struct MapOrder {
     /// The formation of the group.
     pub epoch: u64,
+    /// The orders that the rank has begun, where the order is to be refused once it has begun
+    /// another; `None` where it holds whatever came between.
+    pub expected: Option<u64>,
     /// What is ordered.
     pub kind: OrderKind,
 }
--- a/fleet/src/expert/switch_leader.rs
+++ b/fleet/src/expert/switch_leader.rs
@@ -2,18 +2,21 @@
 //!
 //! Orders may be lost, repeated, and carried out seconds late. A pass runs on one map because:
 //! 1. every rank has copied one version with the planned content before any pass is held;
-//! 2. a pass is held, as the holding rank itself reports, before any rank is armed for it;
+//! 2. a pass is held, and the keeper beside the holding rank has allowed arms for it, before any
+//!    rank is armed for it;
 //! 3. the pass is released only when every rank reports to be armed for it with that version;
 //! 4. a version is used for one attempt only, as it bears the life of the process that chose it,
 //!    and a late order for an earlier pass is refused by the rank since that pass has begun.
 //!
-//! An attempt that holds a pass is never given up but carried to its end; only a new formation of
-//! the group, which forgets all holds and maps, ends it. `spec/map_switch.pml` checks this.
+//! An attempt for which arms are allowed is never given up but carried to its end; only a new
+//! formation of the group, which forgets all holds and maps, ends it. `spec/map_switch.pml` checks
+//! this.
 
 use crate::prelude::*;
 
 use super::map_order::{MapOrder, OrderKind, mapping_digest};
 use super::map_planner::PlannedMap;
+use super::pass_keeper::{KeeperVerdict, PassQuestion};
 use super::rank_report::{ArmedMap, PreparedMap, RankReport};
 
 /// The passes between the last one known and the one that is held: far enough ahead that all
@@ -37,6 +40,10 @@
     pub asked_at: Instant,
     /// The report.
     pub report: RankReport,
+    /// The life of the agent's process.
+    pub life: u16,
+    /// What the agent, as a keeper, says of a pass.
+    pub verdict: Option<(u64, KeeperVerdict)>,
 }
 
 /// Where a switch stands.
@@ -47,7 +54,7 @@
     Idle,
     /// Ranks copy a map.
     Preparing(Arc<PlannedMap>, Instant),
-    /// The leader's rank is to hold a pass.
+    /// The keeper's rank is to hold a pass, and the keeper to allow arms for it.
     Holding(u64, u64),
     /// Ranks are to be armed with a version for a held pass.
     Arming(u64, u64),
@@ -60,6 +67,8 @@
 pub enum LeaderAction {
     /// Send an order to a rank.
     Order(u16, MapOrder),
+    /// Ask the keeper.
+    Ask(PassQuestion),
     /// Note a change of the phase.
     Note(&'static str),
 }
@@ -73,9 +82,17 @@
     phase: SwitchPhase,
     epoch: u64,
     needs_map: bool,
+    /// The version and the pass that a keeper cannot decide on.
+    undecided: Option<(u64, u64)>,
 }
 
 impl SwitchLeader {
+    /// Returns the rank that holds passes in a group of some ranks: not the leader's own, so that a
+    /// machine that stands still does not both lead and hold.
+    pub fn keeper_rank(n_ranks: usize) -> usize {
+        1.min(n_ranks.saturating_sub(1))
+    }
+
     /// Returns where the switch stands.
     pub fn phase(&self) -> &SwitchPhase {
         &self.phase
@@ -117,33 +134,40 @@
             return actions;
         }
         match self.phase.clone() {
-            SwitchPhase::Idle => self.recover(own, ranks, now, &mut actions),
+            SwitchPhase::Idle => self.recover(ranks, now, &mut actions),
             SwitchPhase::Preparing(_, since) if since + PREPARE_TIME < now => {
                 self.set_phase(SwitchPhase::Idle, "not prepared in time", &mut actions);
             }
             SwitchPhase::Preparing(planned, _) => self.prepare(&planned, ranks, &mut actions),
-            SwitchPhase::Holding(version, step) => self.hold(version, step, own, &mut actions),
-            SwitchPhase::Arming(version, step) => self.arm(version, step, ranks, &mut actions),
-            SwitchPhase::Releasing(step) if own.held == Some(step) => {
-                actions.push(self.order(0, OrderKind::Release(step)));
-            }
-            SwitchPhase::Releasing(_) => {
-                self.set_phase(SwitchPhase::Idle, "released", &mut actions);
+            SwitchPhase::Holding(version, step) if step <= own.step => {
+                let step = own.step + HOLD_AHEAD;
+                self.set_phase(
+                    SwitchPhase::Holding(version, step),
+                    "pass begun",
+                    &mut actions,
+                );
             }
+            SwitchPhase::Holding(version, step) => self.hold(version, step, ranks, &mut actions),
+            SwitchPhase::Arming(version, step) => self.arm(version, step, ranks, &mut actions),
+            SwitchPhase::Releasing(step) => match self.keeper(ranks).map(|view| view.report.held) {
+                Some(held) if held == Some(step) => {
+                    let keeper = Self::keeper_rank(ranks.len());
+                    actions.push(self.order(keeper, OrderKind::Release(step)));
+                }
+                Some(_) => self.set_phase(SwitchPhase::Idle, "released", &mut actions),
+                None => {}
+            },
         }
         actions
     }
 
     /// Finishes what an earlier process beside this rank, or a hold that came late, left held.
-    fn recover(
-        &mut self,
-        own: &RankReport,
-        ranks: &[Option<RankView>],
-        now: Instant,
-        actions: &mut LeaderActions,
-    ) {
+    fn recover(&mut self, ranks: &[Option<RankView>], now: Instant, actions: &mut LeaderActions) {
         self.needs_map = false;
-        let Some(step) = own.held else {
+        let Some((step, keeper)) = self
+            .keeper(ranks)
+            .and_then(|view| Some((view.report.held?, &view.report)))
+        else {
             return;
         };
         let fresh = |view: &&RankView| now < view.asked_at + REPORT_AGE;
@@ -165,10 +189,11 @@
         }
         // Arms are sent only once every rank has copied one version, so unanswered arms can only
         // be for a version that all ranks still report.
-        let first = own
+        let first = keeper
             .prepared
             .map(|map| map.version)
-            .filter(|version| *version != own.version);
+            .filter(|version| *version != keeper.version)
+            .filter(|version| self.undecided != Some((*version, step)));
         let common = first.filter(|version| {
             views
                 .iter()
@@ -176,11 +201,8 @@
         });
         match common {
             Some(version) => {
-                self.set_phase(
-                    SwitchPhase::Arming(version, step),
-                    "continue prepared",
-                    actions,
-                );
+                let phase = SwitchPhase::Holding(version, step);
+                self.set_phase(phase, "continue prepared", actions);
             }
             None => self.needs_map = true,
         }
@@ -204,28 +226,59 @@
             }
             n_missing += 1;
             let kind = OrderKind::Prepare(planned.version, planned.mapping.clone());
-            actions.push(self.order(rank as u16, kind));
+            actions.push(self.order(rank, kind));
         }
         if n_missing != 0 {
             return;
         }
-        let held = ranks.first().and_then(|view| view.as_ref()?.report.held);
+        let held = self.keeper(ranks).and_then(|view| view.report.held);
         let step = held.unwrap_or_else(|| next_step(ranks));
         let phase = SwitchPhase::Holding(planned.version, step);
         self.set_phase(phase, "prepared", actions);
-        actions.push(self.order(0, OrderKind::Hold(step)));
+        self.hold(planned.version, step, ranks, actions);
     }
 
-    fn hold(&mut self, version: u64, step: u64, own: &RankReport, actions: &mut LeaderActions) {
-        if own.held == Some(step) {
-            return self.set_phase(SwitchPhase::Arming(version, step), "held", actions);
-        }
-        if step <= own.step {
-            let step = own.step + HOLD_AHEAD;
-            self.set_phase(SwitchPhase::Holding(version, step), "pass begun", actions);
-            return actions.push(self.order(0, OrderKind::Hold(step)));
+    fn hold(
+        &mut self,
+        version: u64,
+        step: u64,
+        ranks: &[Option<RankView>],
+        actions: &mut LeaderActions,
+    ) {
+        let Some(keeper) = self.keeper(ranks) else {
+            return;
+        };
+        let verdict = keeper.verdict.filter(|(asked, _)| *asked == step);
+        match verdict.map(|(_, verdict)| verdict) {
+            Some(KeeperVerdict::Allowed) => {
+                return self.set_phase(SwitchPhase::Arming(version, step), "allowed", actions);
+            }
+            Some(KeeperVerdict::Unknown) => {
+                self.undecided = Some((version, step));
+                return self.set_phase(SwitchPhase::Idle, "undecided", actions);
+            }
+            // The keeper releases the pass; the next one is tried then.
+            Some(KeeperVerdict::GivenUp) => return,
+            // The keeper lives and knows of the pass, so that it may be held.
+            Some(KeeperVerdict::Open) if keeper.report.held != Some(step) => {
+                let keeper = Self::keeper_rank(ranks.len());
+                actions.push(self.order(keeper, OrderKind::Hold(step)));
+            }
+            Some(KeeperVerdict::Open) | None => {}
         }
-        actions.push(self.order(0, OrderKind::Hold(step)));
+        let question = PassQuestion {
+            life: keeper.life,
+            epoch: self.epoch,
+            version,
+            step,
+        };
+        actions.push(LeaderAction::Ask(question));
+    }
+
+    /// Returns the present state of the rank that holds passes.
+    fn keeper<'a>(&self, ranks: &'a [Option<RankView>]) -> Option<&'a RankView> {
+        let view = ranks.get(Self::keeper_rank(ranks.len()))?.as_ref()?;
+        self.is_current(view).then_some(view)
     }
 
     fn arm(
@@ -243,11 +296,12 @@
                 continue;
             }
             n_missing += 1;
-            actions.push(self.order(rank as u16, OrderKind::Arm(version, step)));
+            actions.push(self.order(rank, OrderKind::Arm(version, step)));
         }
         if n_missing == 0 {
             self.set_phase(SwitchPhase::Releasing(step), "armed", actions);
-            actions.push(self.order(0, OrderKind::Release(step)));
+            let keeper = Self::keeper_rank(ranks.len());
+            actions.push(self.order(keeper, OrderKind::Release(step)));
         }
     }
 
@@ -255,9 +309,13 @@
         view.report.epoch == self.epoch && view.report.open
     }
 
-    fn order(&self, rank: u16, kind: OrderKind) -> LeaderAction {
-        let epoch = self.epoch;
-        LeaderAction::Order(rank, MapOrder { epoch, kind })
+    fn order(&self, rank: usize, kind: OrderKind) -> LeaderAction {
+        let order = MapOrder {
+            epoch: self.epoch,
+            expected: None,
+            kind,
+        };
+        LeaderAction::Order(rank as u16, order)
     }
 
     fn set_phase(&mut self, phase: SwitchPhase, note: &'static str, actions: &mut LeaderActions) {
--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::expert::{MapOrder, RankReport};
+use crate::expert::{KeeperVerdict, MapOrder, PassQuestion, RankReport};
 use crate::prelude::*;
 
 /// A message between processes.
@@ -31,6 +31,8 @@
     State,
     /// The state of its rank, and what its requests chose since the last such answer.
     Counts,
+    /// The state of its rank, and whether ranks may be armed for a pass that it holds.
+    MayArm(PassQuestion),
 }
 
 /// An order that some agents pass on to others.
@@ -49,6 +51,10 @@
 pub struct RankState {
     /// The rank's report, read on its own machine.
     pub report: RankReport,
+    /// The life of the agent's process.
+    pub life: u16,
+    /// What the agent says of a pass that it was asked about.
+    pub verdict: Option<(u64, KeeperVerdict)>,
     /// What only the answer to a question holds.
     pub details: Option<RankDetails>,
 }
--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -6,14 +6,17 @@
 use slog::{Logger, debug, info};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 
-use crate::expert::MapOrder;
+use crate::expert::{MapOrder, PassKeeper};
 use crate::peers::{PeerMessage, PeerRecord, RankState, RelayedOrder, StoreTopic};
 use crate::prelude::*;
 
+use super::keeper_link::KeeperLink;
 use super::knowledge::Decoders;
 use super::leader_table::LeaderTable;
 use super::leader_task::Leader;
+use super::order_sender::OrderSender;
 use super::rank_link::RankLink;
 use super::store_access::{CallFault, StoreReply, StoreRequest, TargetReply, TargetRequest};
 
@@ -77,16 +80,29 @@
     let table = Arc::new(Mutex::new(LeaderTable::default()));
     info!(log, "started"; "role" => "agent", "target" => %config.target_address,
         "service" => &*config.service);
+    let sender = Arc::new(OrderSender {
+        own_address: config.peer_address,
+        target_call,
+        socket: socket.clone(),
+        table: table.clone(),
+        log: log.clone(),
+    });
     let leader = Leader {
         config: config.clone(),
         link: link.clone(),
-        target_call,
         store_call: store_call.clone(),
-        socket: socket.clone(),
-        table: table.clone(),
+        sender,
         log: log.clone(),
     };
     tokio::spawn(leader.run());
+    let keeper = Arc::new(KeeperLink {
+        link: link.clone(),
+        life: config.life,
+        keeper: Mutex::new(PassKeeper::new(config.life)),
+        asked: Notify::new(),
+        log: log.clone(),
+    });
+    tokio::spawn(keeper.clone().keep());
     tokio::spawn(tell_pace(
         config,
         link.clone(),
@@ -107,18 +123,18 @@
         };
         match PeerMessage::decode(&buffer[..len]) {
             Some(PeerMessage::Ask(question)) => {
-                let (link, socket) = (link.clone(), socket.clone());
+                let (keeper, socket) = (keeper.clone(), socket.clone());
                 tokio::spawn(async move {
-                    reply(&socket, from, link.state(question).await).await;
+                    reply(&socket, from, keeper.answer(question).await).await;
                 });
             }
             Some(PeerMessage::Order(order)) => {
-                tokio::spawn(carry_out(link.clone(), socket.clone(), from, order));
+                tokio::spawn(carry_out(keeper.clone(), socket.clone(), from, order));
             }
             Some(PeerMessage::Relayed(relayed)) => {
                 pass_on(&socket, &relayed).await;
                 let RelayedOrder { leader, order, .. } = relayed;
-                tokio::spawn(carry_out(link.clone(), socket.clone(), leader, order));
+                tokio::spawn(carry_out(keeper.clone(), socket.clone(), leader, order));
             }
             Some(PeerMessage::State(state)) => {
                 table.lock().hear(from, *state, Instant::now());
@@ -152,7 +168,7 @@
 /// Gives the rank an order, and tells the leader how things stand then and, where a copy began,
 /// once it is complete.
 async fn carry_out<Call, Reply>(
-    link: Arc<RankLink<Call>>,
+    keeper: Arc<KeeperLink<Call>>,
     socket: Arc<UdpSocket>,
     leader: SocketAddr,
     order: MapOrder,
@@ -160,8 +176,11 @@
     Call: Fn(SocketAddr, TargetRequest) -> Reply,
     Reply: Future<Output = Result<TargetReply, CallFault>>,
 {
+    let link = &keeper.link;
     let state = |report| RankState {
         report,
+        life: keeper.life,
+        verdict: None,
         details: None,
     };
     reply(&socket, leader, link.order(&order).await.map(state)).await;
--- a/fleet/src/process/leader_table.rs
+++ b/fleet/src/process/leader_table.rs
@@ -64,6 +64,8 @@
             // The report was made after the last message left, or in the time of one exchange.
             asked_at: now,
             report: state.report,
+            life: state.life,
+            verdict: state.verdict,
         });
         row.unanswered = 0;
     }
@@ -74,6 +76,8 @@
             row.view = Some(RankView {
                 asked_at: now,
                 report,
+                life: row.view.as_ref().map_or(0, |view| view.life),
+                verdict: None,
             });
         }
     }
--- a/fleet/src/process/leader_task.rs
+++ b/fleet/src/process/leader_task.rs
@@ -2,22 +2,19 @@
 
 use std::net::SocketAddr;
 
-use parking_lot::Mutex;
 use slog::{Logger, debug, info, warn};
-use tokio::net::UdpSocket;
 
 use crate::catalog::EngineSpec;
 use crate::expert::{
     LeaderAction, MapOrder, MapPlanner, OrderKind, PassClock, PlannedMap, PlannerInput, RankReport,
     RankView, SwitchLeader, SwitchPhase, is_counted,
 };
-use crate::peers::{
-    PeerMessage, RankDetails, RankQuestion, RelayedOrder, StoreTopic, relay_batches,
-};
+use crate::peers::{PeerMessage, RankDetails, RankQuestion, StoreTopic};
 use crate::prelude::*;
 
 use super::agent_run::AgentConfig;
-use super::leader_table::{LeaderRow, LeaderTable, add_window};
+use super::leader_table::{LeaderRow, add_window};
+use super::order_sender::OrderSender;
 use super::rank_link::RankLink;
 use super::store_access::{CallFault, StoreReply, StoreRequest, TargetReply, TargetRequest};
 
@@ -34,16 +31,6 @@
 /// The time between two looks at a switch in progress: a fraction of a pass.
 const SWITCH_PERIOD: Duration = Duration::from_millis(12);
 
-/// The time between two messages to one agent about the same order.
-const ORDER_GAP: Duration = Duration::from_millis(40);
-
-/// The time between two messages to one agent about the same map while many have not copied it:
-/// that of the copy of the experts that may be new to a rank, after which agents answer again.
-const MAP_GAP: Duration = Duration::from_millis(250);
-
-/// The ranks that have not copied a map up to which the gap is that of other orders.
-const FEW_RANKS: usize = 8;
-
 /// The part of `COUNT_PERIOD` after which a map is planned without the counts still missing.
 const COUNT_WAIT: f64 = 0.4;
 
@@ -51,8 +38,9 @@
 /// be lost.
 const ANSWER_AGE: Duration = Duration::from_millis(600);
 
-/// The unanswered messages to an agent after which the leader orders its target directly.
-const DIRECT_AFTER: u32 = 4;
+/// The time between two orders to hold a pass where the first was accepted: that in which the
+/// keeper sees it.
+const HOLD_GAP: Duration = Duration::from_millis(60);
 
 /// The time between two reads of the roster while ranks are missing.
 const ROSTER_PERIOD: Duration = Duration::from_secs(2);
@@ -61,10 +49,8 @@
 pub(super) struct Leader<TargetCall, StoreCall> {
     pub(super) config: Arc<AgentConfig>,
     pub(super) link: Arc<RankLink<TargetCall>>,
-    pub(super) target_call: TargetCall,
     pub(super) store_call: StoreCall,
-    pub(super) socket: Arc<UdpSocket>,
-    pub(super) table: Arc<Mutex<LeaderTable>>,
+    pub(super) sender: Arc<OrderSender<TargetCall>>,
     pub(super) log: Logger,
 }
 
@@ -82,6 +68,8 @@
     was_rank_0: bool,
     own_held: Vec<Vec<u16>>,
     own_counts: Arc<Vec<u32>>,
+    /// The pass that a rank has accepted to hold, and when it did.
+    hold: Option<(u64, Instant)>,
 }
 
 impl<TargetCall, TargetFuture, StoreCall, StoreFuture> Leader<TargetCall, StoreCall>
@@ -117,7 +105,7 @@
             memory.roster_at = None;
         }
         memory.pass.observe(own.step, now);
-        let rows = self.table.lock().ranks(&own);
+        let rows = self.sender.table.lock().ranks(&own);
         let n_missing = rows.iter().skip(1).filter(|row| row.is_none()).count();
         self.refresh(memory, n_missing, now).await;
         self.ask_counts(memory, &own, now).await;
@@ -132,6 +120,8 @@
             *first = Some(RankView {
                 asked_at: now,
                 report: own,
+                life: self.config.life,
+                verdict: None,
             });
         }
         let mut copies = Vec::new();
@@ -140,6 +130,14 @@
                 LeaderAction::Note(note) => {
                     info!(self.log, "switch"; "note" => note, "phase" => phase_label(&memory.switch));
                 }
+                LeaderAction::Ask(question) => {
+                    let keeper = rows.get(SwitchLeader::keeper_rank(rows.len()));
+                    if let Some(Some((agent, _))) = keeper {
+                        let question = PeerMessage::Ask(RankQuestion::MayArm(question));
+                        // Asked again at the next look.
+                        self.sender.send(*agent, &question).await;
+                    }
+                }
                 LeaderAction::Order(0, order) => {
                     // The next look reads the state that the order left.
                     let _ = self.link.order(&order).await;
@@ -150,18 +148,46 @@
                     };
                     match order.kind {
                         OrderKind::Prepare(..) => copies.push((*agent, row.target, order)),
-                        _ => self.send_order(*agent, row.target, order, now).await,
+                        // Given from here, so that the machine that holds a pass can release it
+                        // while this one stands still.
+                        OrderKind::Hold(step) => self.hold(memory, row.target, &order, step).await,
+                        _ => {
+                            self.sender.send_order(*agent, row.target, order, now).await;
+                        }
                     }
                 }
             }
         }
-        self.send_copies(copies, now).await;
+        self.sender.send_copies(copies, now).await;
         match memory.switch.is_idle() {
             true => COUNT_PERIOD / 8,
             false => SWITCH_PERIOD,
         }
     }
 
+    /// Has a rank on another machine hold a pass.
+    async fn hold(
+        &self,
+        memory: &mut LeaderMemory,
+        target: SocketAddr,
+        order: &MapOrder,
+        step: u64,
+    ) {
+        let now = Instant::now();
+        if memory
+            .hold
+            .is_some_and(|(held, at)| held == step && now < at + HOLD_GAP)
+        {
+            return;
+        }
+        let reply = (self.sender.target_call)(target, TargetRequest::Order(order.clone())).await;
+        info!(self.log, "order"; "order" => "hold", "target" => %target, "epoch" => order.epoch,
+            "hold" => step, "reply" => ?reply);
+        if matches!(reply, Ok(TargetReply::Ordered(200 | 202))) {
+            memory.hold = Some((step, now));
+        }
+    }
+
     /// Reads the engines' sizes and the targets where they are not known.
     async fn refresh(&self, memory: &mut LeaderMemory, n_missing: usize, now: Instant) {
         let is_due = memory.roster_at.is_none_or(|at| at + ROSTER_PERIOD <= now);
@@ -187,7 +213,7 @@
                     .filter(|entry| entry.address != self.config.target_address)
                     .map(|entry| (self.config.agent_of(entry.address), entry.address))
                     .collect();
-                self.table.lock().set_targets(&targets);
+                self.sender.table.lock().set_targets(&targets);
             }
             Ok(_) => {}
             Err(fault) => warn!(self.log, "store call failed"; "topic" => "targets",
@@ -210,20 +236,17 @@
             return;
         }
         memory.asked_at = Some(now);
-        let agents = self.table.lock().agents(own.epoch);
+        let agents = self.sender.table.lock().agents(own.epoch);
         for (agent, rank) in agents {
             let question = match rank {
                 Some(rank) if is_counted(rank, own.size) => RankQuestion::Counts,
                 _ => RankQuestion::State,
             };
             // A lost question is asked again a period later.
-            let _ = self
-                .socket
-                .send_to(&PeerMessage::Ask(question).encode(), agent)
-                .await;
+            self.sender.send(agent, &PeerMessage::Ask(question)).await;
         }
         let state = self.link.state(RankQuestion::Counts).await;
-        if let Some(RankDetails { held, window }) = state.and_then(|state| state.details) {
+        if let Some((_, RankDetails { held, window })) = state {
             memory.own_held = held;
             add_window(&mut memory.own_counts, &window);
         }
@@ -314,74 +337,6 @@
             "planning_us" => started_at.elapsed().as_micros() as u64);
         memory.switch.begin(Arc::new(planned), now);
     }
-
-    /// Passes an order on to the agent beside a rank, or gives it directly where that is silent.
-    async fn send_order(
-        &self,
-        agent: SocketAddr,
-        target: SocketAddr,
-        order: MapOrder,
-        now: Instant,
-    ) {
-        let Some(unanswered) = self.table.lock().note_sent(agent, ORDER_GAP, now) else {
-            return;
-        };
-        let bytes = PeerMessage::Order(order.clone()).encode();
-        // A lost order is sent again at the next look.
-        let _ = self.socket.send_to(&bytes, agent).await;
-        self.order_directly(agent, target, order, unanswered);
-    }
-
-    /// Passes the order to copy a map on to the agents of all ranks that have not copied it.
-    async fn send_copies(&self, copies: Vec<(SocketAddr, SocketAddr, MapOrder)>, now: Instant) {
-        let gap = match copies.len() <= FEW_RANKS {
-            true => ORDER_GAP,
-            false => MAP_GAP,
-        };
-        let Some((_, _, order)) = copies.first().cloned() else {
-            return;
-        };
-        let mut agents = Vec::with_capacity(copies.len());
-        for (agent, target, order) in copies {
-            let Some(unanswered) = self.table.lock().note_sent(agent, gap, now) else {
-                continue;
-            };
-            agents.push(agent);
-            self.order_directly(agent, target, order, unanswered);
-        }
-        for (agent, receivers) in relay_batches(&agents) {
-            let relayed = RelayedOrder {
-                leader: self.config.peer_address,
-                receivers,
-                order: order.clone(),
-            };
-            let bytes = PeerMessage::Relayed(relayed).encode();
-            // A lost order is sent again after the gap.
-            let _ = self.socket.send_to(&bytes, agent).await;
-        }
-    }
-
-    /// Gives an order to a target whose agent has left some messages unanswered.
-    fn order_directly(
-        &self,
-        agent: SocketAddr,
-        target: SocketAddr,
-        order: MapOrder,
-        unanswered: u32,
-    ) {
-        if unanswered < DIRECT_AFTER || !unanswered.is_multiple_of(DIRECT_AFTER) {
-            return;
-        }
-        warn!(self.log, "agent silent"; "agent" => %agent, "messages" => unanswered,
-            "order" => order.kind.label());
-        let link = RankLink::new(target, self.target_call.clone(), self.log.clone());
-        let table = self.table.clone();
-        tokio::spawn(async move {
-            if let Some(report) = link.order(&order).await {
-                table.lock().read(agent, report, Instant::now());
-            }
-        });
-    }
 }
 
 fn pace_of(row: Option<&(SocketAddr, LeaderRow)>) -> f32 {
--- a/fleet/src/process/rank_link.rs
+++ b/fleet/src/process/rank_link.rs
@@ -7,7 +7,7 @@
 use slog::{Logger, info};
 
 use crate::expert::{CountWindow, MapOrder, OrderKind, RankReport, mapping_digest};
-use crate::peers::{RankDetails, RankQuestion, RankState};
+use crate::peers::{RankDetails, RankQuestion};
 use crate::prelude::*;
 
 use super::store_access::{CallFault, TargetReply, TargetRequest};
@@ -66,10 +66,10 @@
     }
 
     /// Reads the rank's state, its experts and, where asked for, what was chosen of late.
-    pub(super) async fn state(&self, question: RankQuestion) -> Option<RankState> {
+    pub(super) async fn state(&self, question: RankQuestion) -> Option<(RankReport, RankDetails)> {
         let report = self.report().await?;
         let window = match question {
-            RankQuestion::State => Vec::new(),
+            RankQuestion::State | RankQuestion::MayArm(_) => Vec::new(),
             RankQuestion::Counts => self.counted().await?,
         };
         let Ok(TargetReply::Listings(held, _)) =
@@ -77,8 +77,7 @@
         else {
             return None;
         };
-        let details = Some(RankDetails { held, window });
-        Some(RankState { report, details })
+        Some((report, RankDetails { held, window }))
     }
 
     async fn counted(&self) -> Option<Vec<u32>> {
--- a/fleet/tests/large_group.rs
+++ b/fleet/tests/large_group.rs
@@ -179,6 +179,7 @@
         .collect();
     let order = MapOrder {
         epoch: 3,
+        expected: None,
         kind: OrderKind::Prepare(1 << 40, mapping.into()),
     };
     let agents: Vec<std::net::SocketAddr> = (0..RANKS - 1)
--- a/fleet/tests/map_switch.rs
+++ b/fleet/tests/map_switch.rs
@@ -1,126 +1,18 @@
 //! Map switches: no pass runs on two maps, whatever orders are lost, late or repeated and however
 //! often the leader's process dies.
 
+mod fake_group;
+
 use std::time::Duration;
 
-use comfreyhead_fleet::expert::{
-    ArmedMap, LeaderAction, MapOrder, OrderKind, PlannedMap, PreparedMap, RankReport, RankView,
-    SwitchLeader, SwitchPhase, mapping_digest,
-};
+use comfreyhead_fleet::expert::{LeaderAction, RankView, SwitchLeader, SwitchPhase};
 use comfreyhead_fleet::prelude::*;
+use fake_group::{FakeGroup, RANKS, keeper_rank, planned_map};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const RANKS: usize = 3;
-
-/// A rank that follows the platform's rules for orders.
-#[derive(Clone, Default)]
-struct FakeRank {
-    report: RankReport,
-    content: u64,
-    copied_content: u64,
-}
-
-/// A group of ranks, with the orders that are under way to them.
-struct FakeGroup {
-    ranks: Vec<FakeRank>,
-    late: Vec<(usize, MapOrder)>,
-}
-
-impl FakeGroup {
-    fn new() -> Self {
-        let rank = |rank| FakeRank {
-            report: RankReport {
-                epoch: 1,
-                rank,
-                size: RANKS as u16,
-                open: true,
-                pace: 1.0,
-                ..RankReport::default()
-            },
-            ..FakeRank::default()
-        };
-        Self {
-            ranks: (0..RANKS as u16).map(rank).collect(),
-            late: Vec::new(),
-        }
-    }
-
-    fn carry_out(&mut self, rank: usize, order: &MapOrder) {
-        let held_rank = &mut self.ranks[rank];
-        let report = &mut held_rank.report;
-        match &order.kind {
-            OrderKind::Prepare(version, mapping) => {
-                let had = report
-                    .version
-                    .max(report.prepared.map_or(0, |map| map.version));
-                if report.armed.is_none() && had < *version {
-                    let digest = mapping_digest(mapping.iter().map(|set| set[rank].as_slice()));
-                    held_rank.copied_content = mapping_digest(
-                        mapping.iter().flat_map(|set| set.iter().map(Vec::as_slice)),
-                    );
-                    report.prepared = Some(PreparedMap {
-                        version: *version,
-                        digest: Some(digest),
-                    });
-                }
-            }
-            OrderKind::Arm(version, step) => {
-                let is_copied = report.prepared.is_some_and(|map| map.version == *version);
-                if is_copied && report.step < *step && report.armed.is_none() {
-                    report.armed = Some(ArmedMap {
-                        version: *version,
-                        step: *step,
-                    });
-                }
-            }
-            OrderKind::Hold(step) => {
-                if report.step < *step && report.held.is_none() {
-                    report.held = Some(*step);
-                }
-            }
-            OrderKind::Release(step) => {
-                if report.held == Some(*step) {
-                    report.held = None;
-                }
-            }
-        }
-    }
-
-    /// Begins the next pass unless it is held; panics where two ranks have different maps.
-    fn begin_pass(&mut self) {
-        let next = self.ranks[0].report.step + 1;
-        if self.ranks[0].report.held == Some(next) {
-            return;
-        }
-        for rank in &mut self.ranks {
-            rank.report.step = next;
-            if let Some(armed) = rank.report.armed.filter(|armed| armed.step == next) {
-                rank.report.version = armed.version;
-                rank.report.armed = None;
-                rank.content = rank.copied_content;
-            }
-        }
-        let first = (self.ranks[0].report.version, self.ranks[0].content);
-        for rank in &self.ranks {
-            assert_eq!((rank.report.version, rank.content), first, "one_map_a_pass");
-        }
-    }
-}
-
-fn planned_map(version: u64, rng: &mut impl Rng) -> PlannedMap {
-    let mut rank = || vec![rng.random_range(0..50_u16)];
-    PlannedMap {
-        version,
-        mapping: vec![(0..RANKS).map(|_| rank()).collect()].into(),
-        skew_before: 2.0,
-        skew_after: 1.0,
-        copies: RANKS,
-    }
-}
-
 /// Plays a group and its leader; returns the number of passes and of switches.
 fn play(seed: u64, loss: f64, n_deaths: u32) -> (u64, usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -138,14 +30,13 @@
             life += 1;
             leader = SwitchLeader::default();
             views = vec![None; RANKS];
+            if rng.random_bool(0.3) {
+                group.restart_keeper();
+            }
         }
         for (rank, view) in views.iter_mut().enumerate() {
             if rank == 0 || rng.random_bool(0.5) {
-                let report = group.ranks[rank].report.clone();
-                *view = Some(RankView {
-                    asked_at: now,
-                    report,
-                });
+                *view = Some(group.view(rank, now));
             }
         }
         if leader.is_idle() && views.iter().all(Option::is_some) && rng.random_bool(0.2) {
@@ -165,10 +56,14 @@
             }
         }
         for action in leader.on_tick(&views, now) {
-            let LeaderAction::Order(rank, order) = action else {
-                continue;
+            let (rank, order) = match action {
+                LeaderAction::Order(rank, order) => (usize::from(rank), order),
+                LeaderAction::Ask(question) => {
+                    group.ask(&question, now);
+                    continue;
+                }
+                LeaderAction::Note(_) => continue,
             };
-            let rank = usize::from(rank);
             if rng.random_bool(loss) {
                 group.late.push((rank, order));
             } else {
@@ -178,6 +73,9 @@
                 group.carry_out(rank, &order);
             }
         }
+        if let Some(order) = group.keep(now) {
+            group.carry_out(keeper_rank(), &order);
+        }
         if !group.late.is_empty() && rng.random_bool(0.1) {
             let at = rng.random_range(0..group.late.len());
             let (rank, order) = group.late.swap_remove(at);
@@ -223,18 +121,9 @@
 fn hold_that_is_found_with_nothing_copied_asks_for_a_map_and_is_not_released() {
     // Arrange
     let mut group = FakeGroup::new();
-    group.ranks[0].report.held = Some(5);
+    group.ranks[keeper_rank()].report.held = Some(5);
     let now = Instant::now();
-    let views: Vec<Option<RankView>> = group
-        .ranks
-        .iter()
-        .map(|rank| {
-            Some(RankView {
-                asked_at: now,
-                report: rank.report.clone(),
-            })
-        })
-        .collect();
+    let views = group.views(now);
     let mut leader = SwitchLeader::default();
 
     // Act
--- /dev/null
+++ b/fleet/tests/silent_leader.rs
@@ -0,0 +1,276 @@
+//! A leader that falls silent while a pass is held: the keeper beside the holding rank gives the
+//! attempt up and the group goes on, but never once ranks may have been armed.
+
+mod fake_group;
+
+use std::time::Duration;
+
+use comfreyhead_fleet::expert::{
+    KeeperVerdict, LeaderAction, LeaderActions, PassKeeper, PassQuestion, PreparedMap, RankReport,
+    SwitchLeader, SwitchPhase,
+};
+use comfreyhead_fleet::prelude::*;
+use fake_group::{FakeGroup, keeper_rank, planned_map};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// A time after which a silent leader is given up.
+const SILENCE: Duration = Duration::from_millis(400);
+
+/// Carries out what a leader decides.
+fn carry_out(group: &mut FakeGroup, actions: LeaderActions, now: Instant) {
+    for action in actions {
+        match action {
+            LeaderAction::Order(rank, order) => group.carry_out(usize::from(rank), &order),
+            LeaderAction::Ask(question) => group.ask(&question, now),
+            LeaderAction::Note(_) => {}
+        }
+    }
+}
+
+/// Plays a leader until a pass is held; returns the version and the pass.
+fn until_held(group: &mut FakeGroup, leader: &mut SwitchLeader, now: Instant) -> (u64, u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    leader.on_tick(&group.views(now), now);
+    leader.begin(Arc::new(planned_map(1 << 16, &mut rng)), now);
+    for _ in 0..10 {
+        let actions = leader.on_tick(&group.views(now), now);
+        for action in actions {
+            let is_question = matches!(action, LeaderAction::Ask(_));
+            carry_out(group, LeaderActions::from_iter([action]), now);
+            if let (SwitchPhase::Holding(version, step), Some(_)) = (leader.phase(), group.held())
+                && !is_question
+            {
+                return (*version, *step);
+            }
+        }
+    }
+    panic!("no pass is held");
+}
+
+#[test]
+fn silent_leader_holds_up_no_pass_and_tries_a_later_one_when_it_wakes() {
+    // Arrange
+    let now = Instant::now();
+    let mut group = FakeGroup::new();
+    let mut leader = SwitchLeader::default();
+    let (version, step) = until_held(&mut group, &mut leader, now);
+
+    // Act: the keeper looks while the leader stands still.
+    let later = now + SILENCE;
+    let order = group.keep(later).unwrap();
+    group.carry_out(keeper_rank(), &order);
+    for _ in 0..10 {
+        group.begin_pass();
+    }
+
+    // Assert
+    assert_eq!(group.held(), None);
+    assert!(step < group.ranks[0].report.step);
+    assert!(group.ranks.iter().all(|rank| rank.report.version == 0));
+    for tick in 0..40 {
+        let actions = leader.on_tick(&group.views(later), later);
+        carry_out(&mut group, actions, later);
+        if tick % 2 == 0 {
+            group.begin_pass();
+        }
+    }
+    let in_use = group.ranks.iter().map(|rank| rank.report.version);
+    assert_eq!(in_use.collect::<Vec<_>>(), [version; 3]);
+}
+
+#[test]
+fn pass_for_which_ranks_may_be_armed_is_not_given_up() {
+    // Arrange
+    let now = Instant::now();
+    let mut group = FakeGroup::new();
+    let mut leader = SwitchLeader::default();
+    let (version, step) = until_held(&mut group, &mut leader, now);
+    while leader.phase() != &SwitchPhase::Arming(version, step) {
+        let actions = leader.on_tick(&group.views(now), now);
+        carry_out(&mut group, actions, now);
+    }
+
+    // Act
+    let order = group.keep(now + SILENCE);
+
+    // Assert
+    assert_eq!(order, None);
+    assert_eq!(group.held(), Some(step));
+}
+
+#[test]
+fn pass_that_was_given_up_is_not_allowed_any_more() {
+    // Arrange
+    let now = Instant::now();
+    let mut group = FakeGroup::new();
+    let mut leader = SwitchLeader::default();
+    let (version, step) = until_held(&mut group, &mut leader, now);
+
+    // Act: the order that releases the pass is lost.
+    let order = group.keep(now + SILENCE);
+    for _ in 0..10 {
+        let actions = leader.on_tick(&group.views(now), now);
+        carry_out(&mut group, actions, now + SILENCE);
+    }
+
+    // Assert
+    assert!(order.is_some());
+    assert_eq!(leader.phase(), &SwitchPhase::Holding(version, step));
+    assert!(group.ranks.iter().all(|rank| rank.report.armed.is_none()));
+}
+
+fn report(held: Option<u64>, copied: u64) -> RankReport {
+    RankReport {
+        epoch: 1,
+        open: true,
+        held,
+        prepared: Some(PreparedMap {
+            version: copied,
+            digest: None,
+        }),
+        ..RankReport::default()
+    }
+}
+
+#[test]
+fn keeper_that_finds_a_pass_held_decides_only_once_a_newer_map_is_copied() {
+    // Arrange
+    let now = Instant::now();
+    let mut keeper = PassKeeper::new(2);
+    keeper.start(&report(Some(5), 7));
+    let question = |version| PassQuestion {
+        life: 2,
+        epoch: 1,
+        version,
+        step: 5,
+    };
+
+    // Act
+    let first = keeper.answer(&question(7), &report(Some(5), 7), now);
+    let given_up = keeper.on_tick(&report(Some(5), 7), now + SILENCE);
+    let of_the_older_map = keeper.answer(&question(7), &report(Some(5), 8), now);
+    let of_the_newer_map = keeper.answer(&question(8), &report(Some(5), 8), now);
+
+    // Assert
+    assert_eq!(first, KeeperVerdict::Unknown);
+    assert_eq!(given_up, None);
+    assert_eq!(of_the_older_map, KeeperVerdict::Unknown);
+    assert_eq!(of_the_newer_map, KeeperVerdict::Allowed);
+}
+
+#[test]
+fn question_to_another_life_of_the_keeper_changes_nothing() {
+    // Arrange
+    let now = Instant::now();
+    let mut keeper = PassKeeper::new(2);
+    keeper.start(&report(None, 0));
+    let question = PassQuestion {
+        life: 1,
+        epoch: 1,
+        version: 7,
+        step: 5,
+    };
+
+    // Act
+    let verdict = keeper.answer(&question, &report(Some(5), 7), now);
+
+    // Assert
+    assert_eq!(verdict, KeeperVerdict::Open);
+    assert!(!keeper.is_watching(&report(Some(5), 7)));
+}
+
+/// Plays a leader that freezes and dies and a keeper that restarts, with lost, late and repeated
+/// orders; returns the number of passes.
+fn play(seed: u64, loss: f64, n_restarts: u32) -> u64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut group = FakeGroup::new();
+    let mut leader = SwitchLeader::default();
+    let mut life = 1;
+    let mut frozen_until = 0;
+    let mut restarts_left = n_restarts;
+    let start = Instant::now();
+    for tick in 0..2_000_u64 {
+        let now = start + Duration::from_millis(12 * tick);
+        let views = group.views(now);
+        let mut orders = Vec::new();
+        if frozen_until <= tick {
+            let reports = || views.iter().flatten().map(|view| &view.report);
+            let may_begin = reports().all(|report| {
+                report.armed.is_none() && (report.held.is_none() || leader.needs_map())
+            });
+            if leader.is_idle() && may_begin && rng.random_bool(0.1) {
+                let highest = reports().map(|report| {
+                    let copied = report.prepared.map_or(0, |map| map.version);
+                    report.version.max(copied)
+                });
+                let version = SwitchLeader::next_version(highest.max().unwrap_or(0), life);
+                leader.begin(Arc::new(planned_map(version, &mut rng)), now);
+            }
+            for action in leader.on_tick(&views, now) {
+                match action {
+                    LeaderAction::Order(rank, order) => orders.push((usize::from(rank), order)),
+                    LeaderAction::Ask(question) => group.ask(&question, now),
+                    LeaderAction::Note(_) => {}
+                }
+            }
+            if rng.random_bool(0.03) {
+                frozen_until = tick + rng.random_range(5..300);
+            }
+        }
+        if 0 < restarts_left && rng.random_bool(0.01) {
+            restarts_left -= 1;
+            if rng.random_bool(0.5) {
+                group.restart_keeper();
+            } else {
+                life += 1;
+                leader = SwitchLeader::default();
+            }
+        }
+        orders.extend(group.keep(now).map(|order| (keeper_rank(), order)));
+        for (rank, order) in orders {
+            if rng.random_bool(loss) {
+                group.late.push((rank, order));
+            } else {
+                if rng.random_bool(loss / 4.0) {
+                    group.late.push((rank, order.clone()));
+                }
+                group.carry_out(rank, &order);
+            }
+        }
+        if !group.late.is_empty() && rng.random_bool(0.1) {
+            let at = rng.random_range(0..group.late.len());
+            let (rank, order) = group.late.swap_remove(at);
+            group.carry_out(rank, &order);
+        }
+        if rng.random_bool(0.2) {
+            group.begin_pass();
+        }
+    }
+    group.ranks[0].report.step
+}
+
+#[test]
+fn passes_run_on_one_map_while_leaders_freeze_and_keepers_restart() {
+    let config = Config {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    proptest!(config, |(seed: u64, loss in 0.0..0.5, n_restarts in 0..6_u32)| {
+        play(seed, loss, n_restarts);
+    });
+}
+
+#[test]
+fn group_goes_on_while_its_leader_freezes_again_and_again() {
+    // Act
+    let passes: Vec<u64> = (0..20).map(|seed| play(seed, 0.0, 0)).collect();
+
+    // Assert: of 400 passes that would begin without any hold, half do, though the leader stands
+    // still for most of the time and a pass that is allowed waits for it.
+    assert!(passes.iter().all(|passes| 200 < *passes), "{passes:?}");
+}
--- a/spec/map_switch.pml
+++ b/spec/map_switch.pml
@@ -7,6 +7,10 @@
 // MUTANT: PARTIAL         the pass is held before every rank has copied the map
 // MUTANT: NO_DIGEST       a copy is confirmed by its version alone, which does not bear the life
 // MUTANT: SAME_VERSIONS   a new leader takes equal versions of two lives for one map
+// MUTANT: GIVE_UP_LATE    the keeper gives up an attempt for which it has allowed arms
+// MUTANT: KEEPER_FORGETS  a keeper gives up an attempt that it found held as it started
+// MUTANT: KEEPER_ALLOWS   a keeper allows arms for a pass that it found held as it started
+// MUTANT: UNFENCED        the release by which the keeper gives up is carried out after a later copy
 // SPIN: -m400000 -w25
 //
 // Abstractions, each of which keeps or adds behaviour:
@@ -15,6 +19,12 @@
 // - The leader reads the ranks one by one, and each may change before the next is read.
 // - A leader dies at any moment and forgets all; the next one is another life of the same agent,
 //   as only the agent beside rank 0 leads. There is no second leader at a time.
+// - The pass is held at rank 0, whose agent here is the keeper: it allows arms for a pass that it
+//   sees held, or gives the attempt up and releases the pass; it decides once. It gives up at any
+//   moment, and may die and forget. A pass that it finds held as it starts may have been allowed or
+//   given up before: it neither allows nor gives up that pass until a new map is copied, after which
+//   its earlier release is refused. Questions of the leader bear the life of the keeper: none from
+//   before its death is answered after it.
 // - One formation of the group: orders name it, and a new one forgets maps, holds and orders.
 // - The content of a map is the number of the attempt that planned it. Two attempts of different
 //   lives may pick the same number; that versions bear the life as well is a comparison of
@@ -24,7 +34,8 @@
 #define RANKS 3
 #define ATTEMPTS 3
 #define PASSES 2
-#define DEATHS 2
+#define DEATHS 1
+#define KEEPER_DEATHS 1
 
 // Ranks.
 byte map_content[RANKS];     // the content of the map in use, 0: the first map
@@ -34,7 +45,7 @@
 byte armed_version[RANKS];   // 0: not armed
 byte armed_content[RANKS];
 byte armed_pass[RANKS];
-byte held;                   // the pass that rank 0 holds, 0: none
+byte held;                   // the pass that the keeper's rank holds, 0: none
 byte begun;                  // the last pass that was begun
 
 // Orders under way; each may be carried out at any time once sent.
@@ -59,6 +70,15 @@
 byte n_attempts;
 byte deaths;
 
+// The keeper; all of it is lost with its process.
+byte told_pass;              // the pass of the attempt that it knows, 0: none
+bool allowed;                // arms are allowed for that pass
+bool given_up;
+bool unknown;                // the pass was held as the process started
+byte start_version;          // what was copied at the keeper's rank then
+bool give_up_sent[PASSES + 2]; // releases that are carried out unless another order has begun since
+byte keeper_deaths;
+
 #define ALL ((1 << RANKS) - 1)
 
 inline forget() {
@@ -66,6 +86,37 @@
   common = 0; common_content = 0; armed_seen = 0
 }
 
+// An order that begins at the keeper's rank: releases sent before it, which name the number of
+// orders begun until then, are refused from now on.
+inline fence(rank) {
+#ifndef UNFENCED
+  if
+  :: rank == 0 -> give_up_sent[1] = false; give_up_sent[2] = false
+  :: else
+  fi
+#else
+  skip
+#endif
+}
+
+// The leader asks the keeper about its attempt; the keeper allows arms once it sees the pass held.
+inline ask() {
+  if
+  :: told_pass != pass -> told_pass = pass; allowed = false; given_up = false; unknown = false
+  :: else
+  fi;
+  if
+#ifdef KEEPER_ALLOWS
+  :: held == pass && !given_up -> allowed = true; unknown = false
+#else
+  :: held == pass && !given_up && !unknown -> allowed = true
+  :: held == pass && unknown && start_version < copied_version[0] && version == copied_version[0] ->
+      allowed = true; unknown = false
+#endif
+  :: else
+  fi
+}
+
 active proctype Group() {
   byte r;
 end:
@@ -105,17 +156,19 @@
       :: prepare_sent[a * RANKS + r] && armed_version[r] == 0 &&
          copied_version[r] < prepare_version[a] && map_version[r] < prepare_version[a] ->
           copied_version[r] = prepare_version[a];
-          copied_content[r] = a
+          copied_content[r] = a;
+          fence(r)
       :: else
       fi; a = 0; r = 0 }
   :: atomic { select(s : 1 .. PASSES);
       if
-      :: hold_sent[s] && held == 0 && begun < s -> held = s
+      :: hold_sent[s] && held == 0 && begun < s -> held = s; fence(0)
       :: else
       fi; s = 0 }
   :: atomic { select(s : 1 .. PASSES);
       if
       :: release_sent[s] && held == s -> held = 0
+      :: give_up_sent[s] && held == s -> held = 0
       :: else
       fi; s = 0 }
   :: atomic { select(s : 1 .. PASSES); select(r : 0 .. 2);
@@ -124,12 +177,34 @@
          copied_version[r] == arm_version[s * RANKS + r] ->
           armed_version[r] = copied_version[r];
           armed_content[r] = copied_content[r];
-          armed_pass[r] = s
+          armed_pass[r] = s;
+          fence(r)
       :: else
       fi; s = 0; r = 0 }
   od
 }
 
+active proctype Keeper() {
+end:
+  do
+#ifdef GIVE_UP_LATE
+  :: atomic { told_pass != 0 && held == told_pass && !unknown ->
+#else
+  :: atomic { told_pass != 0 && held == told_pass && !allowed && !unknown ->
+#endif
+      given_up = true; give_up_sent[told_pass] = true }
+  :: atomic { keeper_deaths < KEEPER_DEATHS && told_pass != 0 ->
+      keeper_deaths++;
+      given_up = false; allowed = false; told_pass = held; start_version = copied_version[0];
+#ifdef KEEPER_FORGETS
+      unknown = false
+#else
+      unknown = (held != 0)
+#endif
+    }
+  od
+}
+
 active proctype Leader() {
   byte r;
 end:
@@ -171,7 +246,7 @@
 #else
           if
           :: armed_seen != 0 -> version = armed_seen; phase = ARMING
-          :: armed_seen == 0 && common != 0 && common != 255 -> version = common; phase = ARMING
+          :: armed_seen == 0 && common != 0 && common != 255 -> version = common; phase = HOLDING
 #ifdef RELEASE_UNARMED
           :: else -> release_sent[pass] = true; phase = RELEASING
 #else
@@ -226,9 +301,18 @@
       fi }
 #ifdef ARM_FIRST
   :: atomic { phase == HOLDING -> confirmed = 0; phase = ARMING }
-#else
-  :: atomic { phase == HOLDING && held == pass -> confirmed = 0; phase = ARMING }
 #endif
+  // The answer may be lost.
+  :: atomic { phase == HOLDING && begun < pass ->
+      ask();
+      if
+      :: allowed -> confirmed = 0; phase = ARMING
+      :: unknown && told_pass == pass && n_attempts < ATTEMPTS && version <= start_version ->
+          n_attempts++; attempt = n_attempts; version = version + 1; confirmed = 0;
+          prepare_version[attempt] = version;
+          phase = PREPARING
+      :: skip
+      fi }
 
   // Arming: never given up.
   :: atomic { phase == ARMING ->
