--- a/fleet/src/expert/switch_leader.rs
+++ b/fleet/src/expert/switch_leader.rs
@@ -84,6 +84,8 @@
     needs_map: bool,
     /// The version and the pass that a keeper cannot decide on.
     undecided: Option<(u64, u64)>,
+    /// Whether the last look asked the keeper.
+    has_asked: bool,
 }
 
 impl SwitchLeader {
@@ -259,10 +261,12 @@
             }
             // The keeper releases the pass; the next one is tried then.
             Some(KeeperVerdict::GivenUp) => return,
-            // The keeper lives and knows of the pass, so that it may be held.
-            Some(KeeperVerdict::Open) if keeper.report.held != Some(step) => {
+            // The keeper lives and knows of the pass, so that it may be held. The next question waits
+            // for the next look: a leader that stands still after the order has not asked.
+            Some(KeeperVerdict::Open) if keeper.report.held != Some(step) && self.has_asked => {
+                self.has_asked = false;
                 let keeper = Self::keeper_rank(ranks.len());
-                actions.push(self.order(keeper, OrderKind::Hold(step)));
+                return actions.push(self.order(keeper, OrderKind::Hold(step)));
             }
             Some(KeeperVerdict::Open) | None => {}
         }
@@ -272,6 +276,7 @@
             version,
             step,
         };
+        self.has_asked = true;
         actions.push(LeaderAction::Ask(question));
     }
 
