Let one entry speak for its data centre to the others

Entries beat to those of their own data centre; its speaker, the lowest name heard, sends the sums of all to the others.

--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -78,6 +78,8 @@
     pub zone: String,
     /// Whether the sender is stopping.
     pub draining: bool,
+    /// Whether load and demand are those of all entries of the data centre.
+    pub for_zone: bool,
     /// How far the sender has read the operators' topic.
     pub operator: TopicPosition,
     /// How far the sender has read the targets' topic.
@@ -103,6 +105,8 @@
 pub struct PeerRecord {
     /// The address for datagrams and for pulls.
     pub address: SocketAddr,
+    /// The data centre.
+    pub zone: String,
 }
 
 /// A keyed topic of the store.
--- a/fleet/src/peers/peer_table.rs
+++ b/fleet/src/peers/peer_table.rs
@@ -16,28 +16,48 @@
 /// One beat in this many goes to a quiet peer.
 const QUIET_DIVISOR: u64 = 8;
 
+/// One beat in this many goes to all other data centres from every entry, so that all learn of each
+/// other: a few seconds.
+const FAR_DIVISOR: u64 = 16;
+
 /// The other entries, by address.
 #[derive(Debug, Default)]
 pub struct PeerTable {
     rows: HashMap<SocketAddr, PeerRow>,
 }
 
+/// The addresses that a beat goes to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BeatReceivers {
+    /// Entries that are told of the sender alone.
+    pub of_sender: Vec<SocketAddr>,
+    /// Entries of other data centres, which the speaker tells of its own.
+    pub of_zone: Vec<SocketAddr>,
+}
+
 /// Another entry.
 #[derive(Clone, Debug, Default)]
 pub struct PeerRow {
+    /// The data centre, where it is known.
+    pub zone: Option<Arc<str>>,
     /// The last beat and the time of its arrival.
     pub heard: Option<(Instant, PeerBeat)>,
 }
 
 impl PeerTable {
     /// Adds a peer that a record names.
-    pub fn add(&mut self, address: SocketAddr) {
-        self.rows.entry(address).or_default();
+    pub fn add(&mut self, address: SocketAddr, zone: &str) {
+        let row = self.rows.entry(address).or_default();
+        row.zone.get_or_insert_with(|| zone.into());
     }
 
     /// Takes in a beat.
     pub fn hear(&mut self, address: SocketAddr, beat: PeerBeat, now: Instant) {
-        self.rows.entry(address).or_default().heard = Some((now, beat));
+        let row = self.rows.entry(address).or_default();
+        if row.zone.as_deref() != Some(&beat.zone) {
+            row.zone = Some(beat.zone.as_str().into());
+        }
+        row.heard = Some((now, beat));
     }
 
     /// Returns the number of known peers.
@@ -50,12 +70,24 @@
         self.rows.is_empty()
     }
 
-    /// Returns the addresses that the beat of a number goes to: quiet peers get few.
-    pub fn beat_addresses(&self, n_beat: u64, now: Instant) -> Vec<SocketAddr> {
-        let is_due =
-            |row: &PeerRow| row.is_heard(now, QUIET_AGE) || n_beat.is_multiple_of(QUIET_DIVISOR);
-        let due = self.rows.iter().filter(|(_, row)| is_due(row));
-        due.map(|(address, _)| *address).collect()
+    /// Returns the addresses that the beat of a number goes to: those of the own data centre, and
+    /// those of others from its speaker. Quiet peers get few.
+    pub fn beat_receivers(&self, n_beat: u64, own: &PeerBeat, now: Instant) -> BeatReceivers {
+        let speaks = self.speaks_for_zone(own, now);
+        let mut receivers = BeatReceivers::default();
+        for (address, row) in &self.rows {
+            let is_near = row.zone.as_deref().is_none_or(|zone| zone == own.zone);
+            let is_far_due = n_beat.is_multiple_of(FAR_DIVISOR);
+            let is_due = row.is_heard(now, QUIET_AGE) || n_beat.is_multiple_of(QUIET_DIVISOR);
+            match (is_near, speaks) {
+                (true, _) if is_due => receivers.of_sender.push(*address),
+                // The others of that data centre hear of this one, but beat to few far peers.
+                (false, true) => receivers.of_zone.push(*address),
+                (false, false) if is_far_due => receivers.of_sender.push(*address),
+                _ => {}
+            }
+        }
+        receivers
     }
 
     /// Returns the peers whose word counts now.
--- a/fleet/src/process/entry_run.rs
+++ b/fleet/src/process/entry_run.rs
@@ -103,6 +103,7 @@
         call,
     ));
     tokio::spawn(peer_tasks::hear_beats(
+        config.clone(),
         knowledge.clone(),
         state.clone(),
         datagrams.clone(),
--- a/fleet/src/process/knowledge.rs
+++ b/fleet/src/process/knowledge.rs
@@ -110,7 +110,7 @@
         for record in &delta.records {
             let Some(bytes) = &record.value else { continue };
             match postcard::from_bytes::<PeerRecord>(bytes) {
-                Ok(peer) if peer.address != own => facts.peers.add(peer.address),
+                Ok(peer) if peer.address != own => facts.peers.add(peer.address, &peer.zone),
                 Ok(_) => {}
                 Err(err) => warn!(self.state.log, "unreadable record"; "topic" => "peers",
                     "key" => &record.key, "offset" => record.offset, "reason" => %err),
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -43,11 +43,14 @@
         knowledge.tick(now);
         state.pool.sweep(now);
         let beat = own_beat(&config, &knowledge, &state, now);
-        let bytes = PeerMessage::Beat(beat).encode();
-        let addresses = knowledge.with_peers(|peers| peers.beat_addresses(n_beat, now));
-        for address in addresses {
-            // A datagram that cannot be sent is as good as lost; the next beat follows.
-            let _ = socket.send_to(&bytes, address).await;
+        let (receivers, zone_beat) = knowledge.with_peers(|peers| {
+            let receivers = peers.beat_receivers(n_beat, &beat, now);
+            let zone_beat = (!receivers.of_zone.is_empty()).then(|| peers.zone_beat(&beat, now));
+            (receivers, zone_beat)
+        });
+        send_to_all(&socket, beat, &receivers.of_sender).await;
+        if let Some(zone_beat) = zone_beat {
+            send_to_all(&socket, zone_beat, &receivers.of_zone).await;
         }
         let n_entries = knowledge.with_peers(|peers| peers.len()) + 1;
         state.n_entries.store(n_entries, Ordering::Relaxed);
@@ -56,6 +59,14 @@
     }
 }
 
+async fn send_to_all(socket: &UdpSocket, beat: PeerBeat, receivers: &[SocketAddr]) {
+    let bytes = PeerMessage::Beat(beat).encode();
+    for receiver in receivers {
+        // A datagram that cannot be sent is as good as lost; the next beat follows.
+        let _ = socket.send_to(&bytes, receiver).await;
+    }
+}
+
 fn own_beat(
     config: &EntryConfig,
     knowledge: &Knowledge,
@@ -70,6 +81,7 @@
         sender: config.own_hash(),
         zone: config.zone.to_string(),
         draining: state.drain.is_draining(),
+        for_zone: false,
         operator: knowledge.position(StoreTopic::Operator, now),
         targets: knowledge.position(StoreTopic::Targets, now),
         running,
@@ -79,6 +91,7 @@
 
 /// Takes in the beats of peers.
 pub(super) async fn hear_beats(
+    config: Arc<EntryConfig>,
     knowledge: Arc<Knowledge>,
     state: Arc<EntryState>,
     socket: Arc<UdpSocket>,
@@ -92,12 +105,16 @@
         let now = Instant::now();
         match PeerMessage::decode(&buffer[..len]) {
             Some(PeerMessage::Beat(beat)) => {
-                let (running, demand) = (beat.running.clone(), beat.demand.clone());
-                state
-                    .table
-                    .lock()
-                    .view
-                    .update(beat.sender, running, demand, now);
+                // Of other data centres only the sums count, whoever speaks for them.
+                let load_of = match (beat.for_zone, *beat.zone == *config.zone) {
+                    (true, false) => Some(xxhash_rust::xxh3::xxh3_64(beat.zone.as_bytes())),
+                    (false, true) => Some(beat.sender),
+                    _ => None,
+                };
+                if let Some(key) = load_of {
+                    let (running, demand) = (beat.running.clone(), beat.demand.clone());
+                    state.table.lock().view.update(key, running, demand, now);
+                }
                 knowledge.with_peers(|peers| peers.hear(address, beat, now));
             }
             Some(PeerMessage::Pace(target, pace)) => {
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -110,6 +110,7 @@
 {
     let record = PeerRecord {
         address: config.peer_address,
+        zone: config.zone.to_string(),
     };
     let value = postcard::to_allocvec(&record).expect("records_have_a_byte_form");
     let mut announced = false;
--- a/fleet/tests/beliefs.rs
+++ b/fleet/tests/beliefs.rs
@@ -75,6 +75,7 @@
         sender,
         zone: "sofia-b".to_owned(),
         draining: false,
+        for_zone: false,
         operator: position,
         targets: position,
         running: vec![(7, 2)],
