Weigh copied experts four times as dear

The weight came from trials at longer passes.

Ruled out: a weight for each size of group (one fits both).

--- a/fleet/src/expert/map_planner.rs
+++ b/fleet/src/expert/map_planner.rs
@@ -20,7 +20,7 @@
 /// The lowering of the skew, as a mean over the sets, that a copied gigabyte must bring in a group
 /// of one rank where passes take as long as they may: a copy is paid for, and slows passes down.
 /// In a larger group a part of it is enough, as all its ranks gain.
-const LEAST_GAIN_PER_GB: f64 = 0.0273;
+const LEAST_GAIN_PER_GB: f64 = 0.1;
 
 /// The least lowering of the skew that a switch is made for where passes take as long as they may:
 /// holding a pass costs some time.
