--- a/src/bin/comfrey/args.rs
+++ b/src/bin/comfrey/args.rs
@@ -128,13 +128,16 @@
 #[argh(subcommand, name = "targets")]
 pub(crate) struct TargetsArgs {}
 
-/// Explains why a request was routed as it was.
+/// Explains why a request was routed as it was, from the entry's memory or from log files.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub(crate) struct ExplainArgs {
-    /// id of the request, from the header x-request-id
+    /// log file of a process; - reads standard input; may be given more than once
+    #[argh(option)]
+    pub(crate) log: Vec<PathBuf>,
+    /// id of the request, from the header x-request-id; in log files, what their lines name
     #[argh(positional)]
-    pub(crate) request: Uuid,
+    pub(crate) request: String,
 }
 
 /// Shows what the leader of a group would move and why, without doing it.
--- a/src/bin/comfrey/commands.rs
+++ b/src/bin/comfrey/commands.rs
@@ -1,5 +1,7 @@
 //! The commands of the tool.
 
+use std::fs::File;
+use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -7,12 +9,13 @@
 use comfreyhead::prelude::*;
 use comfreyhead::process::distribution::InForceReport;
 use comfreyhead::process::operator::{
-    ConfigReport, OpenOrders, PatchOrder, PatchReport, PatchResult, RecallOrder, RequestReport,
-    SettleOrder, SettleReport, StatusReport, TargetReport, VersionReport,
+    ConfigReport, LogTrail, OpenOrders, PatchOrder, PatchReport, PatchResult, RecallOrder,
+    RequestReport, SettleOrder, SettleReport, StatusReport, TargetReport, VersionReport,
 };
 use comfreyhead::process::orders::{AttemptId, FindingOutcome, OrderKey};
 use comfreyhead::version::config::{AuthorName, BatchName, ConfigChange, diff};
 use serde::Serialize;
+use uuid::Uuid;
 
 use crate::args::{
     DiffArgs, ExplainArgs, OrdersCommand, PatchArgs, RecallArgs, SettleArgs, ShowArgs, ToolArgs,
@@ -44,6 +47,12 @@
 /// # Errors
 /// The command could not be carried out.
 pub(crate) async fn run(args: &ToolArgs) -> Result<ExitCode> {
+    // Log files need neither an entry nor a token.
+    if let ToolCommand::Explain(args) = &args.command
+        && !args.log.is_empty()
+    {
+        return explain_from_logs(args);
+    }
     let client = OperatorClient::new(&args.entry)?;
     let form = if args.json {
         OutputForm::Json
@@ -133,10 +142,34 @@
     form: OutputForm,
     args: &ExplainArgs,
 ) -> Result<ExitCode> {
-    let report: RequestReport = client.get(&format!("/requests/{}", args.request)).await?;
+    let request: Uuid = args
+        .request
+        .parse()
+        .map_err(|_| Error::Invalid(format!("request \"{}\" is no UUID", args.request)))?;
+    let report: RequestReport = client.get(&format!("/requests/{request}")).await?;
     print(form, &report, tables::explanation)
 }
 
+fn explain_from_logs(args: &ExplainArgs) -> Result<ExitCode> {
+    let mut trail = LogTrail::default();
+    for path in &args.log {
+        let reading = |err| Error::Io(path.display().to_string(), err);
+        let input: Box<dyn BufRead> = match path.as_os_str() == "-" {
+            true => Box::new(std::io::stdin().lock()),
+            false => Box::new(BufReader::new(File::open(path).map_err(reading)?)),
+        };
+        for line in input.lines() {
+            trail.read(&line.map_err(reading)?, &args.request);
+        }
+    }
+    if trail.steps.is_empty() {
+        let reason = format!("no log line names request \"{}\"", args.request);
+        return Err(Error::Invalid(reason));
+    }
+    print!("{trail}");
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn patch(client: &OperatorClient, form: OutputForm, args: &PatchArgs) -> Result<ExitCode> {
     let order = PatchOrder {
         base: VersionNumber(args.base),
