Do not forget a pass that was given up and is still held

Found by reading: a leader that started anew with an old view could ask about a later pass while the release of the given-up one was lost; the keeper would have forgotten it, and the rank, which holds one pass at a time, refused the later one. The keeper now answers for the pass that it is releasing first, and the leader goes on with the pass that it finds held. No run has shown it; two tests.

--- a/fleet/src/expert/pass_keeper.rs
+++ b/fleet/src/expert/pass_keeper.rs
@@ -95,6 +95,12 @@
         if question.life != self.life || own.epoch != epoch {
             return KeeperVerdict::Open;
         }
+        if let Some(kept) = self.kept
+            && kept.step != step
+            && kept.is_being_released(own)
+        {
+            return KeeperVerdict::Open;
+        }
         let kept = self
             .kept
             .filter(|kept| (kept.epoch, kept.step) == (epoch, step));
@@ -147,6 +153,14 @@
     }
 }
 
+impl KeptPass {
+    /// Returns whether the pass was given up and is still held: it is not to be forgotten.
+    fn is_being_released(&self, own: &RankReport) -> bool {
+        let is_held = self.epoch == own.epoch && own.held == Some(self.step);
+        is_held && self.verdict == KeeperVerdict::GivenUp
+    }
+}
+
 fn highest_version(report: &RankReport) -> u64 {
     let copied = report.prepared.map_or(0, |map| map.version);
     report.version.max(copied)
--- a/fleet/src/expert/switch_leader.rs
+++ b/fleet/src/expert/switch_leader.rs
@@ -250,6 +250,11 @@
         let Some(keeper) = self.keeper(ranks) else {
             return;
         };
+        // A rank holds one pass at a time; the next one cannot be held before it has begun.
+        if let Some(held) = keeper.report.held.filter(|held| *held != step) {
+            let phase = SwitchPhase::Holding(version, held);
+            return self.set_phase(phase, "another pass is held", actions);
+        }
         let verdict = keeper.verdict.filter(|(asked, _)| *asked == step);
         match verdict.map(|(_, verdict)| verdict) {
             Some(KeeperVerdict::Allowed) => {
--- a/fleet/tests/silent_leader.rs
+++ b/fleet/tests/silent_leader.rs
@@ -122,6 +122,47 @@
     assert!(group.ranks.iter().all(|rank| rank.report.armed.is_none()));
 }
 
+#[test]
+fn pass_that_was_given_up_and_is_still_held_is_not_forgotten() {
+    // Arrange
+    let now = Instant::now();
+    let mut keeper = PassKeeper::new(1);
+    keeper.start(&report(None, 0));
+    let question = |step| PassQuestion {
+        life: 1,
+        epoch: 1,
+        version: 7,
+        step,
+    };
+    keeper.answer(&question(5), &report(None, 7), now);
+    assert!(keeper.on_tick(&report(Some(5), 7), now + SILENCE).is_some());
+
+    // Act
+    let later_pass = keeper.answer(&question(9), &report(Some(5), 7), now + SILENCE);
+    let same_pass = keeper.answer(&question(5), &report(Some(5), 7), now + SILENCE);
+
+    // Assert
+    assert_eq!(later_pass, KeeperVerdict::Open);
+    assert_eq!(same_pass, KeeperVerdict::GivenUp);
+    assert!(keeper.on_tick(&report(Some(5), 7), now + SILENCE).is_some());
+}
+
+#[test]
+fn leader_goes_on_with_another_pass_that_it_finds_held() {
+    // Arrange
+    let now = Instant::now();
+    let mut group = FakeGroup::new();
+    let mut leader = SwitchLeader::default();
+    let (version, step) = until_held(&mut group, &mut leader, now);
+    group.ranks[keeper_rank()].report.held = Some(step - 1);
+
+    // Act
+    leader.on_tick(&group.views(now), now);
+
+    // Assert
+    assert_eq!(leader.phase(), &SwitchPhase::Holding(version, step - 1));
+}
+
 fn report(held: Option<u64>, copied: u64) -> RankReport {
     RankReport {
         epoch: 1,
