Give the retry budget its bounds at each use instead of keeping a copy

A budget was made with the bounds of that moment and then told the present ones before each use, so that its own were never read. It holds only what it has counted now; the three numbers go together as BudgetSettings, beside it. The tests call it so; their assertions are unchanged.

--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -12,7 +12,7 @@
 
 use crate::forward::{HeaderNames, TargetPool};
 use crate::prelude::*;
-use crate::routing::{RetryBudget, RoutingTable};
+use crate::routing::{BudgetSettings, RetryBudget, RoutingTable};
 
 use super::drain::DrainState;
 use super::metrics::EntryMetrics;
@@ -57,17 +57,6 @@
     pub grace: Duration,
 }
 
-/// The bounds of the retry budget that all entries share.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct BudgetSettings {
-    /// The window in which retries are counted.
-    pub window: Duration,
-    /// The retries allowed for each request.
-    pub ratio: f64,
-    /// The retries allowed besides, for all entries together.
-    pub slack: f64,
-}
-
 /// The age of the last word from the store at which a denial may rest on an outdated version.
 const CONFIRMED_AGE: Duration = Duration::from_secs(3);
 
@@ -112,13 +101,17 @@
 
     /// Counts a request of a caller towards a service's retry budget.
     pub fn count_request(&self, service: &Arc<str>, now: Instant) {
-        self.with_budget(service, |budget| budget.count_request(now));
+        self.with_budget(service, |budget, settings| {
+            budget.count_request(settings, now)
+        });
     }
 
     /// Draws a retry from a service's budget; returns whether it may be made.
     pub fn draw_retry(&self, service: &Arc<str>, now: Instant) -> bool {
         let n_entries = self.n_entries.load(Ordering::Relaxed);
-        self.with_budget(service, |budget| budget.draw(now, n_entries))
+        self.with_budget(service, |budget, settings| {
+            budget.draw(settings, now, n_entries)
+        })
     }
 
     /// Returns whether the configuration was confirmed a short time ago, so that what it denies
@@ -148,17 +141,16 @@
             && 0 < self.table.lock().n_usable()
     }
 
-    fn with_budget<T>(&self, service: &Arc<str>, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    fn with_budget<T>(
+        &self,
+        service: &Arc<str>,
+        work: impl FnOnce(&mut RetryBudget, &BudgetSettings) -> T,
+    ) -> T {
+        let settings = self.bounds.borrow().budget;
         let mut budgets = self.budgets.lock();
-        let BudgetSettings {
-            window,
-            ratio,
-            slack,
-        } = self.bounds.borrow().budget;
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(window, ratio, slack, self.started_at));
-        budget.set_bounds(window, ratio, slack);
-        work(budget)
+            .or_insert_with(|| RetryBudget::new(self.started_at));
+        work(budget, &settings)
     }
 }
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -28,7 +28,7 @@
 pub use caller_server::serve_callers;
 pub use drain::DrainState;
 pub use entry_run::{EntryConfig, run_entry};
-pub use entry_state::{BudgetSettings, EntryState, ProcessBounds};
+pub use entry_state::{EntryState, ProcessBounds};
 pub use knowledge::{Decoders, Knowledge};
 pub use logger::root_logger;
 pub use metrics::EntryMetrics;
--- a/fleet/src/routing/mod.rs
+++ b/fleet/src/routing/mod.rs
@@ -10,6 +10,6 @@
 pub use group_health::{GROUP_FORM_TIME, GroupHealth, GroupState};
 pub use group_limit::{AdmitDecision, GroupLimit, GroupLoad};
 pub use load_view::{LoadView, name_hash};
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use routing_table::{RoutingTable, TargetPick};
 pub use target_health::TargetHealth;
--- a/fleet/src/routing/retry_budget.rs
+++ b/fleet/src/routing/retry_budget.rs
@@ -8,54 +8,56 @@
 /// has spent within the window and does not remember.
 const SPENT_PART: f64 = 0.55;
 
+/// The bounds of the retry budget that all entries share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetSettings {
+    /// The window in which retries are counted.
+    pub window: Duration,
+    /// The retries allowed for each request.
+    pub ratio: f64,
+    /// The retries allowed besides, for all entries together.
+    pub slack: f64,
+}
+
 /// The share of a service's retry budget that this process may spend: a ratio of the requests that
 /// it took in, and an equal part of the common slack.
 #[derive(Debug)]
 pub struct RetryBudget {
-    window: Duration,
-    ratio: f64,
-    slack: f64,
     started_at: Instant,
     requests: VecDeque<Instant>,
     retries: VecDeque<Instant>,
 }
 
 impl RetryBudget {
-    /// Creates a budget of `ratio` retries a request and `slack` retries of all processes, in each
-    /// window. The slack grows over the first window after the process's start, as the process
-    /// before it may have spent its own.
-    pub fn new(window: Duration, ratio: f64, slack: f64, started_at: Instant) -> Self {
+    /// Creates the budget of a process. Its slack grows over the first window after the process's
+    /// start, as the process before it may have spent its own.
+    pub fn new(started_at: Instant) -> Self {
         Self {
-            window,
-            ratio,
-            slack,
             started_at,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
         }
     }
 
-    /// Takes in bounds that may have changed.
-    pub fn set_bounds(&mut self, window: Duration, ratio: f64, slack: f64) {
-        self.window = window;
-        self.ratio = ratio;
-        self.slack = slack;
-    }
-
     /// Counts a request of a caller.
-    pub fn count_request(&mut self, now: Instant) {
+    pub fn count_request(&mut self, settings: &BudgetSettings, now: Instant) {
         self.requests.push_back(now);
-        Self::forget(&mut self.requests, now, self.window);
+        Self::forget(&mut self.requests, now, settings.window);
     }
 
     /// Draws one retry, where `n_processes` share the slack; returns whether it may be made.
-    pub fn draw(&mut self, now: Instant, n_processes: usize) -> bool {
-        Self::forget(&mut self.requests, now, self.window);
-        Self::forget(&mut self.retries, now, self.window);
+    pub fn draw(&mut self, settings: &BudgetSettings, now: Instant, n_processes: usize) -> bool {
+        let BudgetSettings {
+            window,
+            ratio,
+            slack,
+        } = *settings;
+        Self::forget(&mut self.requests, now, window);
+        Self::forget(&mut self.retries, now, window);
         let age = now.saturating_duration_since(self.started_at);
-        let known = (age.as_secs_f64() / self.window.as_secs_f64()).min(1.0);
-        let own_slack = known * self.slack / n_processes.max(1) as f64;
-        let allowed = SPENT_PART * (self.ratio * self.requests.len() as f64 + own_slack);
+        let known = (age.as_secs_f64() / window.as_secs_f64()).min(1.0);
+        let own_slack = known * slack / n_processes.max(1) as f64;
+        let allowed = SPENT_PART * (ratio * self.requests.len() as f64 + own_slack);
         let within = ((self.retries.len() + 1) as f64) <= allowed;
         if within {
             self.retries.push_back(now);
--- a/fleet/tests/abusive_retries.rs
+++ b/fleet/tests/abusive_retries.rs
@@ -4,22 +4,23 @@
 use std::time::Duration;
 
 use comfreyhead_fleet::prelude::*;
-use comfreyhead_fleet::routing::RetryBudget;
+use comfreyhead_fleet::routing::{BudgetSettings, RetryBudget};
 
 const WINDOW: Duration = Duration::from_secs(10);
 const RATIO: f64 = 0.2;
 const SLACK: f64 = 200.0;
+const SETTINGS: BudgetSettings = BudgetSettings {
+    window: WINDOW,
+    ratio: RATIO,
+    slack: SLACK,
+};
 const ENTRIES: usize = 15;
 
 /// Draws as many retries as the entries give, once a millisecond in turn, with 100 requests a
 /// second, all processes being killed at `killed_at`; returns the times of the retries.
 fn retries_around(killed_at: Duration, end: Duration) -> Vec<Duration> {
     let start = Instant::now();
-    let fleet = |at| -> Vec<RetryBudget> {
-        (0..ENTRIES)
-            .map(|_| RetryBudget::new(WINDOW, RATIO, SLACK, at))
-            .collect()
-    };
+    let fleet = |at| -> Vec<RetryBudget> { (0..ENTRIES).map(|_| RetryBudget::new(at)).collect() };
     let mut budgets = fleet(start);
     let mut retries = Vec::new();
     for tick in 0..end.as_millis() as u64 {
@@ -30,9 +31,9 @@
         }
         let budget = &mut budgets[tick as usize % ENTRIES];
         if tick % 10 == 0 {
-            budget.count_request(now);
+            budget.count_request(&SETTINGS, now);
         }
-        if budget.draw(now, ENTRIES) {
+        if budget.draw(&SETTINGS, now, ENTRIES) {
             retries.push(elapsed);
         }
     }
