Order the ranks that are not done in one loop, for copies and for arms

Preparing and arming walked the ranks in the same way; the keeper's rank was looked up at each of its three orders; the keeper looked up the pass that it keeps twice, and set its start state once more at each look, after an answer that had set it.

--- a/fleet/src/expert/pass_keeper.rs
+++ b/fleet/src/expert/pass_keeper.rs
@@ -76,10 +76,7 @@
 
     /// Takes in the first state of the rank that this life sees.
     pub fn start(&mut self, own: &RankReport) {
-        self.start.get_or_insert(StartState {
-            held: own.held.map(|step| (own.epoch, step)),
-            version: highest_version(own),
-        });
+        self.start_state(own);
     }
 
     /// Answers a question of the leader.
@@ -89,25 +86,16 @@
         own: &RankReport,
         now: Instant,
     ) -> KeeperVerdict {
-        self.start(own);
-        let start = self.start.expect("start_state_is_set");
+        let start = self.start_state(own);
         let PassQuestion { epoch, step, .. } = *question;
         if question.life != self.life || own.epoch != epoch {
             return KeeperVerdict::Open;
         }
-        if let Some(kept) = self.kept
-            && kept.step != step
-            && kept.is_being_released(own)
-        {
-            return KeeperVerdict::Open;
-        }
-        let kept = self
-            .kept
-            .filter(|kept| (kept.epoch, kept.step) == (epoch, step));
-        let mut verdict = match kept {
-            Some(kept) => kept.verdict,
-            None if start.held == Some((epoch, step)) => KeeperVerdict::Unknown,
-            None => KeeperVerdict::Open,
+        let mut verdict = match self.kept {
+            Some(kept) if (kept.epoch, kept.step) == (epoch, step) => kept.verdict,
+            Some(kept) if kept.is_being_released(own) => return KeeperVerdict::Open,
+            _ if start.held == Some((epoch, step)) => KeeperVerdict::Unknown,
+            _ => KeeperVerdict::Open,
         };
         let is_held = own.held == Some(step);
         let copied = own.prepared.map(|map| map.version);
@@ -137,7 +125,6 @@
 
     /// Gives the pass up where the leader has fallen silent; returns the order that releases it.
     pub fn on_tick(&mut self, own: &RankReport, now: Instant) -> Option<MapOrder> {
-        self.start(own);
         let kept = self.kept.as_mut()?;
         if own.epoch != kept.epoch || own.held != Some(kept.step) {
             return None;
@@ -151,6 +138,13 @@
             kind: OrderKind::Release(kept.step),
         })
     }
+
+    fn start_state(&mut self, own: &RankReport) -> StartState {
+        *self.start.get_or_insert(StartState {
+            held: own.held.map(|step| (own.epoch, step)),
+            version: highest_version(own),
+        })
+    }
 }
 
 impl KeptPass {
--- a/fleet/src/expert/switch_leader.rs
+++ b/fleet/src/expert/switch_leader.rs
@@ -153,8 +153,7 @@
             SwitchPhase::Arming(version, step) => self.arm(version, step, ranks, &mut actions),
             SwitchPhase::Releasing(step) => match self.keeper(ranks).map(|view| view.report.held) {
                 Some(held) if held == Some(step) => {
-                    let keeper = Self::keeper_rank(ranks.len());
-                    actions.push(self.order(keeper, OrderKind::Release(step)));
+                    actions.push(self.order_keeper(ranks, OrderKind::Release(step)));
                 }
                 Some(_) => self.set_phase(SwitchPhase::Idle, "released", &mut actions),
                 None => {}
@@ -216,21 +215,15 @@
         ranks: &[Option<RankView>],
         actions: &mut LeaderActions,
     ) {
-        let mut n_missing = 0;
-        for (rank, view) in ranks.iter().enumerate() {
+        let has_copied = |rank: usize, report: &RankReport| {
             let expected = PreparedMap {
                 version: planned.version,
                 digest: Some(planned.digest_of(rank)),
             };
-            let current = view.as_ref().filter(|view| self.is_current(view));
-            if current.is_some_and(|view| view.report.prepared == Some(expected)) {
-                continue;
-            }
-            n_missing += 1;
-            let kind = OrderKind::Prepare(planned.version, planned.mapping.clone());
-            actions.push(self.order(rank, kind));
-        }
-        if n_missing != 0 {
+            report.prepared == Some(expected)
+        };
+        let kind = OrderKind::Prepare(planned.version, planned.mapping.clone());
+        if !self.order_rest(ranks, has_copied, &kind, actions) {
             return;
         }
         let held = self.keeper(ranks).and_then(|view| view.report.held);
@@ -268,10 +261,9 @@
             Some(KeeperVerdict::GivenUp) => return,
             // The keeper lives and knows of the pass, so that it may be held. The next question waits
             // for the next look: a leader that stands still after the order has not asked.
-            Some(KeeperVerdict::Open) if keeper.report.held != Some(step) && self.has_asked => {
+            Some(KeeperVerdict::Open) if keeper.report.held.is_none() && self.has_asked => {
                 self.has_asked = false;
-                let keeper = Self::keeper_rank(ranks.len());
-                return actions.push(self.order(keeper, OrderKind::Hold(step)));
+                return actions.push(self.order_keeper(ranks, OrderKind::Hold(step)));
             }
             Some(KeeperVerdict::Open) | None => {}
         }
@@ -299,26 +291,41 @@
         actions: &mut LeaderActions,
     ) {
         let expected = Some(ArmedMap { version, step });
-        let mut n_missing = 0;
+        let is_armed = |_, report: &RankReport| report.armed == expected;
+        if self.order_rest(ranks, is_armed, &OrderKind::Arm(version, step), actions) {
+            self.set_phase(SwitchPhase::Releasing(step), "armed", actions);
+            actions.push(self.order_keeper(ranks, OrderKind::Release(step)));
+        }
+    }
+
+    /// Gives an order to each rank that does not report to have carried it out; returns whether
+    /// there is none.
+    fn order_rest(
+        &self,
+        ranks: &[Option<RankView>],
+        is_done: impl Fn(usize, &RankReport) -> bool,
+        kind: &OrderKind,
+        actions: &mut LeaderActions,
+    ) -> bool {
+        let mut all_done = true;
         for (rank, view) in ranks.iter().enumerate() {
             let current = view.as_ref().filter(|view| self.is_current(view));
-            if current.is_some_and(|view| view.report.armed == expected) {
-                continue;
+            if !current.is_some_and(|view| is_done(rank, &view.report)) {
+                all_done = false;
+                actions.push(self.order(rank, kind.clone()));
             }
-            n_missing += 1;
-            actions.push(self.order(rank, OrderKind::Arm(version, step)));
-        }
-        if n_missing == 0 {
-            self.set_phase(SwitchPhase::Releasing(step), "armed", actions);
-            let keeper = Self::keeper_rank(ranks.len());
-            actions.push(self.order(keeper, OrderKind::Release(step)));
         }
+        all_done
     }
 
     fn is_current(&self, view: &RankView) -> bool {
         view.report.epoch == self.epoch && view.report.open
     }
 
+    fn order_keeper(&self, ranks: &[Option<RankView>], kind: OrderKind) -> LeaderAction {
+        self.order(Self::keeper_rank(ranks.len()), kind)
+    }
+
     fn order(&self, rank: usize, kind: OrderKind) -> LeaderAction {
         let order = MapOrder {
             epoch: self.epoch,
