Ask the keeper by a message of its own

Whether ranks may be armed was a third kind of question for a rank's state, which the link to the rank had to pass over; the states that agents send were put together in three places.

--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -14,6 +14,8 @@
     Beat(PeerBeat),
     /// The leader of a group asks an agent for the state of its rank.
     Ask(RankQuestion),
+    /// The leader of a group asks the keeper whether ranks may be armed for a pass that it holds.
+    MayArm(PassQuestion),
     /// The leader of a group passes an order on to an agent.
     Order(MapOrder),
     /// An order that some agents pass on to others.
@@ -31,8 +33,6 @@
     State,
     /// The state of its rank, and what its requests chose since the last such answer.
     Counts,
-    /// The state of its rank, and whether ranks may be armed for a pass that it holds.
-    MayArm(PassQuestion),
 }
 
 /// An order that some agents pass on to others.
--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -6,9 +6,8 @@
 use slog::{Logger, debug, info};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
 
-use crate::expert::{MapOrder, PassKeeper};
+use crate::expert::MapOrder;
 use crate::peers::{PeerMessage, PeerRecord, RankState, RelayedOrder, StoreTopic};
 use crate::prelude::*;
 
@@ -95,13 +94,7 @@
         log: log.clone(),
     };
     tokio::spawn(leader.run());
-    let keeper = Arc::new(KeeperLink {
-        link: link.clone(),
-        life: config.life,
-        keeper: Mutex::new(PassKeeper::new(config.life)),
-        asked: Notify::new(),
-        log: log.clone(),
-    });
+    let keeper = Arc::new(KeeperLink::new(link.clone(), config.life, log.clone()));
     tokio::spawn(keeper.clone().keep());
     tokio::spawn(tell_pace(
         config,
@@ -125,7 +118,13 @@
             Some(PeerMessage::Ask(question)) => {
                 let (keeper, socket) = (keeper.clone(), socket.clone());
                 tokio::spawn(async move {
-                    reply(&socket, from, keeper.answer(question).await).await;
+                    reply(&socket, from, keeper.state(question).await).await;
+                });
+            }
+            Some(PeerMessage::MayArm(question)) => {
+                let (keeper, socket) = (keeper.clone(), socket.clone());
+                tokio::spawn(async move {
+                    reply(&socket, from, keeper.may_arm(question).await).await;
                 });
             }
             Some(PeerMessage::Order(order)) => {
@@ -177,14 +176,9 @@
     Reply: Future<Output = Result<TargetReply, CallFault>>,
 {
     let link = &keeper.link;
-    let state = |report| RankState {
-        report,
-        life: keeper.life,
-        verdict: None,
-        details: None,
-    };
-    reply(&socket, leader, link.order(&order).await.map(state)).await;
-    reply(&socket, leader, link.copied(&order).await.map(state)).await;
+    let word = |report| keeper.word(report);
+    reply(&socket, leader, link.order(&order).await.map(word)).await;
+    reply(&socket, leader, link.copied(&order).await.map(word)).await;
 }
 
 /// Tells the entries for as long as the target beside this agent is slow.
--- a/fleet/src/process/keeper_link.rs
+++ b/fleet/src/process/keeper_link.rs
@@ -6,7 +6,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
-use crate::expert::{KeeperVerdict, PassKeeper, PassQuestion};
+use crate::expert::{KeeperVerdict, PassKeeper, PassQuestion, RankReport};
 use crate::peers::{RankQuestion, RankState};
 use crate::prelude::*;
 
@@ -23,11 +23,11 @@
 /// The agent beside a rank as the keeper of a held pass.
 pub(super) struct KeeperLink<Call> {
     pub(super) link: Arc<RankLink<Call>>,
-    pub(super) life: u16,
-    pub(super) keeper: Mutex<PassKeeper>,
+    life: u16,
+    keeper: Mutex<PassKeeper>,
     /// Told at each question of the leader.
-    pub(super) asked: Notify,
-    pub(super) log: Logger,
+    asked: Notify,
+    log: Logger,
 }
 
 impl<Call, Reply> KeeperLink<Call>
@@ -35,26 +35,49 @@
     Call: Fn(SocketAddr, TargetRequest) -> Reply,
     Reply: Future<Output = Result<TargetReply, CallFault>>,
 {
-    /// Answers a question of the leader; `None` where the rank's state cannot be had.
-    pub(super) async fn answer(&self, question: RankQuestion) -> Option<RankState> {
-        let RankQuestion::MayArm(asked) = question else {
-            let (report, details) = self.link.state(question).await?;
-            return Some(RankState {
-                report,
-                life: self.life,
-                verdict: None,
-                details: Some(details),
-            });
-        };
-        let report = self.link.report().await?;
-        let verdict = self.keeper.lock().answer(&asked, &report, Instant::now());
-        self.asked.notify_one();
-        self.note(&asked, verdict);
-        Some(RankState {
+    /// Creates the keeper of a process's life.
+    pub(super) fn new(link: Arc<RankLink<Call>>, life: u16, log: Logger) -> Self {
+        Self {
+            link,
+            life,
+            keeper: Mutex::new(PassKeeper::new(life)),
+            asked: Notify::new(),
+            log,
+        }
+    }
+
+    /// Returns a state of the rank, for the leader.
+    pub(super) fn word(&self, report: RankReport) -> RankState {
+        RankState {
             report,
             life: self.life,
-            verdict: Some((asked.step, verdict)),
+            verdict: None,
             details: None,
+        }
+    }
+
+    /// Answers a question for the rank's state; `None` where it cannot be had.
+    pub(super) async fn state(&self, question: RankQuestion) -> Option<RankState> {
+        let (report, details) = self.link.state(question).await?;
+        Some(RankState {
+            details: Some(details),
+            ..self.word(report)
+        })
+    }
+
+    /// Answers whether ranks may be armed for a pass; `None` where the rank's state cannot be had.
+    pub(super) async fn may_arm(&self, question: PassQuestion) -> Option<RankState> {
+        let report = self.link.report().await?;
+        let now = Instant::now();
+        let verdict = self.keeper.lock().answer(&question, &report, now);
+        self.asked.notify_one();
+        if verdict != KeeperVerdict::Open {
+            info!(self.log, "leader asks"; "version" => question.version,
+                "step" => question.step, "verdict" => ?verdict);
+        }
+        Some(RankState {
+            verdict: Some((question.step, verdict)),
+            ..self.word(report)
         })
     }
 
@@ -91,11 +114,4 @@
             }
         }
     }
-
-    fn note(&self, asked: &PassQuestion, verdict: KeeperVerdict) {
-        if verdict != KeeperVerdict::Open {
-            info!(self.log, "leader asks"; "version" => asked.version, "step" => asked.step,
-                "verdict" => ?verdict);
-        }
-    }
 }
--- a/fleet/src/process/leader_task.rs
+++ b/fleet/src/process/leader_task.rs
@@ -133,7 +133,7 @@
                 LeaderAction::Ask(question) => {
                     let keeper = rows.get(SwitchLeader::keeper_rank(rows.len()));
                     if let Some(Some((agent, _))) = keeper {
-                        let question = PeerMessage::Ask(RankQuestion::MayArm(question));
+                        let question = PeerMessage::MayArm(question);
                         // Asked again at the next look.
                         self.sender.send(*agent, &question).await;
                     }
--- a/fleet/src/process/rank_link.rs
+++ b/fleet/src/process/rank_link.rs
@@ -69,7 +69,7 @@
     pub(super) async fn state(&self, question: RankQuestion) -> Option<(RankReport, RankDetails)> {
         let report = self.report().await?;
         let window = match question {
-            RankQuestion::State | RankQuestion::MayArm(_) => Vec::new(),
+            RankQuestion::State => Vec::new(),
             RankQuestion::Counts => self.counted().await?,
         };
         let Ok(TargetReply::Listings(held, _)) =
