Use the plan's own horizon and sizes in the fleet's planner

The horizon at which skew and moves compare one to one stood in two places, and the slots of a rank were counted beside MapShape::slots_of_rank.

--- a/fleet/src/expert/map_planner.rs
+++ b/fleet/src/expert/map_planner.rs
@@ -3,7 +3,7 @@
 use comfreyhead::error::Result;
 use comfreyhead::version::config::PlacementConfig;
 use comfreyhead::version::expert_map::{
-    ExpertId, ExpertLoads, ExpertMap, MapNumber, MapShape, PlanInput, plan,
+    ExpertId, ExpertLoads, ExpertMap, MapNumber, MapShape, PlanInput, REFERENCE_HORIZON_S, plan,
 };
 
 use crate::catalog::EngineSpec;
@@ -32,9 +32,6 @@
 /// The bounds of how urgent shorter passes are, from a pass as long as it may be, at 1.
 const URGENCY_BOUNDS: (f64, f64) = (0.12, 1.5);
 
-/// The horizon at which `PlacementConfig` compares skew and moves one to one, in seconds.
-const REFERENCE_HORIZON_S: u32 = 600;
-
 /// The choices that a window must hold to be planned from; fewer are mostly chance.
 const LEAST_CHOICES: f32 = 2_000.0;
 
@@ -142,7 +139,7 @@
         if speeds.len() != input.held.len() {
             return Ok(None);
         }
-        let n_slots = usize::from(engine.sets) * usize::from(engine.places) * input.held.len();
+        let n_slots = shape.slots_of_rank() * input.held.len();
         let urgency = urgency(input);
         let weights = PlacementConfig {
             skew_weight: 1.0,
--- a/src/version/expert_map/mod.rs
+++ b/src/version/expert_map/mod.rs
@@ -19,6 +19,6 @@
 pub use map_number::{MapId, MapNumber};
 pub use map_shape::{ExpertId, MapShape, RankId};
 pub use placement_plan::{PlacementPlan, PlanReason};
-pub use plan::{PlanInput, plan};
+pub use plan::{PlanInput, REFERENCE_HORIZON_S, plan};
 pub use popularity_table::PopularityTable;
 pub use resolve::resolve;
--- a/src/version/expert_map/plan.rs
+++ b/src/version/expert_map/plan.rs
@@ -8,7 +8,7 @@
 use super::placement_plan::{PlacementPlan, PlanReason};
 
 /// The horizon at which a weight of 1.0 for skew and for moves compare one to one, in seconds.
-const REFERENCE_HORIZON_S: f64 = 600.0;
+pub const REFERENCE_HORIZON_S: u32 = 600;
 
 /// What a plan is made from.
 #[derive(Clone, Copy, Debug)]
@@ -132,7 +132,7 @@
     let shape = input.current.shape();
     let group_slots = shape.slots_of_rank() * usize::from(shape.ranks);
     let load_cost = weights.move_weight / group_slots as f64;
-    let horizon = f64::from(weights.horizon_s) / REFERENCE_HORIZON_S;
+    let horizon = f64::from(weights.horizon_s) / f64::from(REFERENCE_HORIZON_S);
     load_cost / (weights.skew_weight * horizon).max(f64::MIN_POSITIVE)
 }
 
