--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -90,11 +90,19 @@
         }
     }
 
-    fn remove(&mut self, id: &Arc<str>) {
+    fn remove(&mut self, id: &str) {
         if let Some(row) = self.targets.get_mut(id) {
             row.gone = true;
         }
-        self.targets.retain(|_, row| !row.gone || 0 < row.own);
+        self.forget_if_done(id);
+    }
+
+    /// Forgets a target that is gone, once nothing runs there any more.
+    fn forget_if_done(&mut self, id: &str) {
+        let row = self.targets.get(id);
+        if row.is_some_and(|row| row.gone && row.own == 0) {
+            self.targets.remove(id);
+        }
     }
 
     /// Chooses the target of a service for a request: the one with the least requests in progress,
@@ -176,7 +184,7 @@
         if let Some(row) = self.targets.get_mut(id) {
             row.own = row.own.saturating_sub(1);
         }
-        self.targets.retain(|_, row| !row.gone || 0 < row.own);
+        self.forget_if_done(id);
     }
 
     /// Returns what the results say about a target, to be updated.
