Share the random orders, the engines and the plans of the map tests

Two random runs sent, lost, repeated and delayed orders in the same lines, three tests set up the same engines, and two of one file the same plan. The runs draw the same numbers in the same order; assertions are unchanged.

--- a/fleet/tests/changed_popularity.rs
+++ b/fleet/tests/changed_popularity.rs
@@ -1,29 +1,14 @@
 //! What is liked changes within seconds: the planner drops older windows at once, copies few
 //! experts where passes are short, and keeps what is liked over a new formation of the group.
 
-use std::time::Duration;
+mod engines;
 
-use comfreyhead_fleet::catalog::EngineSpec;
 use comfreyhead_fleet::expert::{MapPlanner, PlannedMap, PlannerInput};
+use engines::small_engines;
 
 const RANKS: usize = 4;
 const EXPERTS: usize = 16;
 
-fn engine() -> EngineSpec {
-    EngineSpec {
-        slots: 12,
-        sets: 1,
-        experts: EXPERTS as u16,
-        places: 5,
-        headroom: 2,
-        expert_mb: 880.0,
-        link_mbps: 180_000.0,
-        form_time: Duration::from_millis(600),
-        base_pass: Duration::from_millis(29),
-        pause: Duration::from_millis(120),
-    }
-}
-
 fn held() -> Vec<Vec<Vec<u16>>> {
     let of_rank = |rank| (0..EXPERTS as u16).filter(move |expert| expert % RANKS as u16 == rank);
     (0..RANKS as u16)
@@ -49,7 +34,7 @@
 }
 
 fn plan(planner: &MapPlanner, pass_s: f64) -> Option<PlannedMap> {
-    let engine = engine();
+    let engine = small_engines();
     let held = held();
     planner
         .plan(&PlannerInput {
--- a/fleet/tests/fake_group/mod.rs
+++ b/fleet/tests/fake_group/mod.rs
@@ -26,6 +26,20 @@
     verdict: Option<(u64, KeeperVerdict)>,
 }
 
+/// How orders fare on their way.
+pub struct OrderOdds {
+    pub loss: f64,
+    pub repeat: f64,
+}
+
+/// Returns the highest version that ranks report to have had.
+pub fn highest_version(views: &[Option<RankView>]) -> u64 {
+    let reports = views.iter().flatten().map(|view| &view.report);
+    let copied = |report: &RankReport| report.prepared.map_or(0, |map| map.version);
+    let versions = reports.map(|report| report.version.max(copied(report)));
+    versions.max().unwrap_or(0)
+}
+
 /// Returns the rank that holds passes.
 pub fn keeper_rank() -> usize {
     SwitchLeader::keeper_rank(RANKS)
@@ -138,6 +152,30 @@
         self.verdict = None;
     }
 
+    /// Sends an order that may be lost, and then is carried out later or never, or be repeated later.
+    pub fn send(&mut self, rank: usize, order: MapOrder, odds: &OrderOdds, rng: &mut impl Rng) {
+        if rng.random_bool(odds.loss) {
+            self.late.push((rank, order));
+            return;
+        }
+        if rng.random_bool(odds.repeat) {
+            self.late.push((rank, order.clone()));
+        }
+        self.carry_out(rank, &order);
+    }
+
+    /// Carries out one late order now and then, and begins passes.
+    pub fn go_on(&mut self, rng: &mut impl Rng) {
+        if !self.late.is_empty() && rng.random_bool(0.1) {
+            let at = rng.random_range(0..self.late.len());
+            let (rank, order) = self.late.swap_remove(at);
+            self.carry_out(rank, &order);
+        }
+        if rng.random_bool(0.2) {
+            self.begin_pass();
+        }
+    }
+
     /// Returns the pass that is held.
     pub fn held(&self) -> Option<u64> {
         self.ranks[keeper_rank()].report.held
--- a/fleet/tests/large_group.rs
+++ b/fleet/tests/large_group.rs
@@ -1,15 +1,19 @@
 //! A group of many ranks beside narrow links: counts come from some ranks and in windows, maps go
 //! out through relays, and what all ranks hold still makes a plan.
 
+mod engines;
+
 use std::collections::HashSet;
 use std::time::Duration;
 
+use comfreyhead::error::Result;
 use comfreyhead_fleet::catalog::EngineSpec;
 use comfreyhead_fleet::expert::{
-    CountWindow, MapOrder, MapPlanner, OrderKind, PlannerInput, is_counted,
+    CountWindow, MapOrder, MapPlanner, OrderKind, PlannedMap, PlannerInput, is_counted,
 };
 use comfreyhead_fleet::peers::{PeerMessage, RelayedOrder, relay_batches};
 use comfreyhead_fleet::prelude::*;
+use engines::small_engines;
 
 const RANKS: u16 = 72;
 const SETS: u16 = 12;
@@ -24,12 +28,9 @@
         sets: SETS,
         experts: EXPERTS,
         places: 3,
-        headroom: 2,
         expert_mb: 130.0,
-        link_mbps: 180_000.0,
-        form_time: Duration::from_millis(600),
         base_pass: Duration::from_millis(35),
-        pause: Duration::from_millis(120),
+        ..small_engines()
     }
 }
 
@@ -59,20 +60,23 @@
     planner
 }
 
+fn plan(engine: &EngineSpec, held: &[Vec<Vec<u16>>]) -> Result<Option<PlannedMap>> {
+    planner_of(16).plan(&PlannerInput {
+        engine,
+        held,
+        version: 1,
+        paces: &[1.0; RANKS as usize],
+        pass_s: Some(0.08),
+    })
+}
+
 #[test]
 fn group_of_72_ranks_is_planned_from_the_counts_of_some() {
     // Arrange
-    let planner = planner_of(16);
     let (engine, held) = (engine(), held(RANKS));
 
     // Act
-    let planned = planner.plan(&PlannerInput {
-        engine: &engine,
-        held: &held,
-        version: 1,
-        paces: &[1.0; RANKS as usize],
-        pass_s: Some(0.08),
-    });
+    let planned = plan(&engine, &held);
 
     // Assert
     let planned = planned.unwrap().unwrap();
@@ -94,21 +98,13 @@
 #[test]
 fn group_that_makes_no_map_is_an_error() {
     // Arrange
-    let planner = planner_of(16);
     let engine = EngineSpec {
         places: 1,
         ..engine()
     };
-    let held = held(RANKS);
 
     // Act
-    let planned = planner.plan(&PlannerInput {
-        engine: &engine,
-        held: &held,
-        version: 1,
-        paces: &[1.0; RANKS as usize],
-        pass_s: Some(0.08),
-    });
+    let planned = plan(&engine, &held(RANKS));
 
     // Assert
     assert!(planned.is_err());
--- a/fleet/tests/map_switch.rs
+++ b/fleet/tests/map_switch.rs
@@ -7,7 +7,7 @@
 
 use comfreyhead_fleet::expert::{LeaderAction, RankView, SwitchLeader, SwitchPhase};
 use comfreyhead_fleet::prelude::*;
-use fake_group::{FakeGroup, RANKS, keeper_rank, planned_map};
+use fake_group::{FakeGroup, OrderOdds, RANKS, highest_version, keeper_rank, planned_map};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rand::{RngExt, SeedableRng};
@@ -16,6 +16,7 @@
 /// Plays a group and its leader; returns the number of passes and of switches.
 fn play(seed: u64, loss: f64, n_deaths: u32) -> (u64, usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let odds = OrderOdds { loss, repeat: 0.05 };
     let mut group = FakeGroup::new();
     let mut leader = SwitchLeader::default();
     let mut views: Vec<Option<RankView>> = vec![None; RANKS];
@@ -43,47 +44,24 @@
             let reports = || views.iter().flatten().map(|view| &view.report);
             let is_armed = reports().any(|report| report.armed.is_some());
             let may_begin = reports().all(|report| report.held.is_none()) || leader.needs_map();
-            let highest = reports()
-                .map(|report| {
-                    report
-                        .version
-                        .max(report.prepared.map_or(0, |map| map.version))
-                })
-                .max();
             if !is_armed && may_begin {
-                let version = SwitchLeader::next_version(highest.unwrap_or(0), life);
+                let version = SwitchLeader::next_version(highest_version(&views), life);
                 leader.begin(Arc::new(planned_map(version, &mut rng)), now);
             }
         }
         for action in leader.on_tick(&views, now) {
-            let (rank, order) = match action {
-                LeaderAction::Order(rank, order) => (usize::from(rank), order),
-                LeaderAction::Ask(question) => {
-                    group.ask(&question, now);
-                    continue;
+            match action {
+                LeaderAction::Order(rank, order) => {
+                    group.send(usize::from(rank), order, &odds, &mut rng);
                 }
-                LeaderAction::Note(_) => continue,
-            };
-            if rng.random_bool(loss) {
-                group.late.push((rank, order));
-            } else {
-                if rng.random_bool(0.05) {
-                    group.late.push((rank, order.clone()));
-                }
-                group.carry_out(rank, &order);
+                LeaderAction::Ask(question) => group.ask(&question, now),
+                LeaderAction::Note(_) => {}
             }
         }
         if let Some(order) = group.keep(now) {
             group.carry_out(keeper_rank(), &order);
         }
-        if !group.late.is_empty() && rng.random_bool(0.1) {
-            let at = rng.random_range(0..group.late.len());
-            let (rank, order) = group.late.swap_remove(at);
-            group.carry_out(rank, &order);
-        }
-        if rng.random_bool(0.2) {
-            group.begin_pass();
-        }
+        group.go_on(&mut rng);
         versions.insert(group.ranks[0].report.version);
     }
     (group.ranks[0].report.step, versions.len())
--- a/fleet/tests/silent_leader.rs
+++ b/fleet/tests/silent_leader.rs
@@ -10,7 +10,7 @@
     SwitchLeader, SwitchPhase,
 };
 use comfreyhead_fleet::prelude::*;
-use fake_group::{FakeGroup, keeper_rank, planned_map};
+use fake_group::{FakeGroup, OrderOdds, highest_version, keeper_rank, planned_map};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rand::{RngExt, SeedableRng};
@@ -30,8 +30,10 @@
     }
 }
 
-/// Plays a leader until a pass is held; returns the version and the pass.
-fn until_held(group: &mut FakeGroup, leader: &mut SwitchLeader, now: Instant) -> (u64, u64) {
+/// Returns a group with its leader, which has just had a pass held for a version.
+fn held_group(now: Instant) -> (FakeGroup, SwitchLeader, u64, u64) {
+    let mut group = FakeGroup::new();
+    let mut leader = SwitchLeader::default();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     leader.on_tick(&group.views(now), now);
     leader.begin(Arc::new(planned_map(1 << 16, &mut rng)), now);
@@ -39,11 +41,12 @@
         let actions = leader.on_tick(&group.views(now), now);
         for action in actions {
             let is_question = matches!(action, LeaderAction::Ask(_));
-            carry_out(group, LeaderActions::from_iter([action]), now);
+            carry_out(&mut group, LeaderActions::from_iter([action]), now);
             if let (SwitchPhase::Holding(version, step), Some(_)) = (leader.phase(), group.held())
                 && !is_question
             {
-                return (*version, *step);
+                let (version, step) = (*version, *step);
+                return (group, leader, version, step);
             }
         }
     }
@@ -54,9 +57,7 @@
 fn silent_leader_holds_up_no_pass_and_tries_a_later_one_when_it_wakes() {
     // Arrange
     let now = Instant::now();
-    let mut group = FakeGroup::new();
-    let mut leader = SwitchLeader::default();
-    let (version, step) = until_held(&mut group, &mut leader, now);
+    let (mut group, mut leader, version, step) = held_group(now);
 
     // Act: the keeper looks while the leader stands still.
     let later = now + SILENCE;
@@ -85,9 +86,7 @@
 fn pass_for_which_ranks_may_be_armed_is_not_given_up() {
     // Arrange
     let now = Instant::now();
-    let mut group = FakeGroup::new();
-    let mut leader = SwitchLeader::default();
-    let (version, step) = until_held(&mut group, &mut leader, now);
+    let (mut group, mut leader, version, step) = held_group(now);
     while leader.phase() != &SwitchPhase::Arming(version, step) {
         let actions = leader.on_tick(&group.views(now), now);
         carry_out(&mut group, actions, now);
@@ -105,9 +104,7 @@
 fn pass_that_was_given_up_is_not_allowed_any_more() {
     // Arrange
     let now = Instant::now();
-    let mut group = FakeGroup::new();
-    let mut leader = SwitchLeader::default();
-    let (version, step) = until_held(&mut group, &mut leader, now);
+    let (mut group, mut leader, version, step) = held_group(now);
 
     // Act: the order that releases the pass is lost.
     let order = group.keep(now + SILENCE);
@@ -151,9 +148,7 @@
 fn leader_goes_on_with_another_pass_that_it_finds_held() {
     // Arrange
     let now = Instant::now();
-    let mut group = FakeGroup::new();
-    let mut leader = SwitchLeader::default();
-    let (version, step) = until_held(&mut group, &mut leader, now);
+    let (mut group, mut leader, version, step) = held_group(now);
     group.ranks[keeper_rank()].report.held = Some(step - 1);
 
     // Act
@@ -227,6 +222,10 @@
 /// orders; returns the number of passes.
 fn play(seed: u64, loss: f64, n_restarts: u32) -> u64 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let odds = OrderOdds {
+        loss,
+        repeat: loss / 4.0,
+    };
     let mut group = FakeGroup::new();
     let mut leader = SwitchLeader::default();
     let mut life = 1;
@@ -243,11 +242,7 @@
                 report.armed.is_none() && (report.held.is_none() || leader.needs_map())
             });
             if leader.is_idle() && may_begin && rng.random_bool(0.1) {
-                let highest = reports().map(|report| {
-                    let copied = report.prepared.map_or(0, |map| map.version);
-                    report.version.max(copied)
-                });
-                let version = SwitchLeader::next_version(highest.max().unwrap_or(0), life);
+                let version = SwitchLeader::next_version(highest_version(&views), life);
                 leader.begin(Arc::new(planned_map(version, &mut rng)), now);
             }
             for action in leader.on_tick(&views, now) {
@@ -272,23 +267,9 @@
         }
         orders.extend(group.keep(now).map(|order| (keeper_rank(), order)));
         for (rank, order) in orders {
-            if rng.random_bool(loss) {
-                group.late.push((rank, order));
-            } else {
-                if rng.random_bool(loss / 4.0) {
-                    group.late.push((rank, order.clone()));
-                }
-                group.carry_out(rank, &order);
-            }
-        }
-        if !group.late.is_empty() && rng.random_bool(0.1) {
-            let at = rng.random_range(0..group.late.len());
-            let (rank, order) = group.late.swap_remove(at);
-            group.carry_out(rank, &order);
-        }
-        if rng.random_bool(0.2) {
-            group.begin_pass();
+            group.send(rank, order, &odds, &mut rng);
         }
+        group.go_on(&mut rng);
     }
     group.ranks[0].report.step
 }
--- a/fleet/tests/slow_rank.rs
+++ b/fleet/tests/slow_rank.rs
@@ -1,6 +1,8 @@
 //! A rank that is slower than the others: it gets work last, and the limit does not shed streams
 //! for a pass that no shedding shortens.
 
+mod engines;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,6 +11,7 @@
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::roster::RosterChange;
 use comfreyhead_fleet::routing::{AdmitDecision, GroupLimit, GroupLoad, RoutingTable};
+use engines::small_engines;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -109,16 +112,9 @@
 fn planner_gives_a_slow_rank_less_of_the_load() {
     // Arrange
     let engine = EngineSpec {
-        slots: 12,
-        sets: 1,
         experts: 8,
         places: 3,
-        headroom: 2,
-        expert_mb: 880.0,
-        link_mbps: 180_000.0,
-        form_time: Duration::from_millis(600),
-        base_pass: Duration::from_millis(29),
-        pause: Duration::from_millis(120),
+        ..small_engines()
     };
     let held: Vec<Vec<Vec<u16>>> = (0..4).map(|rank| vec![vec![rank, rank + 4]]).collect();
     let mut planner = MapPlanner::default();
