--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -8,11 +8,11 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::expert::MapOrder;
-use crate::peers::{PeerMessage, PeerRecord, RankState, RelayedOrder, StoreTopic};
+use crate::peers::{PeerMessage, RankState, RelayedOrder, StoreTopic};
 use crate::prelude::*;
 
 use super::keeper_link::KeeperLink;
-use super::knowledge::Decoders;
+use super::knowledge::{Decoders, peer_records};
 use super::leader_table::LeaderTable;
 use super::leader_task::Leader;
 use super::order_sender::OrderSender;
@@ -211,12 +211,8 @@
                 store_call(StoreRequest::Newest(StoreTopic::Peers)).await
         {
             read_at = Some(now);
-            let values = delta
-                .records
-                .iter()
-                .filter_map(|record| record.value.as_ref());
-            let records = values.filter_map(|bytes| postcard::from_bytes::<PeerRecord>(bytes).ok());
-            entries = records.map(|record| record.address).collect();
+            let records = peer_records(&delta, &log);
+            entries = records.iter().map(|record| record.address).collect();
             info!(log, "target slow"; "pace" => report.pace, "entries" => entries.len());
         }
         let bytes = PeerMessage::Pace(config.target_address, report.pace).encode();
--- a/fleet/src/process/knowledge.rs
+++ b/fleet/src/process/knowledge.rs
@@ -107,14 +107,9 @@
     /// Takes in the records of this system's processes.
     pub fn learn_peers(&self, delta: &MirrorDelta, own: SocketAddr) {
         let mut facts = self.facts.lock();
-        for record in &delta.records {
-            let Some(bytes) = &record.value else { continue };
-            match postcard::from_bytes::<PeerRecord>(bytes) {
-                Ok(peer) if peer.address != own => facts.peers.add(peer.address, &peer.zone),
-                Ok(_) => {}
-                Err(err) => warn!(self.state.log, "unreadable record"; "topic" => "peers",
-                    "key" => &record.key, "offset" => record.offset, "reason" => %err),
-            }
+        let peers = peer_records(delta, &self.state.log);
+        for peer in peers.iter().filter(|peer| peer.address != own) {
+            facts.peers.add(peer.address, &peer.zone);
         }
     }
 
@@ -249,6 +244,19 @@
     }
 }
 
+/// Reads the records of this system's processes; each one that cannot be read is logged.
+pub(super) fn peer_records(delta: &MirrorDelta, log: &Logger) -> Vec<PeerRecord> {
+    let read = |record: &MirrorRecord| {
+        postcard::from_bytes(record.value.as_ref()?)
+            .inspect_err(|err| {
+                warn!(log, "unreadable record"; "topic" => "peers", "key" => &record.key,
+                    "offset" => record.offset, "reason" => %err);
+            })
+            .ok()
+    };
+    delta.records.iter().filter_map(read).collect()
+}
+
 impl Facts {
     fn copy(&self, topic: StoreTopic) -> Option<&TopicCopy> {
         match topic {
