Report the version that judged a patch, not the one in force here

Cause: an entry judges a submitted record on its own read of the stream, but reported the number of the version in force in its process, whose reader may lag behind that read. Change: the status of the record and the current version come from the same fold.

--- a/src/process/entry/config_submit.rs
+++ b/src/process/entry/config_submit.rs
@@ -39,51 +39,46 @@
         }
         Err(err) => {
             let reason = format!("{err}; nothing was written, send it again");
-            return patch_report(process, PatchResult::NotWritten, &nonce, reason);
+            let current = process.versions.current().number;
+            return patch_report(PatchResult::NotWritten, current, &nonce, reason);
         }
     }
     let base = record.base().unwrap_or_default();
-    let status = tokio::time::timeout(
-        APPEND_STATUS_TIMEOUT,
-        await_append_status(&config_log, fold, (&nonce, base)),
-    );
-    match status.await {
-        Ok(AppendStatus::Accepted(version)) => PatchReport {
-            result: PatchResult::Accepted,
-            version,
-            nonce: nonce.to_string(),
-            reason: String::new(),
-        },
-        Ok(AppendStatus::Rejected(rejection)) => patch_report(
-            process,
-            PatchResult::Rejected,
-            &nonce,
-            rejection.to_string(),
-        ),
-        Ok(AppendStatus::Superseded(version)) => {
+    let judging = await_append_status(&config_log, fold, (&nonce, base));
+    match tokio::time::timeout(APPEND_STATUS_TIMEOUT, judging).await {
+        Ok((AppendStatus::Accepted(version), _)) => {
+            patch_report(PatchResult::Accepted, version, &nonce, String::new())
+        }
+        Ok((AppendStatus::Rejected(rejection), current)) => {
+            let reason = rejection.to_string();
+            patch_report(PatchResult::Rejected, current, &nonce, reason)
+        }
+        Ok((AppendStatus::Superseded(version), current)) => {
             let reason = format!(
                 "overtaken: version {version} is current, so this record can no longer be \
                  accepted; send it again against {version}"
             );
-            patch_report(process, PatchResult::Rejected, &nonce, reason)
+            patch_report(PatchResult::Rejected, current, &nonce, reason)
         }
-        Ok(AppendStatus::Pending(_) | AppendStatus::Unknown) | Err(_) => {
+        Ok((AppendStatus::Pending(_) | AppendStatus::Unknown, _)) | Err(_) => {
             let reason = "the record was not read back in time; look for it in the history \
                           before you send it again";
-            patch_report(process, PatchResult::Unknown, &nonce, reason.to_owned())
+            let current = process.versions.current().number;
+            patch_report(PatchResult::Unknown, current, &nonce, reason.to_owned())
         }
     }
 }
 
 /// Folds the stream until the record with `nonce` on `base` is accepted, rejected or
-/// superseded.
+/// superseded; returns the status and the version that is current in the fold that decided it.
 ///
+/// The version in force in this process may still be an earlier one.
 /// While the base is current, a record whose append response was lost may still appear.
 async fn await_append_status(
     config_log: &ConfigLog,
     mut fold: ConfigFold,
     (nonce, base): (&RecordNonce, VersionNumber),
-) -> AppendStatus {
+) -> (AppendStatus, VersionNumber) {
     let mut next = fold.rewind();
     loop {
         let Ok(page) = config_log
@@ -106,7 +101,7 @@
         if page.tail <= next {
             match fold.append_status(nonce, base) {
                 AppendStatus::Pending(_) | AppendStatus::Unknown => {}
-                status => return status,
+                status => return (status, fold.current().number),
             }
         }
     }
@@ -122,12 +117,11 @@
 }
 
 fn patch_report(
-    process: &EntryProcess,
     result: PatchResult,
+    version: VersionNumber,
     nonce: &RecordNonce,
     reason: String,
 ) -> PatchReport {
-    let version = process.versions.current().number;
     PatchReport {
         result,
         version,
