--- a/fleet/src/mirror/keyed_mirror.rs
+++ b/fleet/src/mirror/keyed_mirror.rs
@@ -1,26 +1,51 @@
 //! A local copy of one keyed topic.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
+use super::mirror_change::{MirrorChange, ReplacedCopy};
 use super::mirror_delta::{MirrorDelta, MirrorRecord};
+use super::store_era::{StoreEra, StorePosition};
 
-/// A local copy of one keyed topic: the newest record of each key up to an offset.
+/// A local copy of one keyed topic: the newest record of each key up to an offset of one era.
 #[derive(Debug, Default)]
 pub struct KeyedMirror {
+    era: StoreEra,
     end: u64,
     records: HashMap<String, (u64, Option<Vec<u8>>)>,
 }
 
 impl KeyedMirror {
-    /// Returns the offset after the last record applied.
-    pub fn end(&self) -> u64 {
-        self.end
+    /// Returns the era and the offset after the last record applied.
+    pub fn end(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            offset: self.end,
+        }
+    }
+
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<&[u8]> {
+        self.records.get(key)?.1.as_deref()
     }
 
-    /// Applies records and returns those that are newer than the stored ones of their keys.
+    /// Applies a delta.
     ///
-    /// A complete delta also removes the keys that it lacks, unless it is older than the copy.
-    pub fn apply(&mut self, delta: MirrorDelta) -> Vec<MirrorRecord> {
+    /// A complete delta also removes the keys that it lacks, unless it is older than the copy. One
+    /// of a newer era replaces the copy, whatever its offsets.
+    pub fn apply(&mut self, delta: MirrorDelta) -> MirrorChange {
+        if delta.era < self.era {
+            return MirrorChange::Outdated;
+        }
+        if delta.era == self.era {
+            return MirrorChange::Updated(self.update(delta));
+        }
+        if !delta.complete {
+            return MirrorChange::Incomplete;
+        }
+        MirrorChange::Replaced(self.replace(delta))
+    }
+
+    fn update(&mut self, delta: MirrorDelta) -> Vec<MirrorRecord> {
         let mut newer = Vec::new();
         if delta.complete && self.end <= delta.end {
             newer.extend(self.tombstones_of_missing_keys(&delta));
@@ -31,12 +56,37 @@
         newer
     }
 
-    /// Returns the newest records that were written at or after an offset.
-    pub fn since(&self, from: u64) -> MirrorDelta {
+    fn replace(&mut self, delta: MirrorDelta) -> ReplacedCopy {
+        let dropped = self.tombstones_of_missing_keys(&delta);
+        let is_kept = |record: &&MirrorRecord| {
+            let old = self.records.get(&record.key);
+            old.is_some_and(|(_, value)| *value == record.value)
+        };
+        let n_kept = delta.records.iter().filter(is_kept).count();
+        let is_first = self.records.is_empty();
+        let old_era = std::mem::replace(&mut self.era, delta.era);
+        self.end = delta.end;
+        self.records.clear();
+        for record in delta.records.iter().chain(&dropped) {
+            self.store_if_newer(record);
+        }
+        ReplacedCopy {
+            old_era,
+            is_first,
+            records: delta.records,
+            dropped,
+            n_kept,
+        }
+    }
+
+    /// Returns the newest records that were written at or after a position; the whole copy if the
+    /// position is of another era.
+    pub fn since(&self, from: StorePosition) -> MirrorDelta {
+        let is_complete = from.era != self.era;
         let records = self
             .records
             .iter()
-            .filter(|(_, (offset, _))| from <= *offset)
+            .filter(|(_, (offset, _))| is_complete || from.offset <= *offset)
             .map(|(key, (offset, value))| MirrorRecord {
                 key: key.clone(),
                 offset: *offset,
@@ -44,14 +94,15 @@
             })
             .collect();
         MirrorDelta {
+            era: self.era,
             end: self.end,
-            complete: false,
+            complete: is_complete,
             records,
         }
     }
 
     fn tombstones_of_missing_keys(&self, delta: &MirrorDelta) -> Vec<MirrorRecord> {
-        let present_keys: std::collections::HashSet<&str> = delta
+        let present_keys: HashSet<&str> = delta
             .records
             .iter()
             .map(|record| record.key.as_str())
--- a/fleet/src/mirror/mirror_delta.rs
+++ b/fleet/src/mirror/mirror_delta.rs
@@ -2,9 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::store_era::StoreEra;
+
 /// The newest records of a topic's keys that were written at or after an offset.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MirrorDelta {
+    /// The era of the store that the sender has read.
+    pub era: StoreEra,
     /// The offset after the last record that the sender has read.
     pub end: u64,
     /// Whether the delta holds every record of the topic, so that missing keys were removed.
--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::expert::{KeeperVerdict, MapOrder, PassQuery, RankReport};
+use crate::mirror::StorePosition;
 use crate::prelude::*;
 
 /// A datagram from one process to another.
@@ -81,6 +82,8 @@
     pub draining: bool,
     /// Whether load and demand are the sums over all entries of the data centre.
     pub for_zone: bool,
+    /// The version of the configuration in force at the sender, if any.
+    pub version: Option<u64>,
     /// The sender's position in the operators' topic.
     pub operator: TopicPosition,
     /// The sender's position in the targets' topic.
@@ -94,8 +97,8 @@
 /// How far a process has read a topic, and how recently the store confirmed it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TopicPosition {
-    /// The offset after the last record that changed the local copy.
-    pub changed_end: u64,
+    /// The position after the last record that changed the local copy.
+    pub changed_end: StorePosition,
     /// The time since the store confirmed the position, in milliseconds; `u32::MAX` where it never
     /// did.
     pub age_ms: u32,
@@ -146,7 +149,7 @@
 
 impl TopicPosition {
     /// Creates a position that the store confirmed at a time, where it ever did.
-    pub fn new(changed_end: u64, confirmed_at: Option<Instant>, now: Instant) -> Self {
+    pub fn new(changed_end: StorePosition, confirmed_at: Option<Instant>, now: Instant) -> Self {
         let age = confirmed_at.map(|at| now.saturating_duration_since(at).as_millis());
         Self {
             changed_end,
--- a/fleet/src/peers/peer_table.rs
+++ b/fleet/src/peers/peer_table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use crate::mirror::{StoreEra, StorePosition};
 use crate::prelude::*;
 
 use super::message::{PeerHeartbeat, StoreTopic, TopicPosition};
@@ -116,19 +117,43 @@
         })
     }
 
-    /// Returns the latest time at which a peer confirmed a topic with the store.
-    pub fn confirmed_at(&self, topic: StoreTopic, now: Instant) -> Option<Instant> {
+    /// Returns the latest time at which a peer that has read the era `era` or a later one confirmed
+    /// a topic with the store.
+    pub fn confirmed_at(&self, topic: StoreTopic, era: StoreEra, now: Instant) -> Option<Instant> {
         self.recent_heartbeats(now)
             .filter_map(|(_, at, heartbeat)| {
-                let age = heartbeat.position(topic)?.age_ms;
-                (age < u32::MAX).then(|| at.checked_sub(Duration::from_millis(u64::from(age))))?
+                let position = heartbeat.position(topic)?;
+                let is_known = era <= position.changed_end.era && position.age_ms < u32::MAX;
+                let age = Duration::from_millis(u64::from(position.age_ms));
+                is_known.then(|| at.checked_sub(age))?
             })
             .max()
     }
 
-    /// Returns the peer that has read furthest in a topic, and its end offset, where that lies
-    /// beyond `end`.
-    pub fn ahead_of(&self, topic: StoreTopic, end: u64, now: Instant) -> Option<(SocketAddr, u64)> {
+    /// Returns a peer that has read an era of the targets' topic.
+    pub fn recent_peer(&self, era: StoreEra, now: Instant) -> Option<SocketAddr> {
+        self.recent_heartbeats(now)
+            .filter(|(_, _, heartbeat)| heartbeat.targets.changed_end.era == era)
+            .map(|(address, _, _)| address)
+            .min()
+    }
+
+    /// Returns a peer whose configuration in force is newer than `version`; the newest one's.
+    pub fn newer_version(&self, version: Option<u64>, now: Instant) -> Option<SocketAddr> {
+        self.recent_heartbeats(now)
+            .filter(|(_, _, heartbeat)| version < heartbeat.version)
+            .max_by_key(|(_, _, heartbeat)| heartbeat.version)
+            .map(|(address, _, _)| address)
+    }
+
+    /// Returns the peer that has read furthest in a topic, and its end, where that lies beyond
+    /// `end`.
+    pub fn ahead_of(
+        &self,
+        topic: StoreTopic,
+        end: StorePosition,
+        now: Instant,
+    ) -> Option<(SocketAddr, StorePosition)> {
         self.recent_heartbeats(now)
             .filter_map(|(address, _, heartbeat)| {
                 Some((address, heartbeat.position(topic)?.changed_end))
--- a/fleet/src/peers/reader_choice.rs
+++ b/fleet/src/peers/reader_choice.rs
@@ -1,5 +1,6 @@
 //! The choice of the entry that reads the store for the others.
 
+use crate::mirror::StoreEra;
 use crate::prelude::*;
 
 use super::message::StoreTopic;
@@ -24,6 +25,9 @@
     pub topic: StoreTopic,
     /// The hash of this entry's name.
     pub own: u64,
+    /// The newest era of the store that this entry knows of; peers that still hold copies of an
+    /// older one do not reach the store.
+    pub era: StoreEra,
     /// The last time at which this entry read the topic itself.
     pub own_read_at: Option<Instant>,
     /// A random number from `0.0..1.0` that spreads the reads of entries with stale copies.
@@ -52,7 +56,7 @@
     let has_lower_reader = peers.recent_heartbeats(now).any(|(_, _, heartbeat)| {
         let reads = heartbeat
             .position(input.topic)
-            .is_some_and(|at| at.age_ms < READER_TIMEOUT_MS);
+            .is_some_and(|at| at.age_ms < READER_TIMEOUT_MS && input.era <= at.changed_end.era);
         heartbeat.sender < input.own && reads && !heartbeat.draining
     });
     let reaches_store =
@@ -60,7 +64,9 @@
     if !has_lower_reader && reaches_store {
         return ReaderChoice::Reader;
     }
-    let confirmed_at = peers.confirmed_at(input.topic, now).max(input.own_read_at);
+    let confirmed_at = peers
+        .confirmed_at(input.topic, input.era, now)
+        .max(input.own_read_at);
     let max_age = match input.topic {
         StoreTopic::Targets => MAX_TARGETS_AGE,
         StoreTopic::Operator | StoreTopic::Peers => MAX_OPERATOR_AGE,
--- a/fleet/src/peers/zone_heartbeat.rs
+++ b/fleet/src/peers/zone_heartbeat.rs
@@ -49,8 +49,8 @@
 
     /// Returns the own position in a topic, with the latest confirmation of the data centre.
     ///
-    /// A confirmation by another entry also holds for the own copy where that entry knew of no
-    /// later change.
+    /// A confirmation by another entry also holds for the own copy where that entry has read the
+    /// same era and knew of no later change.
     fn zone_position(&self, topic: StoreTopic, own: &PeerHeartbeat, now: Instant) -> TopicPosition {
         let own_position = own.position(topic).unwrap_or_default();
         let ages = self
@@ -61,7 +61,8 @@
                 let age = position
                     .age_ms
                     .saturating_add(u32::try_from(elapsed).unwrap_or(u32::MAX));
-                (position.changed_end <= own_position.changed_end).then_some(age)
+                let is_same_era = position.changed_end.era == own_position.changed_end.era;
+                (is_same_era && position.changed_end <= own_position.changed_end).then_some(age)
             });
         TopicPosition {
             age_ms: ages.min().unwrap_or(u32::MAX).min(own_position.age_ms),
--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -16,8 +16,10 @@
 use super::leader_task::LeaderTask;
 use super::order_sender::OrderSender;
 use super::rank_link::RankLink;
-use super::store_access::{CallError, StoreReply, StoreRequest, TargetReply, TargetRequest};
-use super::store_replica::{Decoders, peer_records};
+use super::record_decoders::{Decoders, peer_records};
+use super::store_access::{
+    CallError, StoreAnswer, StoreReply, StoreRequest, TargetReply, TargetRequest,
+};
 
 /// The size of the receive buffer for datagrams, in bytes.
 const MAX_DATAGRAM_LEN: usize = 60_000;
@@ -70,7 +72,7 @@
     TargetCall: Fn(SocketAddr, TargetRequest) -> TargetFuture + Clone + Send + Sync + 'static,
     TargetFuture: Future<Output = Result<TargetReply, CallError>> + Send + 'static,
     StoreCall: Fn(StoreRequest) -> StoreFuture + Clone + Send + Sync + 'static,
-    StoreFuture: Future<Output = Result<StoreReply, CallError>> + Send + 'static,
+    StoreFuture: Future<Output = StoreAnswer> + Send + 'static,
 {
     let config = Arc::new(config);
     let socket = Arc::new(UdpSocket::bind(config.peer_address).await?);
@@ -197,7 +199,7 @@
     TargetCall: Fn(SocketAddr, TargetRequest) -> TargetFuture,
     TargetFuture: Future<Output = Result<TargetReply, CallError>>,
     StoreCall: Fn(StoreRequest) -> StoreFuture,
-    StoreFuture: Future<Output = Result<StoreReply, CallError>>,
+    StoreFuture: Future<Output = StoreAnswer>,
 {
     let mut entries: Vec<SocketAddr> = Vec::new();
     let mut read_at: Option<Instant> = None;
@@ -213,7 +215,9 @@
         let now = Instant::now();
         if read_at.is_none_or(|at| at + MAX_ENTRIES_AGE <= now)
             && let Ok(StoreReply::Records(delta)) =
-                store_call(StoreRequest::Newest(StoreTopic::Peers)).await
+                store_call(StoreRequest::Newest(StoreTopic::Peers))
+                    .await
+                    .result
         {
             read_at = Some(now);
             let records = peer_records(&delta, &log);
--- a/fleet/src/process/entry_run.rs
+++ b/fleet/src/process/entry_run.rs
@@ -16,8 +16,9 @@
 use super::drain::DrainState;
 use super::entry_state::{EntryState, ProcessBounds};
 use super::ready_server::{serve_metrics, serve_ready};
-use super::store_access::{CallError, StoreReply, StoreRequest};
-use super::store_replica::{Decoders, StoreReplica};
+use super::record_decoders::Decoders;
+use super::store_access::{StoreAnswer, StoreRequest};
+use super::store_replica::StoreReplica;
 use super::{peer_tasks, store_tasks};
 
 /// The configuration of an entry process.
@@ -64,7 +65,7 @@
 ) -> std::io::Result<()>
 where
     Call: Fn(StoreRequest) -> Reply + Clone + Send + Sync + 'static,
-    Reply: Future<Output = Result<StoreReply, CallError>> + Send + 'static,
+    Reply: Future<Output = StoreAnswer> + Send + 'static,
 {
     let config = Arc::new(config);
     let callers = TcpListener::bind(config.caller_address).await?;
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -115,6 +115,11 @@
         })
     }
 
+    /// Returns the version of the configuration in force, if any.
+    pub fn version(&self) -> Option<u64> {
+        self.catalog.load().as_ref().map(|catalog| catalog.version)
+    }
+
     /// Returns whether the configuration was confirmed recently enough to deny a request by it.
     pub fn is_confirmed(&self, now: Instant) -> bool {
         self.confirmed_at
--- a/fleet/src/process/leader_task.rs
+++ b/fleet/src/process/leader_task.rs
@@ -16,7 +16,9 @@
 use super::leader_table::{LeaderRow, add_window};
 use super::order_sender::OrderSender;
 use super::rank_link::RankLink;
-use super::store_access::{CallError, StoreReply, StoreRequest, TargetReply, TargetRequest};
+use super::store_access::{
+    CallError, StoreAnswer, StoreReply, StoreRequest, TargetReply, TargetRequest,
+};
 
 /// How often the local rank is polled while this agent does not lead and has not led before.
 const FOLLOWER_POLL_PERIOD: Duration = Duration::from_millis(700);
@@ -78,7 +80,7 @@
     TargetCall: Fn(SocketAddr, TargetRequest) -> TargetFuture + Clone + Send + Sync + 'static,
     TargetFuture: Future<Output = Result<TargetReply, CallError>> + Send + 'static,
     StoreCall: Fn(StoreRequest) -> StoreFuture,
-    StoreFuture: Future<Output = Result<StoreReply, CallError>>,
+    StoreFuture: Future<Output = StoreAnswer>,
 {
     /// Leads the group whenever this agent runs beside rank 0; never returns.
     pub(super) async fn run(self) {
@@ -195,11 +197,14 @@
         state.roster_at = Some(now);
         if state.engine.is_none()
             && let Ok(StoreReply::Records(delta)) =
-                (self.store_call)(StoreRequest::Newest(StoreTopic::Operator)).await
+                (self.store_call)(StoreRequest::Newest(StoreTopic::Operator))
+                    .await
+                    .result
         {
             state.engine = self.find_engine(&delta.records);
         }
-        match (self.store_call)(StoreRequest::Newest(StoreTopic::Targets)).await {
+        let answer = (self.store_call)(StoreRequest::Newest(StoreTopic::Targets)).await;
+        match answer.result {
             Ok(StoreReply::Records(delta)) => {
                 let decode = self.config.decoders.target;
                 let targets: Vec<(SocketAddr, SocketAddr)> = delta
--- a/fleet/src/process/metrics.rs
+++ b/fleet/src/process/metrics.rs
@@ -22,6 +22,10 @@
     pub store_calls: IntCounterVec,
     /// The configuration version in force.
     pub version: IntGauge,
+    /// The newest era of the store that is known.
+    pub store_era: IntGauge,
+    /// Copies of topics that were replaced as the store came back from an older copy.
+    pub replaced_copies: IntCounterVec,
     /// The number of targets that may receive requests.
     pub targets: IntGauge,
 }
@@ -65,6 +69,12 @@
             dispatches: counters("comfrey_dispatches", "Dispatches to targets", &["outcome"]),
             store_calls: counters("comfrey_store_calls", "Store calls", &["topic", "result"]),
             version: gauge("comfrey_config_version", "Configuration version in force"),
+            store_era: gauge("comfrey_store_era", "Era of the store"),
+            replaced_copies: counters(
+                "comfrey_replaced_copies",
+                "Copies replaced after a restore of the store",
+                &["topic"],
+            ),
             targets: gauge("comfrey_targets", "Targets that may get work"),
             latency,
             registry,
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -16,12 +16,15 @@
 mod plain_run;
 mod rank_link;
 mod ready_server;
+mod record_decoders;
+mod replica_tables;
 mod request_run;
 mod running_guard;
 mod store_access;
 mod store_replica;
 mod store_tasks;
 mod stream_run;
+mod topic_copy;
 
 pub use agent_run::{AgentConfig, run_agent};
 pub use caller_body::CallerBody;
@@ -32,6 +35,9 @@
 pub use logger::root_logger;
 pub use metrics::EntryMetrics;
 pub use ready_server::{serve_metrics, serve_ready};
+pub use record_decoders::Decoders;
 pub use request_run::run_request;
-pub use store_access::{CallError, StoreReply, StoreRequest, TargetReply, TargetRequest};
-pub use store_replica::{Decoders, StoreReplica};
+pub use store_access::{
+    CallError, StoreAnswer, StoreReply, StoreRequest, TargetReply, TargetRequest,
+};
+pub use store_replica::StoreReplica;
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -11,8 +11,8 @@
 use slog::{debug, warn};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
-use crate::mirror::MirrorDelta;
-use crate::peers::{PeerHeartbeat, PeerMessage, StoreTopic};
+use crate::mirror::{StoreEra, StorePosition};
+use crate::peers::{PeerCopy, PeerHeartbeat, PeerMessage, StoreTopic};
 use crate::prelude::*;
 
 use super::caller_body::CallerBody;
@@ -84,6 +84,7 @@
         zone: config.zone.to_string(),
         draining: state.drain.is_draining(),
         for_zone: false,
+        version: state.version(),
         operator: replica.position(StoreTopic::Operator, now),
         targets: replica.position(StoreTopic::Targets, now),
         running,
@@ -129,42 +130,65 @@
     }
 }
 
-/// Pulls a topic's records from peers whose copy is ahead.
+/// Pulls a topic's records from peers whose copy is ahead, and the configuration from peers that
+/// have a newer one in force.
 pub(super) async fn pull_topic(
     topic: StoreTopic,
     replica: Arc<StoreReplica>,
     state: Arc<EntryState>,
 ) {
+    // Which targets have departed shows in no copy of the store, so a process that starts after the
+    // store came back from an older one asks a peer.
+    let mut asked_era = StoreEra::default();
     loop {
         tokio::time::sleep(HEARTBEAT_PERIOD / 3).await;
         let now = Instant::now();
         let end = replica.position(topic, now).changed_end;
-        let Some((address, _)) = replica.with_peers(|peers| peers.ahead_of(topic, end, now)) else {
-            continue;
-        };
-        let from = replica.next_offset(topic).min(end);
-        match tokio::time::timeout(PULL_TIMEOUT, pull(address, topic, from)).await {
-            Ok(Some(delta)) => replica.apply_from_peer(topic, delta),
-            _ => warn!(state.log, "pull failed"; "topic" => topic.label(), "peer" => %address),
+        let needs_departures = topic == StoreTopic::Targets && asked_era < end.era;
+        let (ahead, newer, peer) = replica.with_peers(|peers| {
+            let ahead = peers.ahead_of(topic, end, now).map(|(address, _)| address);
+            let newer = peers.newer_version(state.version(), now);
+            (ahead, newer, peers.recent_peer(end.era, now))
+        });
+        if let Some(address) = ahead.or(peer.filter(|_| needs_departures)) {
+            let from = replica.next_position(topic).min(end);
+            let path = format!("/mirror/{}/{}/{}", topic.label(), from.era, from.offset);
+            match tokio::time::timeout(PULL_TIMEOUT, pull(address, &path)).await {
+                Ok(Some(bytes)) if let Ok(copy) = postcard::from_bytes::<PeerCopy>(&bytes) => {
+                    asked_era = copy.delta.era;
+                    replica.apply_from_peer(topic, copy);
+                }
+                _ => warn!(state.log, "pull failed"; "topic" => topic.label(),
+                    "peer" => %address),
+            }
+        } else if let Some(address) = newer.filter(|_| topic == StoreTopic::Operator) {
+            match tokio::time::timeout(PULL_TIMEOUT, pull(address, CATALOG_PATH)).await {
+                Ok(Some(bytes)) => replica.apply_peer_catalog(bytes.to_vec()),
+                _ => warn!(state.log, "pull failed"; "topic" => "catalog", "peer" => %address),
+            }
         }
     }
 }
 
-/// Pulls a topic's records from an offset on; `None` if the pull fails.
-async fn pull(address: SocketAddr, topic: StoreTopic, from: u64) -> Option<MirrorDelta> {
+/// The path of the configuration in force, which may be newer than the store's.
+const CATALOG_PATH: &str = "/catalog";
+
+/// Pulls the bytes at a path; `None` if the pull fails.
+async fn pull(address: SocketAddr, path: &str) -> Option<Bytes> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .ok()?;
     let driver = tokio::spawn(connection);
-    let request = Request::get(format!("/mirror/{}/{from}", topic.label()))
+    let request = Request::get(path)
         .header(http::header::HOST, address.to_string())
         .body(Empty::<Bytes>::new())
         .ok()?;
     let response = sender.send_request(request).await.ok()?;
+    let is_found = response.status().is_success();
     let body = response.into_body().collect().await.ok()?.to_bytes();
     driver.abort();
-    postcard::from_bytes(&body).ok()
+    is_found.then_some(body)
 }
 
 /// Answers the pulls of peers.
@@ -189,19 +213,32 @@
     }
 }
 
-/// Returns the records that a pull requests by its path, `/mirror/{topic}/{offset}`.
+/// Returns the records that a pull requests by its path, `/mirror/{topic}/{era}/{offset}`, or the
+/// configuration in force.
 fn answer_pull(path: &str, replica: &StoreReplica) -> Response<CallerBody> {
-    let topics = [StoreTopic::Operator, StoreTopic::Targets];
-    let asked = topics.into_iter().find_map(|topic| {
-        let from = path.strip_prefix("/mirror/")?.strip_prefix(topic.label())?;
-        Some((topic, from.strip_prefix('/')?.parse().ok()?))
-    });
-    let Some((topic, from)) = asked else {
-        let mut response = Response::new(CallerBody::whole(Bytes::new()));
-        *response.status_mut() = StatusCode::NOT_FOUND;
-        return response;
+    let bytes = match requested_position(path) {
+        Some((topic, from)) => {
+            let copy = replica.since(topic, from);
+            Some(postcard::to_allocvec(&copy).expect("records_have_a_byte_form"))
+        }
+        None if path == CATALOG_PATH => replica.catalog_bytes(),
+        None => None,
     };
-    let delta = replica.since(topic, from);
-    let bytes = postcard::to_allocvec(&delta).expect("records_have_a_byte_form");
-    Response::new(CallerBody::whole(bytes.into()))
+    let is_found = bytes.is_some();
+    let mut response = Response::new(CallerBody::whole(bytes.unwrap_or_default().into()));
+    if !is_found {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    response
+}
+
+fn requested_position(path: &str) -> Option<(StoreTopic, StorePosition)> {
+    let mut parts = path.strip_prefix("/mirror/")?.split('/');
+    let label = parts.next()?;
+    let topic = [StoreTopic::Operator, StoreTopic::Targets]
+        .into_iter()
+        .find(|topic| topic.label() == label)?;
+    let era = StoreEra(parts.next()?.parse().ok()?);
+    let offset = parts.next()?.parse().ok()?;
+    Some((topic, StorePosition { era, offset }))
 }
--- /dev/null
+++ b/fleet/src/process/replica_tables.rs
@@ -0,0 +1,42 @@
+//! The tables of a store replica.
+
+use crate::peers::{PeerTable, StoreTopic};
+use crate::prelude::*;
+use crate::roster::TargetRoster;
+
+use super::topic_copy::TopicCopy;
+
+/// The tables of a store replica, behind its lock.
+#[derive(Debug, Default)]
+pub(super) struct ReplicaTables {
+    pub(super) operator: TopicCopy,
+    pub(super) targets: TopicCopy,
+    pub(super) roster: TargetRoster,
+    pub(super) peers: PeerTable,
+    pub(super) store_lost: bool,
+    pub(super) store_regained_at: Option<Instant>,
+    /// When this entry first learned of the present era; `None` in a store's first era.
+    pub(super) era_seen_at: Option<Instant>,
+    /// The configuration in force, while the copy of the store holds an older one.
+    pub(super) retained_catalog: Option<Vec<u8>>,
+}
+
+impl ReplicaTables {
+    /// Returns the copy of a topic; `None` for one that is not kept.
+    pub(super) fn copy(&self, topic: StoreTopic) -> Option<&TopicCopy> {
+        match topic {
+            StoreTopic::Operator => Some(&self.operator),
+            StoreTopic::Targets => Some(&self.targets),
+            StoreTopic::Peers => None,
+        }
+    }
+
+    /// Returns the copy of a topic for updates.
+    pub(super) fn copy_mut(&mut self, topic: StoreTopic) -> Option<&mut TopicCopy> {
+        match topic {
+            StoreTopic::Operator => Some(&mut self.operator),
+            StoreTopic::Targets => Some(&mut self.targets),
+            StoreTopic::Peers => None,
+        }
+    }
+}
--- a/fleet/src/process/store_access.rs
+++ b/fleet/src/process/store_access.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 
 use crate::expert::{MapOrder, RankReport};
-use crate::mirror::MirrorDelta;
+use crate::mirror::{MirrorDelta, StoreEra};
 use crate::peers::StoreTopic;
 use crate::prelude::*;
 
@@ -18,6 +18,15 @@
     Announce(String, Vec<u8>),
 }
 
+/// What came of a call to the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreAnswer {
+    /// The era that the store stated, also with an error; `None` if it did not answer.
+    pub era: Option<StoreEra>,
+    /// The reply.
+    pub result: Result<StoreReply, CallError>,
+}
+
 /// A reply of the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreReply {
--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -3,34 +3,29 @@
 use std::net::SocketAddr;
 
 use parking_lot::Mutex;
-use slog::{Logger, info, warn};
+use slog::{info, warn};
+use tokio::sync::watch;
 
-use crate::mirror::{KeyedMirror, MirrorDelta, MirrorRecord};
-use crate::peers::{PeerRecord, PeerTable, StoreTopic, TopicPosition};
+use crate::mirror::{
+    MirrorChange, MirrorDelta, MirrorRecord, ReplacedCopy, StoreEra, StorePosition,
+};
+use crate::peers::{PeerCopy, PeerTable, StoreTopic, TopicPosition};
 use crate::prelude::*;
-use crate::roster::{RosterChange, TargetRoster};
+use crate::roster::RosterChange;
 
 use super::entry_state::EntryState;
+use super::record_decoders::{Decoders, RecordSource, peer_records};
+use super::replica_tables::ReplicaTables;
 
 /// The age of the last read of the store by this entry or any peer from which the store counts as
 /// lost.
 const STORE_LOST_AGE: Duration = Duration::from_millis(1_600);
 
-/// How long after the store is regained a removed record may merely have expired during the outage,
-/// so that its target may still be live.
+/// How long after the store is regained, or has come back from an older copy, its records may lack
+/// live targets and the newest configuration: operators and targets write them again within this
+/// time.
 const STORE_RECOVERY_TIME: Duration = Duration::from_millis(2_000);
 
-/// The functions that decode the platform's records.
-#[derive(Clone, Copy, Debug)]
-pub struct Decoders {
-    /// Decodes a configuration; the error names the field.
-    pub catalog: fn(&[u8]) -> Result<RouteCatalog, String>,
-    /// Decodes a target's record; the error names the field.
-    pub target: fn(&str, &[u8]) -> Result<TargetEntry, String>,
-    /// The key of the record that holds the operators' configuration.
-    pub catalog_key: &'static str,
-}
-
 /// An entry's local replica of the store, kept up to date by own reads and through peers.
 ///
 /// Lock order: `inner` before the locks of the entry's state.
@@ -38,27 +33,9 @@
 pub struct StoreReplica {
     state: Arc<EntryState>,
     decoders: Decoders,
-    inner: Mutex<ReplicaInner>,
-}
-
-#[derive(Debug, Default)]
-struct ReplicaInner {
-    operator: TopicCopy,
-    targets: TopicCopy,
-    roster: TargetRoster,
-    peers: PeerTable,
-    store_lost: bool,
-    store_regained_at: Option<Instant>,
-}
-
-/// The local copy of one topic.
-#[derive(Debug, Default)]
-struct TopicCopy {
-    mirror: KeyedMirror,
-    /// The offset after the last record that changed something.
-    changed_end: u64,
-    /// The time of this process's last read of the store.
-    read_at: Option<Instant>,
+    /// The newest era of the store that this entry knows of.
+    era: watch::Sender<StoreEra>,
+    inner: Mutex<ReplicaTables>,
 }
 
 impl StoreReplica {
@@ -67,16 +44,45 @@
         Self {
             state,
             decoders,
-            inner: Mutex::new(ReplicaInner::default()),
+            era: watch::Sender::new(StoreEra::default()),
+            inner: Mutex::new(ReplicaTables::default()),
         }
     }
 
-    /// Returns the offset from which a topic is read next.
-    pub fn next_offset(&self, topic: StoreTopic) -> u64 {
+    /// Returns the position from which a topic is read next.
+    pub fn next_position(&self, topic: StoreTopic) -> StorePosition {
         self.inner
             .lock()
             .copy(topic)
-            .map_or(0, |copy| copy.mirror.end())
+            .map_or_else(StorePosition::default, |copy| copy.mirror.end())
+    }
+
+    /// Returns the newest era of the store that this entry knows of.
+    pub fn era(&self) -> StoreEra {
+        *self.era.borrow()
+    }
+
+    /// Returns a receiver of changes of the era.
+    pub fn subscribe_era(&self) -> watch::Receiver<StoreEra> {
+        self.era.subscribe()
+    }
+
+    /// Records an era that the store or a peer has stated.
+    pub fn observe_era(&self, era: StoreEra) {
+        self.observe_era_at(&mut self.inner.lock(), era, Instant::now());
+    }
+
+    fn observe_era_at(&self, inner: &mut ReplicaTables, era: StoreEra, now: Instant) {
+        let rises = self.era.send_if_modified(|known| {
+            let rises = *known < era;
+            *known = era.max(*known);
+            rises
+        });
+        if rises {
+            inner.era_seen_at = Some(now);
+            inner.roster.renew_departed(now);
+            self.state.metrics.store_era.set(era.0 as i64);
+        }
     }
 
     /// Returns the last time at which this process read a topic from the store.
@@ -95,12 +101,29 @@
             })
     }
 
-    /// Returns the records of a topic that are at least as new as an offset.
-    pub fn since(&self, topic: StoreTopic, from: u64) -> MirrorDelta {
+    /// Returns the records of a topic that are at least as new as a position, for a peer.
+    pub fn since(&self, topic: StoreTopic, from: StorePosition) -> PeerCopy {
         let inner = self.inner.lock();
-        inner
-            .copy(topic)
-            .map_or_else(MirrorDelta::default, |copy| copy.mirror.since(from))
+        let Some(copy) = inner.copy(topic) else {
+            return PeerCopy::default();
+        };
+        let departed = match topic {
+            StoreTopic::Targets if inner.era_seen_at.is_some() => inner.roster.departed(),
+            _ => Vec::new(),
+        };
+        PeerCopy {
+            delta: copy.mirror.since(from),
+            changed_end: copy.changed_end,
+            departed,
+        }
+    }
+
+    /// Returns the bytes of the configuration in force, for a peer.
+    pub fn catalog_bytes(&self) -> Option<Vec<u8>> {
+        let inner = self.inner.lock();
+        let stored = || inner.operator.mirror.value(self.decoders.catalog_key);
+        let bytes = inner.retained_catalog.as_deref().or_else(stored)?;
+        Some(bytes.to_vec())
     }
 
     /// Runs a function with the table of peers.
@@ -117,43 +140,100 @@
         }
     }
 
-    /// Applies records that this process read from the store.
-    pub fn apply_from_store(&self, topic: StoreTopic, delta: MirrorDelta, asked_at: Instant) {
+    /// Applies records that this process read from the store; returns whether the copy is up to
+    /// date, or a complete read is needed.
+    pub fn apply_from_store(
+        &self,
+        topic: StoreTopic,
+        delta: MirrorDelta,
+        asked_at: Instant,
+    ) -> bool {
         let now = Instant::now();
         let mut inner = self.inner.lock();
+        if delta.era < self.era() {
+            info!(self.state.log, "answer of an older era ignored"; "topic" => topic.label(),
+                "era" => delta.era.0, "known" => self.era().0);
+            return false;
+        }
+        self.observe_era_at(&mut inner, delta.era, now);
+        if !self.apply(&mut inner, topic, delta, RecordSource::Store) {
+            return false;
+        }
         // Detects an outage that no tick has seen, before this read ends it.
-        inner.update_store_status(now, &self.state.log);
+        self.update_store_status(&mut inner, now);
         if let Some(copy) = inner.copy_mut(topic) {
             copy.read_at = Some(copy.read_at.map_or(asked_at, |at| at.max(asked_at)));
         }
-        inner.update_store_status(now, &self.state.log);
+        self.update_store_status(&mut inner, now);
         if topic == StoreTopic::Operator {
-            self.state.confirm(asked_at);
+            self.confirm_catalog(&inner, asked_at);
         }
-        self.apply(&mut inner, topic, delta, "store");
+        true
     }
 
     /// Applies records that were pulled from a peer.
-    pub fn apply_from_peer(&self, topic: StoreTopic, delta: MirrorDelta) {
+    pub fn apply_from_peer(&self, topic: StoreTopic, peer_copy: PeerCopy) {
+        let now = Instant::now();
         let mut inner = self.inner.lock();
-        inner.update_store_status(Instant::now(), &self.state.log);
-        self.apply(&mut inner, topic, delta, "peer");
+        self.update_store_status(&mut inner, now);
+        let era = peer_copy.delta.era;
+        self.observe_era_at(&mut inner, era, now);
+        if era != self.era() || !self.apply(&mut inner, topic, peer_copy.delta, RecordSource::Peer)
+        {
+            return;
+        }
+        if let Some(copy) = inner.copy_mut(topic) {
+            // The copies are the same up to here, whichever records changed something in each.
+            copy.changed_end = copy.changed_end.max(peer_copy.changed_end);
+        }
+        for incarnation in &peer_copy.departed {
+            let change = inner.roster.depart(incarnation, now);
+            self.apply_roster_change(&change, RecordSource::Peer, peer_copy.changed_end.offset);
+        }
+    }
+
+    /// Puts a configuration in force that was pulled from a peer while the store holds an older
+    /// one.
+    pub fn apply_peer_catalog(&self, bytes: Vec<u8>) {
+        let mut inner = self.inner.lock();
+        let before = self.state.version();
+        let record = MirrorRecord {
+            key: self.decoders.catalog_key.to_owned(),
+            offset: inner.operator.mirror.end().offset,
+            value: Some(bytes),
+        };
+        self.apply_catalog(&record, RecordSource::Peer);
+        if before < self.state.version() {
+            inner.retained_catalog = record.value;
+        }
+    }
+
+    /// Records that the configuration matched the store at a time. While operators may still have
+    /// to write it again, an older version in the store confirms nothing.
+    fn confirm_catalog(&self, inner: &ReplicaTables, at: Instant) {
+        let is_restoring = inner
+            .era_seen_at
+            .is_some_and(|seen_at| at < seen_at + STORE_RECOVERY_TIME);
+        if !is_restoring {
+            self.state.confirm(at);
+        }
     }
 
     /// Updates the state that depends on time: the store's status, the time at which the
     /// configuration was confirmed, and expired targets.
     pub fn tick(&self, now: Instant) {
         let mut inner = self.inner.lock();
-        inner.update_store_status(now, &self.state.log);
+        self.update_store_status(&mut inner, now);
         let operator_end = inner.operator.changed_end;
-        let is_behind = inner
-            .peers
+        let peers = &inner.peers;
+        let is_behind = peers
             .ahead_of(StoreTopic::Operator, operator_end, now)
-            .is_some();
-        if let Some(at) = inner.peers.confirmed_at(StoreTopic::Operator, now)
+            .is_some()
+            || peers.newer_version(self.state.version(), now).is_some();
+        if let Some(at) = peers.confirmed_at(StoreTopic::Operator, self.era(), now)
             && !is_behind
         {
-            self.state.confirm(at);
+            self.confirm_catalog(&inner, at);
         }
         for id in inner.roster.expire(now) {
             info!(self.state.log, "target lapsed"; "target" => &*id);
@@ -163,28 +243,136 @@
         self.state.metrics.targets.set(n_usable as i64);
     }
 
-    /// Applies records to a topic's copy and to the tables that depend on it.
-    fn apply(&self, inner: &mut ReplicaInner, topic: StoreTopic, delta: MirrorDelta, source: &str) {
+    /// Applies records to a topic's copy and to the tables that depend on it; returns whether the
+    /// copy is up to date with them.
+    fn apply(
+        &self,
+        inner: &mut ReplicaTables,
+        topic: StoreTopic,
+        delta: MirrorDelta,
+        source: RecordSource,
+    ) -> bool {
         let Some(copy) = inner.copy_mut(topic) else {
-            return;
+            return false;
         };
-        let changes = copy.mirror.apply(delta);
-        for record in changes {
-            let changed = match topic {
-                StoreTopic::Operator => self.apply_catalog(&record, source),
-                StoreTopic::Targets => self.apply_target(inner, &record, source),
-                StoreTopic::Peers => false,
+        let is_replacing = topic == StoreTopic::Operator && copy.mirror.end().era < delta.era;
+        let old_catalog = copy
+            .mirror
+            .value(self.decoders.catalog_key)
+            .filter(|_| is_replacing)
+            .map(<[u8]>::to_vec);
+        match copy.mirror.apply(delta) {
+            MirrorChange::Updated(records) => {
+                for record in records {
+                    let is_changed = self.apply_record(inner, topic, &record, source);
+                    if let Some(copy) = inner.copy_mut(topic)
+                        && is_changed
+                    {
+                        copy.advance(record.offset);
+                    }
+                }
+                true
+            }
+            MirrorChange::Replaced(replaced) => {
+                self.apply_replaced(inner, topic, &replaced, source);
+                if let Some(bytes) = old_catalog {
+                    self.keep_catalog(inner, bytes);
+                }
+                true
+            }
+            MirrorChange::Incomplete | MirrorChange::Outdated => false,
+        }
+    }
+
+    /// Keeps the bytes of the configuration in force if the copy of the new era holds an older one.
+    fn keep_catalog(&self, inner: &mut ReplicaTables, old_bytes: Vec<u8>) {
+        let version_of = |bytes: &[u8]| {
+            let catalog = (self.decoders.catalog)(bytes).ok()?;
+            Some(catalog.version)
+        };
+        let in_force = self.state.version();
+        let new_bytes = inner.operator.mirror.value(self.decoders.catalog_key);
+        if new_bytes.and_then(version_of) < in_force && version_of(&old_bytes) == in_force {
+            info!(self.state.log, "configuration retained"; "version" => in_force,
+                "reason" => "the store holds an older one");
+            inner.retained_catalog = Some(old_bytes);
+        }
+    }
+
+    /// Applies the records of a copy of a newer era.
+    fn apply_replaced(
+        &self,
+        inner: &mut ReplicaTables,
+        topic: StoreTopic,
+        replaced: &ReplacedCopy,
+        source: RecordSource,
+    ) {
+        let mut n_ignored = 0;
+        for record in replaced.records.iter().chain(&replaced.dropped) {
+            let bytes = record.value.as_deref();
+            let restored = match topic {
+                StoreTopic::Targets => {
+                    bytes.and_then(|bytes| (self.decoders.target)(&record.key, bytes).ok())
+                }
+                StoreTopic::Operator | StoreTopic::Peers => None,
             };
-            if let Some(copy) = inner.copy_mut(topic)
-                && changed
-            {
-                copy.changed_end = copy.changed_end.max(record.offset + 1);
+            match restored {
+                Some(entry) => {
+                    let is_known = inner.roster.contains(&entry);
+                    let change = inner.roster.restore(entry);
+                    n_ignored += u32::from(!is_known && change == RosterChange::Same);
+                    self.apply_roster_change(&change, source, record.offset);
+                }
+                None => {
+                    self.apply_record(inner, topic, record, source);
+                }
             }
         }
+        if let Some(copy) = inner.copy_mut(topic) {
+            copy.end_changes(&replaced.records);
+        }
+        if replaced.is_first {
+            return;
+        }
+        warn!(self.state.log, "store came back from an older copy"; "topic" => topic.label(),
+            "old_era" => replaced.old_era.0, "era" => self.era().0, "source" => %source,
+            "replaced" => replaced.records.len() - replaced.n_kept, "kept" => replaced.n_kept,
+            "dropped" => replaced.dropped.len(), "ignored" => n_ignored);
+        let copies = &self.state.metrics.replaced_copies;
+        copies.with_label_values(&[topic.label()]).inc();
+    }
+
+    fn apply_record(
+        &self,
+        inner: &mut ReplicaTables,
+        topic: StoreTopic,
+        record: &MirrorRecord,
+        source: RecordSource,
+    ) -> bool {
+        match topic {
+            StoreTopic::Operator => {
+                let is_valid = self.apply_catalog(record, source);
+                if inner.retained_catalog.is_some() && self.is_in_force(record) {
+                    inner.retained_catalog = None;
+                }
+                is_valid
+            }
+            StoreTopic::Targets => self.apply_target(inner, record, source),
+            StoreTopic::Peers => false,
+        }
+    }
+
+    /// Returns whether a record holds the configuration in force.
+    fn is_in_force(&self, record: &MirrorRecord) -> bool {
+        let bytes = record.value.as_deref().unwrap_or_default();
+        let version = (self.decoders.catalog)(bytes)
+            .ok()
+            .map(|catalog| catalog.version);
+        record.key == self.decoders.catalog_key && version == self.state.version()
     }
 
     /// Puts a configuration in force if it is newer; returns whether the record is a valid one.
-    fn apply_catalog(&self, record: &MirrorRecord, source: &str) -> bool {
+    fn apply_catalog(&self, record: &MirrorRecord, source: RecordSource) -> bool {
         let log = &self.state.log;
         let Some(bytes) = record
             .value
@@ -201,16 +389,11 @@
                 return false;
             }
         };
-        let current = self
-            .state
-            .catalog
-            .load()
-            .as_ref()
-            .map(|catalog| catalog.version);
+        let current = self.state.version();
         if current.is_some_and(|current| catalog.version <= current) {
             return true;
         }
-        info!(log, "configuration in force"; "version" => catalog.version, "source" => source,
+        info!(log, "configuration in force"; "version" => catalog.version, "source" => %source,
             "offset" => record.offset, "before" => current);
         self.state.metrics.version.set(catalog.version as i64);
         self.state.catalog.store(Some(Arc::new(catalog)));
@@ -218,87 +401,80 @@
     }
 
     /// Applies a target's record; returns whether it changed the roster.
-    fn apply_target(&self, inner: &mut ReplicaInner, record: &MirrorRecord, source: &str) -> bool {
+    fn apply_target(
+        &self,
+        inner: &mut ReplicaTables,
+        record: &MirrorRecord,
+        source: RecordSource,
+    ) -> bool {
         let log = &self.state.log;
         let entry = record
             .value
             .as_ref()
             .map(|bytes| (self.decoders.target)(&record.key, bytes));
+        let now = Instant::now();
         let change = match entry {
-            Some(Ok(entry)) => inner.roster.insert(entry),
+            Some(Ok(entry)) => {
+                let released = inner.roster.release_address(&entry, now);
+                self.apply_roster_change(&released, source, record.offset);
+                inner.roster.insert(entry)
+            }
             Some(Err(reason)) => {
                 warn!(log, "unreadable record"; "topic" => "targets", "key" => &record.key,
                     "offset" => record.offset, "reason" => reason);
-                inner.roster.remove(&record.key)
+                inner.roster.remove(&record.key, now)
             }
-            None => match inner.store_regained_at {
-                Some(regained_at) if Instant::now() < regained_at + STORE_RECOVERY_TIME => {
-                    inner.roster.remove_lapsed(&record.key, regained_at)
+            None => match inner.store_regained_at.max(inner.era_seen_at) {
+                Some(back_at) if now < back_at + STORE_RECOVERY_TIME => {
+                    inner.roster.remove_lapsed(&record.key, back_at, now)
                 }
-                _ => inner.roster.remove(&record.key),
+                _ => inner.roster.remove(&record.key, now),
             },
         };
-        if change == RosterChange::Same {
-            return false;
-        }
-        match &change {
+        self.apply_roster_change(&change, source, record.offset)
+    }
+
+    /// Applies a change of the roster to the routing table; returns whether there was one.
+    fn apply_roster_change(
+        &self,
+        change: &RosterChange,
+        source: RecordSource,
+        offset: u64,
+    ) -> bool {
+        let log = &self.state.log;
+        match change {
+            RosterChange::Same => return false,
             RosterChange::Changed(entry) => info!(log, "target changed"; "target" => &*entry.id,
                 "service" => &*entry.service, "address" => %entry.address,
-                "draining" => entry.draining, "offset" => record.offset, "source" => source),
-            _ => info!(log, "target removed"; "change" => ?change, "offset" => record.offset,
-                "source" => source),
+                "draining" => entry.draining, "offset" => offset, "source" => %source),
+            RosterChange::Removed(_) | RosterChange::Lapsing(..) => {
+                info!(log, "target removed"; "change" => ?change, "offset" => offset,
+                    "source" => %source)
+            }
         }
-        self.state.table.lock().apply(&change);
+        self.state.table.lock().apply(change);
         true
     }
-}
-
-/// Decodes the records of the entries, and logs each one that cannot be decoded.
-pub(super) fn peer_records(delta: &MirrorDelta, log: &Logger) -> Vec<PeerRecord> {
-    let read = |record: &MirrorRecord| {
-        postcard::from_bytes(record.value.as_ref()?)
-            .inspect_err(|err| {
-                warn!(log, "unreadable record"; "topic" => "peers", "key" => &record.key,
-                    "offset" => record.offset, "reason" => %err);
-            })
-            .ok()
-    };
-    delta.records.iter().filter_map(read).collect()
-}
-
-impl ReplicaInner {
-    fn copy(&self, topic: StoreTopic) -> Option<&TopicCopy> {
-        match topic {
-            StoreTopic::Operator => Some(&self.operator),
-            StoreTopic::Targets => Some(&self.targets),
-            StoreTopic::Peers => None,
-        }
-    }
-
-    fn copy_mut(&mut self, topic: StoreTopic) -> Option<&mut TopicCopy> {
-        match topic {
-            StoreTopic::Operator => Some(&mut self.operator),
-            StoreTopic::Targets => Some(&mut self.targets),
-            StoreTopic::Peers => None,
-        }
-    }
 
     /// Records whether this entry or any peer has read the store recently, and when it was regained
     /// after an outage.
-    fn update_store_status(&mut self, now: Instant, log: &Logger) {
-        let peers_at = self.peers.confirmed_at(StoreTopic::Targets, now);
-        let Some(known_at) = peers_at.max(self.targets.read_at) else {
+    fn update_store_status(&self, inner: &mut ReplicaTables, now: Instant) {
+        let log = &self.state.log;
+        let peers_at = inner
+            .peers
+            .confirmed_at(StoreTopic::Targets, self.era(), now);
+        let Some(known_at) = peers_at.max(inner.targets.read_at) else {
             return;
         };
         let is_lost = known_at + STORE_LOST_AGE <= now;
-        if is_lost == self.store_lost {
+        if is_lost == inner.store_lost {
             return;
         }
-        self.store_lost = is_lost;
+        inner.store_lost = is_lost;
         if is_lost {
             warn!(log, "store lost"; "age_ms" => (now - known_at).as_millis() as u64);
         } else {
-            self.store_regained_at = Some(now);
+            inner.store_regained_at = Some(now);
             info!(log, "store regained");
         }
     }
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -2,12 +2,13 @@
 
 use slog::{info, warn};
 
+use crate::mirror::StoreEra;
 use crate::peers::{PeerRecord, ReaderChoice, ReaderInput, StoreTopic, choose_reader};
 use crate::prelude::*;
 
 use super::entry_run::EntryConfig;
 use super::entry_state::EntryState;
-use super::store_access::{CallError, StoreReply, StoreRequest};
+use super::store_access::{StoreAnswer, StoreReply, StoreRequest};
 use super::store_replica::StoreReplica;
 
 /// The pause after a successful read that does not wait for new records.
@@ -32,15 +33,18 @@
     call: Call,
 ) where
     Call: Fn(StoreRequest) -> Reply,
-    Reply: Future<Output = Result<StoreReply, CallError>>,
+    Reply: Future<Output = StoreAnswer>,
 {
     let mut needs_newest = true;
     let mut pause = FAILURE_BACKOFF.0;
     loop {
         let now = Instant::now();
+        let position = replica.next_position(topic);
+        needs_newest |= position.era < replica.era();
         let input = ReaderInput {
             topic,
             own: config.own_hash(),
+            era: replica.era(),
             own_read_at: replica.read_at(topic),
             jitter: state.random_fraction(),
         };
@@ -55,10 +59,13 @@
         };
         let request = match needs_newest {
             true => StoreRequest::Newest(topic),
-            false => StoreRequest::Read(topic, replica.next_offset(topic), wait),
+            false => StoreRequest::Read(topic, position.offset, wait),
         };
         let label = topic.label();
-        let result = call(request).await;
+        let StoreAnswer { era, result } = call(request).await;
+        if let Some(era) = era {
+            replica.observe_era(era);
+        }
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         state
             .metrics
@@ -73,16 +80,14 @@
                 } else {
                     now.max(Instant::now() - MAX_READ_LAG)
                 };
-                replica.apply_from_store(topic, delta, asked_at);
-                needs_newest = false;
+                needs_newest = !replica.apply_from_store(topic, delta, asked_at);
                 pause = FAILURE_BACKOFF.0;
                 if wait.is_zero() {
                     tokio::time::sleep(TARGETS_READ_PERIOD).await;
                 }
             }
             Ok(StoreReply::Expired) => {
-                info!(state.log, "records expired"; "topic" => label,
-                    "from" => replica.next_offset(topic));
+                info!(state.log, "records expired"; "topic" => label, "from" => %position);
                 needs_newest = true;
             }
             Ok(StoreReply::Written) => {}
@@ -98,8 +103,12 @@
 /// How far the end of a waiting read may lag behind the store.
 const MAX_READ_LAG: Duration = Duration::from_millis(50);
 
-/// Registers this process in the store and reads the other entries' records; retries until both
-/// have succeeded.
+/// The time over which entries spread the calls by which they register again after the store came
+/// back from an older copy.
+const REGISTER_SPREAD: Duration = Duration::from_millis(2_000);
+
+/// Registers this process in the store and reads the other entries' records, again each time that
+/// the store comes back from an older copy; never returns.
 pub(super) async fn join_peers<Call, Reply>(
     config: Arc<EntryConfig>,
     replica: Arc<StoreReplica>,
@@ -107,28 +116,65 @@
     call: Call,
 ) where
     Call: Fn(StoreRequest) -> Reply,
-    Reply: Future<Output = Result<StoreReply, CallError>>,
+    Reply: Future<Output = StoreAnswer>,
 {
     let record = PeerRecord {
         address: config.peer_address,
         zone: config.zone.to_string(),
     };
     let value = postcard::to_allocvec(&record).expect("records_have_a_byte_form");
-    let mut announced = false;
+    let announce = StoreRequest::Announce(config.name.to_string(), value);
+    let read = StoreRequest::Newest(StoreTopic::Peers);
+    let mut eras = replica.subscribe_era();
     loop {
-        let request = match announced {
-            false => StoreRequest::Announce(config.name.to_string(), value.clone()),
-            true => StoreRequest::Newest(StoreTopic::Peers),
-        };
-        match call(request).await {
-            Ok(StoreReply::Written) => announced = true,
-            Ok(StoreReply::Records(delta)) => {
-                replica.add_peers(&delta, config.peer_address);
-                let n_peers = replica.with_peers(|peers| peers.len());
-                info!(state.log, "peers known"; "peers" => n_peers);
-                return;
-            }
-            Ok(StoreReply::Expired) => {}
+        let (announced_era, _) = call_until_done(&announce, &replica, &state, &call).await;
+        read_peers(&read, &config, &replica, &state, &call).await;
+        if StoreEra::default() < announced_era {
+            // The other entries may have lost their records too, and write them again meanwhile.
+            tokio::time::sleep(REGISTER_SPREAD * 2).await;
+            read_peers(&read, &config, &replica, &state, &call).await;
+        }
+        // The sender lives as long as the replica, so that waiting cannot fail.
+        let _ = eras.wait_for(|era| announced_era < *era).await;
+        tokio::time::sleep(REGISTER_SPREAD.mul_f64(state.random_fraction())).await;
+    }
+}
+
+async fn read_peers<Call, Reply>(
+    request: &StoreRequest,
+    config: &EntryConfig,
+    replica: &StoreReplica,
+    state: &EntryState,
+    call: &Call,
+) where
+    Call: Fn(StoreRequest) -> Reply,
+    Reply: Future<Output = StoreAnswer>,
+{
+    if let (_, StoreReply::Records(delta)) = call_until_done(request, replica, state, call).await {
+        replica.add_peers(&delta, config.peer_address);
+        let n_peers = replica.with_peers(|peers| peers.len());
+        info!(state.log, "peers known"; "peers" => n_peers);
+    }
+}
+
+/// Repeats a call until the store has executed it; returns the era of the answer, and the reply.
+async fn call_until_done<Call, Reply>(
+    request: &StoreRequest,
+    replica: &StoreReplica,
+    state: &EntryState,
+    call: &Call,
+) -> (StoreEra, StoreReply)
+where
+    Call: Fn(StoreRequest) -> Reply,
+    Reply: Future<Output = StoreAnswer>,
+{
+    loop {
+        let StoreAnswer { era, result } = call(request.clone()).await;
+        if let Some(era) = era {
+            replica.observe_era(era);
+        }
+        match result {
+            Ok(reply) => return (era.unwrap_or_default(), reply),
             Err(err) => {
                 warn!(state.log, "store call failed"; "topic" => "peers", "fault" => %err);
                 let pause = FAILURE_BACKOFF.1.mul_f64(0.5 + state.random_fraction());
--- a/fleet/tests/entry_state.rs
+++ b/fleet/tests/entry_state.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use comfreyhead_fleet::catalog::{Account, Backend, RouteError};
-use comfreyhead_fleet::mirror::{KeyedMirror, MirrorDelta, MirrorRecord};
+use comfreyhead_fleet::mirror::{
+    KeyedMirror, MirrorChange, MirrorDelta, MirrorRecord, StoreEra, StorePosition,
+};
 use comfreyhead_fleet::peers::{
     PeerHeartbeat, PeerMessage, PeerTable, ReaderChoice, ReaderInput, StoreTopic, TopicPosition,
     choose_reader,
@@ -67,9 +69,16 @@
     }
 }
 
+fn at(offset: u64) -> StorePosition {
+    StorePosition {
+        era: StoreEra::default(),
+        offset,
+    }
+}
+
 fn heartbeat(sender: u64, age_ms: u32, end: u64) -> PeerHeartbeat {
     let position = TopicPosition {
-        changed_end: end,
+        changed_end: at(end),
         age_ms,
     };
     PeerHeartbeat {
@@ -77,6 +86,7 @@
         zone: "sofia-b".to_owned(),
         draining: false,
         for_zone: false,
+        version: Some(3),
         operator: position,
         targets: position,
         running: vec![(7, 2)],
@@ -144,9 +154,9 @@
     }
 
     // Act
-    let removed = roster.remove("a");
-    let lapsed = roster.remove_lapsed("b", back_at);
-    let draining = roster.remove_lapsed("c", back_at);
+    let removed = roster.remove("a", back_at);
+    let lapsed = roster.remove_lapsed("b", back_at, back_at);
+    let draining = roster.remove_lapsed("c", back_at, back_at);
     let early = roster.expire(back_at + Duration::from_millis(1_900));
     let late = roster.expire(back_at + Duration::from_millis(2_000));
 
@@ -165,7 +175,7 @@
     let back_at = Instant::now();
     let mut roster = TargetRoster::default();
     roster.insert(target("a", false));
-    roster.remove_lapsed("a", back_at);
+    roster.remove_lapsed("a", back_at, back_at);
 
     // Act
     let change = roster.insert(target("a", false));
@@ -180,6 +190,7 @@
     // Arrange
     let mut mirror = KeyedMirror::default();
     let first = MirrorDelta {
+        era: StoreEra::default(),
         end: 5,
         complete: false,
         records: vec![record("config", 4, Some(b"new"))],
@@ -188,16 +199,17 @@
 
     // Act
     let newer = mirror.apply(MirrorDelta {
+        era: StoreEra::default(),
         end: 3,
         complete: false,
         records: vec![record("config", 2, Some(b"old"))],
     });
 
     // Assert
-    assert!(newer.is_empty());
-    assert_eq!(mirror.end(), 5);
+    assert_eq!(newer, MirrorChange::Updated(Vec::new()));
+    assert_eq!(mirror.end(), at(5));
     assert_eq!(
-        mirror.since(0).records,
+        mirror.since(at(0)).records,
         vec![record("config", 4, Some(b"new"))]
     );
 }
@@ -207,6 +219,7 @@
     // Arrange
     let mut mirror = KeyedMirror::default();
     mirror.apply(MirrorDelta {
+        era: StoreEra::default(),
         end: 2,
         complete: false,
         records: vec![record("a", 0, Some(b"1")), record("b", 1, Some(b"1"))],
@@ -214,13 +227,14 @@
 
     // Act
     let newer = mirror.apply(MirrorDelta {
+        era: StoreEra::default(),
         end: 9,
         complete: true,
         records: vec![record("b", 1, Some(b"1"))],
     });
 
     // Assert
-    assert_eq!(newer, vec![record("a", 8, None)]);
+    assert_eq!(newer, MirrorChange::Updated(vec![record("a", 8, None)]));
 }
 
 #[test]
@@ -232,6 +246,7 @@
     let input = |own, read_ms: Option<u64>| ReaderInput {
         topic: StoreTopic::Targets,
         own,
+        era: StoreEra::default(),
         own_read_at: read_ms.map(|ms| now.checked_sub(Duration::from_millis(ms)).unwrap()),
         jitter: 0.0,
     };
@@ -269,11 +284,11 @@
     peers.record_heartbeat(([127, 0, 0, 1], 2).into(), heartbeat(2, 100, 8), now);
 
     // Act, assert
-    let ahead = peers.ahead_of(StoreTopic::Operator, 4, now);
-    assert_eq!(ahead, Some((([127, 0, 0, 1], 2).into(), 8)));
-    assert_eq!(peers.ahead_of(StoreTopic::Operator, 8, now), None);
+    let ahead = peers.ahead_of(StoreTopic::Operator, at(4), now);
+    assert_eq!(ahead, Some((([127, 0, 0, 1], 2).into(), at(8))));
+    assert_eq!(peers.ahead_of(StoreTopic::Operator, at(8), now), None);
     assert_eq!(
-        peers.ahead_of(StoreTopic::Operator, 4, now + Duration::from_secs(5)),
+        peers.ahead_of(StoreTopic::Operator, at(4), now + Duration::from_secs(5)),
         None
     );
 }
--- a/fleet/tests/large_fleet.rs
+++ b/fleet/tests/large_fleet.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use comfreyhead_fleet::mirror::{StoreEra, StorePosition};
 use comfreyhead_fleet::peers::{PeerHeartbeat, PeerTable, StoreTopic, TopicPosition};
 use comfreyhead_fleet::prelude::*;
 
@@ -21,6 +22,7 @@
         zone: ZONES[zone].to_owned(),
         draining: false,
         for_zone: false,
+        version: None,
         operator: TopicPosition::default(),
         targets: TopicPosition::default(),
         running: vec![(1, 2), (u32::from(entry) + 100, 1)],
@@ -112,8 +114,11 @@
 fn confirmation_by_a_neighbour_counts_where_it_knows_of_no_later_change() {
     // Arrange
     let now = Instant::now();
-    let position = |changed_end, age_ms| TopicPosition {
-        changed_end,
+    let position = |offset, age_ms| TopicPosition {
+        changed_end: StorePosition {
+            era: StoreEra::default(),
+            offset,
+        },
         age_ms,
     };
     let mut own = heartbeat(1, 0);
