Eject targets that state failures, by the results of all entries

Hypothesis: a target that states a 5xx was recorded as a success, so that a rank that fails at once looks idle and healthy and every entry chooses it first; one entry's own failures are too few and too late a sign.

Change: the outcome of a call is recorded once it is known. Heartbeats and the sums of data centres carry recent results of targets at which requests failed; three failures anywhere, at a share of 0.3 and twice that of the other targets, eject a target, at most a third of them at once. Its failures lose half their weight in 2 s; what is left of the penalty has a jitter, so that one entry tries it before the others. A stream passes on the failure that the last target states, as plain calls do.

--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -7,6 +7,7 @@
 use crate::expert::{KeeperVerdict, MapOrder, PassQuery, RankReport};
 use crate::mirror::StorePosition;
 use crate::prelude::*;
+use crate::routing::ResultCounts;
 
 /// A datagram from one process to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -92,6 +93,8 @@
     pub running: Vec<(u32, u16)>,
     /// The demand by service, in requests per second.
     pub demand: Vec<(u32, f32)>,
+    /// The recent results of the targets at which requests failed.
+    pub results: Vec<(u32, ResultCounts)>,
 }
 
 /// How far a process has read a topic, and how recently the store confirmed it.
--- a/fleet/src/peers/zone_heartbeat.rs
+++ b/fleet/src/peers/zone_heartbeat.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use crate::prelude::*;
+use crate::routing::ResultCounts;
 
 use super::message::{PeerHeartbeat, StoreTopic, TopicPosition};
 use super::peer_table::PeerTable;
@@ -28,7 +29,11 @@
     pub fn zone_heartbeat(&self, own: &PeerHeartbeat, now: Instant) -> PeerHeartbeat {
         let mut running: BTreeMap<u32, u16> = own.running.iter().copied().collect();
         let mut demand: BTreeMap<u32, f32> = own.demand.iter().copied().collect();
+        let mut results: BTreeMap<u32, ResultCounts> = own.results.iter().copied().collect();
         for (_, heartbeat) in self.zone_heartbeats(own, now) {
+            for (target, counts) in &heartbeat.results {
+                results.entry(*target).or_default().add(*counts);
+            }
             for (target, n_running) in &heartbeat.running {
                 let sum = running.entry(*target).or_default();
                 *sum = sum.saturating_add(*n_running);
@@ -43,6 +48,7 @@
             targets: self.zone_position(StoreTopic::Targets, own, now),
             running: running.into_iter().collect(),
             demand: demand.into_iter().collect(),
+            results: results.into_iter().collect(),
             ..own.clone()
         }
     }
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -14,6 +14,7 @@
 use crate::mirror::{StoreEra, StorePosition};
 use crate::peers::{PeerCopy, PeerHeartbeat, PeerMessage, StoreTopic};
 use crate::prelude::*;
+use crate::routing::PeerLoad;
 
 use super::caller_body::CallerBody;
 use super::entry_run::EntryConfig;
@@ -78,6 +79,7 @@
     let table = state.table.lock();
     let running = table.own_running();
     let demand = table.own_demand(now);
+    let results = table.own_results(now);
     drop(table);
     PeerHeartbeat {
         sender: config.own_hash(),
@@ -89,6 +91,7 @@
         targets: replica.position(StoreTopic::Targets, now),
         running,
         demand,
+        results,
     }
 }
 
@@ -115,8 +118,12 @@
                     _ => None,
                 };
                 if let Some(key) = load_of {
-                    let (running, demand) = (heartbeat.running.clone(), heartbeat.demand.clone());
-                    state.table.lock().view.update(key, running, demand, now);
+                    let load = PeerLoad {
+                        running: heartbeat.running.clone(),
+                        demand: heartbeat.demand.clone(),
+                        results: heartbeat.results.clone(),
+                    };
+                    state.table.lock().view.update(key, load, now);
                 }
                 replica.with_peers(|peers| peers.record_heartbeat(address, heartbeat, now));
             }
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -54,7 +54,7 @@
 }
 
 /// Why an attempt has no response that ends the call.
-enum AttemptError {
+pub(super) enum AttemptError {
     /// No usable response.
     Outcome(AttemptOutcome),
     /// A server error, returned if no retry succeeds.
@@ -79,8 +79,8 @@
         .min(left)
 }
 
-/// Reads the complete response of a dispatched call.
-async fn read_response(
+/// Reads the complete response of a dispatched call, and records its outcome.
+pub(super) async fn read_response(
     call: &CallContext,
     dispatched: DispatchedCall,
 ) -> Result<(ResponseHead, CallerBody), AttemptError> {
@@ -102,11 +102,14 @@
     {
         // A caller takes these statuses as proof that the request did not run, which the target
         // did not state.
+        call.record(&pick, Some(AttemptOutcome::Unknown));
         return Err(AttemptOutcome::Unknown.into());
     }
     let body = CallerBody::whole(body);
     if head.status.is_server_error() {
+        call.record(&pick, Some(AttemptOutcome::Failed));
         return Err(AttemptError::Failure(head, body));
     }
+    call.record(&pick, None);
     Ok((head, body))
 }
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -146,7 +146,8 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Chooses a target and sends the request to it.
+    /// Chooses a target and sends the request to it; the caller records the outcome of a call that
+    /// was answered.
     pub(super) async fn dispatch(
         &self,
         excluded: &mut SmallVec<[Arc<str>; 2]>,
@@ -173,13 +174,17 @@
             time_left,
             head_timeout: head_timeout.min(time_left),
         };
-        let result = call_target(&call, &state.pool, &state.names).await;
-        self.record(&pick, result.as_ref().err().copied());
-        result.map(|response| DispatchedCall {
-            pick,
-            guard,
-            response,
-        })
+        match call_target(&call, &state.pool, &state.names).await {
+            Ok(response) => Ok(DispatchedCall {
+                pick,
+                guard,
+                response,
+            }),
+            Err(outcome) => {
+                self.record(&pick, Some(outcome));
+                Err(outcome)
+            }
+        }
     }
 
     /// Records the outcome of a dispatch in metrics, logs and the target's health; `None` is a
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -6,12 +6,13 @@
 use slog::{debug, info};
 use tokio::sync::mpsc;
 
-use crate::forward::{RelayEnd, StreamEvent, StreamRelay};
+use crate::forward::{RelayEnd, ResponseHead, StreamEvent, StreamRelay};
 use crate::prelude::*;
 use crate::request::{AttemptOutcome, CallProgress, NextStep, UnknownReason};
 use crate::routing::AdmitDecision;
 
 use super::caller_body::CallerBody;
+use super::plain_run::{AttemptError, read_response};
 use super::request_run::{CallContext, DispatchedCall};
 
 /// The number of events buffered for a slow caller.
@@ -38,6 +39,8 @@
     excluded: SmallVec<[Arc<str>; 2]>,
     relay: StreamRelay,
     last_event_at: Option<Instant>,
+    /// The last failure that a target stated, returned if no retry succeeds.
+    stated_failure: Option<(ResponseHead, CallerBody)>,
 }
 
 /// Runs a call answered by a stream of events.
@@ -50,11 +53,17 @@
         excluded: SmallVec::new(),
         relay: StreamRelay::new(call.head.last_event_id),
         last_event_at: None,
+        stated_failure: None,
     };
     let starting = start(&call, &mut stream);
     let started = match tokio::time::timeout_at(call.deadline, starting).await {
         Ok(Ok(started)) => started,
-        Ok(Err(step)) => return call.give_up(step),
+        Ok(Err(step)) => {
+            return match stream.stated_failure {
+                Some((head, body)) => call.target_response(head, body),
+                None => call.give_up(step),
+            };
+        }
         Err(_) => {
             let answer = LocalResponse::Unknown(UnknownReason::Timeout);
             return call.local_response(answer, "deadline before the first event");
@@ -146,7 +155,13 @@
         () = wait_silent(call, silence) => return Err(AttemptOutcome::Silent),
     };
     if !dispatched.response.head.status.is_success() {
-        return Err(AttemptOutcome::Failed);
+        return match read_response(call, dispatched).await {
+            Ok((head, body)) | Err(AttemptError::Failure(head, body)) => {
+                stream.stated_failure = Some((head, body));
+                Err(AttemptOutcome::Failed)
+            }
+            Err(AttemptError::Outcome(outcome)) => Err(outcome),
+        };
     }
     let first = tokio::select! {
         first = stream.relay.next_event(&mut dispatched.response) => first,
@@ -156,6 +171,7 @@
         call.record(&dispatched.pick, Some(outcome));
         return Err(outcome);
     }
+    call.record(&dispatched.pick, None);
     Ok((dispatched, first))
 }
 
--- a/fleet/src/routing/load_view.rs
+++ b/fleet/src/routing/load_view.rs
@@ -4,20 +4,26 @@
 
 use crate::prelude::*;
 
+use super::target_health::ResultCounts;
+
 /// The age after which a peer's last report no longer counts.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
-/// The load that the other entries report: running requests by target, demand by service.
+/// The load that the other entries report.
 #[derive(Debug, Default)]
 pub struct LoadView {
-    peers: HashMap<u64, PeerLoad>,
+    peers: HashMap<u64, (Instant, PeerLoad)>,
 }
 
-#[derive(Debug)]
-struct PeerLoad {
-    received_at: Instant,
-    running: Vec<(u32, u16)>,
-    demand: Vec<(u32, f32)>,
+/// The load that an entry reports, or the sums of a data centre.
+#[derive(Clone, Debug, Default)]
+pub struct PeerLoad {
+    /// Running requests by target.
+    pub running: Vec<(u32, u16)>,
+    /// Demand by service, in requests per second.
+    pub demand: Vec<(u32, f32)>,
+    /// Recent results of the targets at which requests failed.
+    pub results: Vec<(u32, ResultCounts)>,
 }
 
 /// Returns the hash that identifies a target or a service in peer messages.
@@ -26,23 +32,11 @@
 }
 
 impl LoadView {
-    /// Replaces a peer's report: its running requests by target, and its demand by service in
-    /// requests per second.
-    pub fn update(
-        &mut self,
-        peer: u64,
-        running: Vec<(u32, u16)>,
-        demand: Vec<(u32, f32)>,
-        now: Instant,
-    ) {
-        let load = PeerLoad {
-            received_at: now,
-            running,
-            demand,
-        };
-        self.peers.insert(peer, load);
+    /// Replaces a peer's report.
+    pub fn update(&mut self, peer: u64, load: PeerLoad, now: Instant) {
+        self.peers.insert(peer, (now, load));
         self.peers
-            .retain(|_, load| now < load.received_at + MAX_REPORT_AGE);
+            .retain(|_, (received_at, _)| now < *received_at + MAX_REPORT_AGE);
     }
 
     /// Returns the number of requests that the other entries run at a target.
@@ -63,9 +57,20 @@
             .sum()
     }
 
+    /// Returns the recent results of a target at the other entries.
+    pub fn results_at(&self, target: u32, now: Instant) -> ResultCounts {
+        let mut sum = ResultCounts::default();
+        self.fresh(now)
+            .flat_map(|load| &load.results)
+            .filter(|(hash, _)| *hash == target)
+            .for_each(|(_, counts)| sum.add(*counts));
+        sum
+    }
+
     fn fresh(&self, now: Instant) -> impl Iterator<Item = &PeerLoad> {
         self.peers
             .values()
-            .filter(move |load| now < load.received_at + MAX_REPORT_AGE)
+            .filter(move |(received_at, _)| now < *received_at + MAX_REPORT_AGE)
+            .map(|(_, load)| load)
     }
 }
--- a/fleet/src/routing/mod.rs
+++ b/fleet/src/routing/mod.rs
@@ -9,7 +9,7 @@
 
 pub use group_health::{GROUP_RECOVERY_TIME, GroupHealth, GroupState};
 pub use group_limit::{AdmitDecision, GroupLimit, GroupLoad};
-pub use load_view::{LoadView, name_hash};
+pub use load_view::{LoadView, PeerLoad, name_hash};
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use routing_table::{RoutingTable, TargetPick};
-pub use target_health::TargetHealth;
+pub use target_health::{ResultCounts, TargetHealth};
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -12,12 +12,23 @@
 use super::group_health::{GroupHealth, GroupState};
 use super::group_limit::{AdmitDecision, GroupLimit, GroupLoad};
 use super::load_view::{LoadView, name_hash};
-use super::target_health::TargetHealth;
+use super::target_health::{ResultCounts, TargetHealth};
 
 /// The penalty of a target in another data centre, in running requests: traffic between data
 /// centres has a cost, and a pass takes equally long on every rank.
 const REMOTE_ZONE_PENALTY: f64 = 1.0;
 
+/// One in this many targets of a service may be ejected at once, rounded down; the others have to
+/// carry its load.
+const MAX_EJECTED_FRACTION: usize = 3;
+
+/// The recent failures, weighted by age, from which a target's results are reported to peers.
+const MIN_REPORTED_FAILURES: f32 = 0.2;
+
+/// The bounds of the random factor of a failure penalty: one entry tries a target again before the
+/// others, which learn of the result from it.
+const PENALTY_JITTER: std::ops::Range<f64> = 0.7..1.3;
+
 /// The age after which an agent's report of a slow target no longer counts: the time of two
 /// reports.
 const MAX_PACE_AGE: Duration = Duration::from_millis(1_600);
@@ -107,7 +118,8 @@
     }
 
     /// Chooses the target of a service with the lowest score: running requests plus penalties for
-    /// failures and distance. Never chooses one of `excluded`.
+    /// failures and distance. Never chooses one of `excluded`, and one that is ejected or
+    /// unreachable only if there is no other.
     pub fn choose(
         &self,
         service: &str,
@@ -119,22 +131,58 @@
             self.usable(service)
                 .filter(|row| !excluded.contains(&row.entry.id))
         };
-        let reachable = rows().filter(|row| !row.health.is_avoided(now));
-        let best = self.best_of(reachable, now, rng);
+        let ejected = self.ejected(service, now);
+        let sound = rows()
+            .filter(|row| !row.health.is_avoided(now))
+            .filter(|row| !ejected.contains(&row.hash));
+        let best = self.best_of(sound, now, rng);
         best.or_else(|| self.best_of(rows(), now, rng))
     }
 
+    /// Returns the targets of a service that fail far more requests than the others, at all entries
+    /// together: the worst ones, up to a fraction of all.
+    pub fn ejected(&self, service: &str, now: Instant) -> SmallVec<[u32; 4]> {
+        let results: SmallVec<[(u32, ResultCounts); 16]> = self
+            .usable(service)
+            .map(|row| (row.hash, self.results_at(row, now)))
+            .collect();
+        let others_of = |hash: u32| {
+            let mut sum = ResultCounts::default();
+            let others = results.iter().filter(|(other, _)| *other != hash);
+            others.for_each(|(_, counts)| sum.add(*counts));
+            sum
+        };
+        let mut failing: SmallVec<[(u32, f64); 4]> = results
+            .iter()
+            .filter(|(_, counts)| 0.0 < counts.failed)
+            .filter(|(hash, counts)| counts.is_failing(others_of(*hash)))
+            .map(|(hash, counts)| (*hash, counts.penalty()))
+            .collect();
+        failing.sort_by(|a, b| b.1.total_cmp(&a.1));
+        failing.truncate(results.len() / MAX_EJECTED_FRACTION);
+        failing.into_iter().map(|(hash, _)| hash).collect()
+    }
+
+    /// Returns the recent results of a target at all entries.
+    fn results_at(&self, row: &TargetRow, now: Instant) -> ResultCounts {
+        let mut counts = row.health.counts_at(now);
+        counts.add(self.view.results_at(row.hash, now));
+        counts
+    }
+
     fn best_of<'a>(
         &self,
         rows: impl Iterator<Item = &'a TargetRow>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<TargetPick> {
-        rows.map(|row| self.pick_of(row, now, rng.random_range(0.0..1.0)))
+        rows.map(|row| self.pick_of(row, now, rng))
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
-    fn pick_of(&self, row: &TargetRow, now: Instant, jitter: f64) -> TargetPick {
+    fn pick_of(&self, row: &TargetRow, now: Instant, rng: &mut impl Rng) -> TargetPick {
+        let jitter = rng.random_range(0.0..1.0);
+        let penalty = self.results_at(row, now).penalty() * rng.random_range(PENALTY_JITTER);
         let running = row.own + self.view.running_at(row.hash, now);
         let distance = if row.entry.zone == self.zone {
             0.0
@@ -146,9 +194,7 @@
             address: row.entry.address,
             running,
             // All ranks of a group wait for the slowest one, so a slow rank gets work last.
-            score: (f64::from(running) + jitter) * row.pace_at(now).powi(2)
-                + row.health.penalty(now)
-                + distance,
+            score: (f64::from(running) + jitter) * row.pace_at(now).powi(2) + penalty + distance,
         }
     }
 
@@ -266,6 +312,16 @@
             .collect()
     }
 
+    /// Returns the recent results of this entry's requests by target hash, to report to its peers,
+    /// where any failed.
+    pub fn own_results(&self, now: Instant) -> Vec<(u32, ResultCounts)> {
+        self.targets
+            .values()
+            .map(|row| (row.hash, row.health.counts_at(now)))
+            .filter(|(_, counts)| MIN_REPORTED_FAILURES <= counts.failed)
+            .collect()
+    }
+
     fn usable(&self, service: &str) -> impl Iterator<Item = &TargetRow> {
         self.targets
             .values()
--- a/fleet/tests/entry_state.rs
+++ b/fleet/tests/entry_state.rs
@@ -91,6 +91,7 @@
         targets: position,
         running: vec![(7, 2)],
         demand: vec![(9, 4.5)],
+        results: Vec::new(),
     }
 }
 
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -183,6 +183,37 @@
     assert_eq!(targets[1].requests().len(), 0);
 }
 
+#[tokio::test]
+async fn failure_that_the_last_target_states_for_a_stream_is_passed_on() {
+    // Arrange
+    let failure = || Reply::whole("500 Internal Server Error", "out of order");
+    let targets = [
+        ScriptedTarget::start(vec![failure()]).await,
+        ScriptedTarget::start(vec![failure()]).await,
+    ];
+    let entry = Entry::start(CallKind::ResumableStream, &[&targets[0], &targets[1]]).await;
+
+    // Act
+    let response = entry.call("r1").await;
+
+    // Assert
+    assert_eq!(response.status, 500);
+    assert_eq!(response.body, "out of order");
+    assert!(response.head.contains("x-seal: s1"), "{}", response.head);
+    let n_requests = targets.iter().map(|target| target.requests().len());
+    assert_eq!(n_requests.sum::<usize>(), 2);
+}
+
+#[tokio::test]
+async fn stream_that_a_target_fails_is_served_by_another() {
+    let failing = ScriptedTarget::start(vec![Reply::whole("500 Oops", "no")]).await;
+    let sound = ScriptedTarget::start(vec![Reply::stream(EVENTS), Reply::stream(EVENTS)]).await;
+    let entry = Entry::start(CallKind::ResumableStream, &[&failing, &sound]).await;
+    for id in ["r1", "r2"] {
+        assert_eq!(entry.call(id).await.body, EVENTS);
+    }
+}
+
 #[tokio::test]
 async fn uncut_stream_arrives_complete() {
     let target = ScriptedTarget::start(vec![Reply::stream(EVENTS)]).await;
--- a/fleet/tests/large_fleet.rs
+++ b/fleet/tests/large_fleet.rs
@@ -27,6 +27,7 @@
         targets: TopicPosition::default(),
         running: vec![(1, 2), (u32::from(entry) + 100, 1)],
         demand: vec![(9, 1.5)],
+        results: Vec::new(),
     }
 }
 
--- a/fleet/tests/store_restored.rs
+++ b/fleet/tests/store_restored.rs
@@ -243,6 +243,7 @@
         targets: position,
         running: Vec::new(),
         demand: Vec::new(),
+        results: Vec::new(),
     };
     let mut peers = PeerTable::default();
     peers.record_heartbeat(([127, 0, 0, 1], 1).into(), heartbeat, now);
