Ask the agents whether a broken group forms, and wait while it does

Hypothesis: an entry learns that a group serves again from a request that it sends as a probe each 0.4 s; the other callers of that time are refused with 2.5 s and half of them come back to a group that is away again or full. The agents beside the ranks know when the group forms, at no price.

Change: while a group does not serve, an entry asks the agents for the ranks' reports, six each 100 ms in turn. Where ranks were missing and all are back, callers wait for the time that the group takes to form; where a rank reports a later epoch as open, the group serves at once. No request probes a group that ranks report as broken.

--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -14,7 +14,7 @@
 pub enum PeerMessage {
     /// An entry's state, sent to the other entries several times a second.
     Beat(PeerHeartbeat),
-    /// A query of a group's leader for the state of an agent's rank.
+    /// A query of a group's leader or an entry for the state of an agent's rank.
     Ask(RankQuery),
     /// A query of a group's leader to the pass keeper: may ranks be armed for the pass to hold?
     MayArm(PassQuery),
@@ -29,13 +29,15 @@
     Pace(SocketAddr, f32),
 }
 
-/// The part of a rank's state that the leader of a group queries.
+/// The part of a rank's state that is queried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RankQuery {
     /// The state without expert counts.
     State,
     /// The state, with how often requests chose each expert since the last reply to this query.
     Counts,
+    /// The rank's report alone.
+    Report,
 }
 
 /// An order that the receiving agent executes and forwards to other agents.
--- a/fleet/src/process/entry_run.rs
+++ b/fleet/src/process/entry_run.rs
@@ -111,6 +111,11 @@
         state.clone(),
         datagrams.clone(),
     ));
+    tokio::spawn(peer_tasks::watch_groups(
+        config.clone(),
+        state.clone(),
+        datagrams.clone(),
+    ));
     tokio::spawn(peer_tasks::send_heartbeats(
         config.clone(),
         replica.clone(),
--- a/fleet/src/process/keeper_link.rs
+++ b/fleet/src/process/keeper_link.rs
@@ -59,6 +59,13 @@
 
     /// Answers a query for the rank's state; `None` if it cannot be read.
     pub(super) async fn state(&self, query: RankQuery) -> Option<RankState> {
+        if query == RankQuery::Report {
+            return self
+                .link
+                .report()
+                .await
+                .map(|report| self.rank_state(report));
+        }
         let (report, details) = self.link.state(query).await?;
         Some(RankState {
             details: Some(details),
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -8,13 +8,13 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::mirror::{StoreEra, StorePosition};
-use crate::peers::{PeerCopy, PeerHeartbeat, PeerMessage, StoreTopic};
+use crate::peers::{PeerCopy, PeerHeartbeat, PeerMessage, RankQuery, StoreTopic};
 use crate::prelude::*;
-use crate::routing::PeerLoad;
+use crate::routing::{PeerLoad, ROUND_PERIOD, RankStatus};
 
 use super::caller_body::CallerBody;
 use super::entry_run::EntryConfig;
@@ -130,6 +130,19 @@
             Some(PeerMessage::Pace(target, pace)) => {
                 state.table.lock().observe_pace(target, pace, now);
             }
+            Some(PeerMessage::State(rank)) => {
+                let status = RankStatus {
+                    open: rank.report.open,
+                    epoch: rank.report.epoch,
+                    size: rank.report.size,
+                };
+                let mut table = state.table.lock();
+                if table.record_report(address.ip(), status, now) {
+                    info!(state.log, "group formed again"; "rank" => %address.ip(),
+                        "epoch" => status.epoch);
+                    state.slot_freed.notify_waiters();
+                }
+            }
             Some(_) | None => {
                 debug!(state.log, "unexpected datagram"; "from" => %address, "len" => len)
             }
@@ -137,6 +150,24 @@
     }
 }
 
+/// Asks the agents beside ranks of groups that do not serve for the ranks' reports.
+pub(super) async fn watch_groups(
+    config: Arc<EntryConfig>,
+    state: Arc<EntryState>,
+    socket: Arc<UdpSocket>,
+) {
+    let query = PeerMessage::Ask(RankQuery::Report).encode();
+    loop {
+        tokio::time::sleep(ROUND_PERIOD).await;
+        let asked = state.table.lock().next_asked(Instant::now());
+        for rank in asked {
+            let agent = SocketAddr::new(rank, config.peer_address.port());
+            // A query that is lost is repeated in a later round.
+            let _ = socket.send_to(&query, agent).await;
+        }
+    }
+}
+
 /// Pulls a topic's records from peers whose copy is ahead, and the configuration from peers that
 /// have a newer one in force.
 pub(super) async fn pull_topic(
--- a/fleet/src/process/rank_link.rs
+++ b/fleet/src/process/rank_link.rs
@@ -72,7 +72,7 @@
     pub(super) async fn state(&self, query: RankQuery) -> Option<(RankReport, RankDetails)> {
         let report = self.report().await?;
         let window = match query {
-            RankQuery::State => Vec::new(),
+            RankQuery::State | RankQuery::Report => Vec::new(),
             RankQuery::Counts => self.count_window().await?,
         };
         let Ok(TargetReply::Listings(held, _)) =
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -9,7 +9,7 @@
 use crate::forward::{RelayEnd, ResponseHead, StreamEvent, StreamRelay};
 use crate::prelude::*;
 use crate::request::{AttemptOutcome, CallProgress, NextStep, UnknownReason};
-use crate::routing::AdmitDecision;
+use crate::routing::{AdmitDecision, GROUP_RECOVERY_TIME};
 
 use super::caller_body::CallerBody;
 use super::plain_run::{AttemptError, read_response};
@@ -102,9 +102,10 @@
         debug!(state.log, "admit"; "request" => &*call.head.attempt_id, "decision" => ?decision,
             "running" => load.running, "own" => load.own, "slots" => load.slots,
             "peer_demand" => load.peer_demand);
-        let retry_after = match decision {
+        let (wait_until, retry_after) = match decision {
             AdmitDecision::Admit => return Ok(()),
-            AdmitDecision::Full(retry_after) => retry_after,
+            AdmitDecision::Full(retry_after) => (wait_until, retry_after),
+            AdmitDecision::Forming(until) => (until.min(call.deadline), GROUP_RECOVERY_TIME),
             AdmitDecision::Broken(retry_after) => {
                 return Err(LocalResponse::Refused(
                     NotRunProof::never_sent(),
--- a/fleet/src/routing/group_health.rs
+++ b/fleet/src/routing/group_health.rs
@@ -1,7 +1,11 @@
 //! Health of a group of ranks that fail together.
 
+use std::net::IpAddr;
+
 use crate::prelude::*;
 
+use super::rank_watch::{RankStatus, RankWatch};
+
 /// How long a group with streams in progress may go without an event on any of them before it
 /// counts as stalled: several times the longest pass that is still of use.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -23,6 +27,8 @@
     progress_at: Option<Instant>,
     refusals: SmallVec<[(Arc<str>, Instant); 2]>,
     probed_at: Option<Instant>,
+    /// What the ranks report while the group does not serve.
+    watch: Option<RankWatch>,
 }
 
 /// Whether a request may go to a group.
@@ -32,6 +38,8 @@
     Open,
     /// The group does not serve; this request may go through as a probe.
     Probe,
+    /// All ranks are back and the group forms, probably by the given time; callers should wait.
+    Forming(Instant),
     /// The group does not serve; holds the time after which callers should retry.
     Broken(Duration),
 }
@@ -42,6 +50,32 @@
         self.progress_at = Some(now);
         self.refusals.clear();
         self.probed_at = None;
+        self.watch = None;
+    }
+
+    /// Returns the ranks to ask next whether the group serves again; none while it serves.
+    pub fn next_asked(
+        &mut self,
+        own_running: u32,
+        ranks: &[IpAddr],
+        now: Instant,
+    ) -> SmallVec<[IpAddr; 6]> {
+        if !self.is_broken(own_running, now) {
+            self.watch = None;
+            return SmallVec::new();
+        }
+        let watch = self.watch.get_or_insert_with(|| RankWatch::new(now));
+        watch.next_asked(ranks)
+    }
+
+    /// Records the report of a rank; returns whether it shows that the group serves again.
+    pub fn record_report(&mut self, rank: IpAddr, status: RankStatus, now: Instant) -> bool {
+        let watch = self.watch.as_mut();
+        let has_formed = watch.is_some_and(|watch| watch.record(rank, status, now));
+        if has_formed {
+            self.record_progress(now);
+        }
+        has_formed
     }
 
     /// Records that a target reported a request as not run.
@@ -53,6 +87,10 @@
 
     /// Returns whether the group does not serve, given the number of this entry's running streams.
     pub fn is_broken(&self, own_running: u32, now: Instant) -> bool {
+        let watch = self.watch.as_ref();
+        if watch.is_some_and(|watch| watch.is_reported_broken(now)) {
+            return true;
+        }
         let refused = self
             .refusals
             .iter()
@@ -64,7 +102,7 @@
     }
 
     /// Decides whether a request may go to the group.
-    pub fn admit(&mut self, own_running: u32, now: Instant) -> GroupState {
+    pub fn admit(&mut self, own_running: u32, form_time: Duration, now: Instant) -> GroupState {
         if own_running == 0 && self.refusals.is_empty() {
             // Without running streams no event is expected, so silence is no sign of a stall.
             self.progress_at = Some(now);
@@ -72,6 +110,14 @@
         if !self.is_broken(own_running, now) {
             return GroupState::Open;
         }
+        if let Some(watch) = &self.watch {
+            if let Some(until) = watch.forms_until(form_time, now) {
+                return GroupState::Forming(until);
+            }
+            if watch.is_reported_broken(now) {
+                return GroupState::Broken(GROUP_RECOVERY_TIME);
+            }
+        }
         if self.probed_at.is_none_or(|at| at + PROBE_INTERVAL <= now) {
             self.probed_at = Some(now);
             return GroupState::Probe;
--- a/fleet/src/routing/group_limit.rs
+++ b/fleet/src/routing/group_limit.rs
@@ -68,6 +68,8 @@
     Full(Duration),
     /// The group does not serve; holds the time after which the caller should retry.
     Broken(Duration),
+    /// The group forms again, probably by the given time.
+    Forming(Instant),
 }
 
 impl GroupLimit {
--- a/fleet/src/routing/mod.rs
+++ b/fleet/src/routing/mod.rs
@@ -3,6 +3,7 @@
 mod group_health;
 mod group_limit;
 mod load_view;
+mod rank_watch;
 mod retry_budget;
 mod routing_table;
 mod target_health;
@@ -10,6 +11,7 @@
 pub use group_health::{GROUP_RECOVERY_TIME, GroupHealth, GroupState};
 pub use group_limit::{AdmitDecision, GroupLimit, GroupLoad};
 pub use load_view::{LoadView, PeerLoad, name_hash};
+pub use rank_watch::{ROUND_PERIOD, RankStatus, RankWatch};
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use routing_table::{RoutingTable, TargetPick};
 pub use target_health::{ResultCounts, TargetHealth};
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -1,7 +1,7 @@
 //! Selection of a target by load, health and distance.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use rand::{Rng, RngExt};
 
@@ -12,6 +12,7 @@
 use super::group_health::{GroupHealth, GroupState};
 use super::group_limit::{AdmitDecision, GroupLimit, GroupLoad};
 use super::load_view::{LoadView, name_hash};
+use super::rank_watch::RankStatus;
 use super::target_health::{ResultCounts, TargetHealth};
 
 /// The penalty of a target in another data centre, in running requests: traffic between data
@@ -257,6 +258,35 @@
             .is_some_and(|group| group.is_broken(own, now))
     }
 
+    /// Returns the machines of ranks to ask next whether their group serves again.
+    pub fn next_asked(&mut self, now: Instant) -> Vec<IpAddr> {
+        let services: SmallVec<[Arc<str>; 4]> = self.groups.keys().cloned().collect();
+        let mut asked = Vec::new();
+        for service in services {
+            let own = self.group_load(&service, now).own;
+            let mut ranks: Vec<IpAddr> = self
+                .usable(&service)
+                .map(|row| row.entry.address.ip())
+                .collect();
+            ranks.sort_unstable();
+            asked.extend(self.group_mut(&service).next_asked(own, &ranks, now));
+        }
+        asked
+    }
+
+    /// Records a rank's report, read by the agent on its machine; returns whether it shows that the
+    /// group of the rank serves again.
+    pub fn record_report(&mut self, rank: IpAddr, status: RankStatus, now: Instant) -> bool {
+        let row = self
+            .targets
+            .values()
+            .find(|row| row.is_usable() && row.entry.address.ip() == rank);
+        let Some(service) = row.map(|row| row.entry.service.clone()) else {
+            return false;
+        };
+        self.group_mut(&service).record_report(rank, status, now)
+    }
+
     /// Returns the total load of a service's targets.
     pub fn group_load(&self, service: &str, now: Instant) -> GroupLoad {
         let mut load = GroupLoad {
@@ -287,8 +317,13 @@
         let mut load = self.group_load(service, now);
         let paces = self.usable(service).map(|row| row.pace_at(now));
         load.min_pass = engine.base_pass.mul_f64(paces.fold(1.0, f64::max));
-        if let GroupState::Broken(retry_after) = self.group_mut(service).admit(load.own, now) {
-            return (AdmitDecision::Broken(retry_after), load);
+        match self
+            .group_mut(service)
+            .admit(load.own, engine.form_time, now)
+        {
+            GroupState::Broken(retry_after) => return (AdmitDecision::Broken(retry_after), load),
+            GroupState::Forming(until) => return (AdmitDecision::Forming(until), load),
+            GroupState::Open | GroupState::Probe => {}
         }
         let limit = self.limit_mut(service);
         limit.update(&load, engine.pause, now);
