Release a taken address also where a restored copy names both targets

Cause: a target that the older copy lacks stays for two seconds; where the same copy gives its address to another target, both were routable. The target checks the expected id, so that nothing ran wrongly, but the send was in vain. A process that asks for departures also always asked the peer with the lowest address. Change: such a target is removed at once; any peer is asked. Test: fleet/tests/store_restored.rs.

--- a/fleet/src/peers/peer_table.rs
+++ b/fleet/src/peers/peer_table.rs
@@ -130,12 +130,11 @@
             .max()
     }
 
-    /// Returns a peer that has read an era of the targets' topic.
+    /// Returns any peer that has read an era of the targets' topic.
     pub fn recent_peer(&self, era: StoreEra, now: Instant) -> Option<SocketAddr> {
         self.recent_heartbeats(now)
-            .filter(|(_, _, heartbeat)| heartbeat.targets.changed_end.era == era)
+            .find(|(_, _, heartbeat)| heartbeat.targets.changed_end.era == era)
             .map(|(address, _, _)| address)
-            .min()
     }
 
     /// Returns a peer whose configuration in force is newer than `version`; the newest one's.
--- a/fleet/src/roster/target_roster.rs
+++ b/fleet/src/roster/target_roster.rs
@@ -149,7 +149,7 @@
     }
 
     /// Applies a removal that the store made around an outage: the target stays for a grace period
-    /// after the store is back, unless it is draining.
+    /// after the store is back, unless it is draining or another target has its address.
     pub fn remove_lapsed(
         &mut self,
         id: &str,
@@ -159,7 +159,11 @@
         let Some(entry) = self.entries.get(id) else {
             return RosterChange::Same;
         };
-        if entry.draining {
+        let has_successor = self
+            .entries
+            .values()
+            .any(|other| other.id != entry.id && other.address == entry.address);
+        if entry.draining || has_successor {
             return self.remove(id, now);
         }
         let until = store_back_at + LAPSE_GRACE_PERIOD;
--- a/fleet/src/routing/group_health.rs
+++ b/fleet/src/routing/group_health.rs
@@ -4,7 +4,7 @@
 
 use crate::prelude::*;
 
-use super::rank_watch::{RankStatus, RankWatch};
+use super::rank_watch::{ASKED_PER_ROUND, RankStatus, RankWatch};
 
 /// How long a group with streams in progress may go without an event on any of them before it
 /// counts as stalled: several times the longest pass that is still of use.
@@ -59,7 +59,7 @@
         own_running: u32,
         ranks: &[IpAddr],
         now: Instant,
-    ) -> SmallVec<[IpAddr; 6]> {
+    ) -> SmallVec<[IpAddr; ASKED_PER_ROUND]> {
         if !self.is_broken(own_running, now) {
             self.watch = None;
             return SmallVec::new();
--- a/fleet/tests/entry_state.rs
+++ b/fleet/tests/entry_state.rs
@@ -53,7 +53,8 @@
     TargetEntry {
         id: id.into(),
         service: "ledger".into(),
-        address: ([127, 0, 0, 1], 80).into(),
+        // Each target has an address of its own.
+        address: ([127, 0, 0, 1], u16::from(id.as_bytes()[0])).into(),
         zone: "sofia-a".into(),
         slots: 6,
         draining,
--- a/fleet/tests/store_restored.rs
+++ b/fleet/tests/store_restored.rs
@@ -424,6 +424,24 @@
     assert!(is_routable(&state, "other"));
 }
 
+#[test]
+fn address_that_the_copy_gives_to_another_target_is_released_at_once() {
+    // Arrange
+    let (state, replica) = replica();
+    let now = Instant::now();
+    let topic = StoreTopic::Targets;
+    let before = delta(0, 2, false, &[("old", 1, "ready 81")]);
+    replica.apply_from_store(topic, before, now);
+
+    // Act
+    let copy = delta(1, 1, true, &[("other", 0, "ready 81")]);
+    replica.apply_from_store(topic, copy, now);
+
+    // Assert
+    assert!(!is_routable(&state, "old"));
+    assert!(is_routable(&state, "other"));
+}
+
 #[test]
 fn departures_are_remembered_over_two_restores_and_then_forgotten() {
     // Arrange
