Deny nothing for six seconds after a restore of the store

Its peers' registrations are lost, they register again within two seconds and send to a peer that they have not heard of each two seconds, so that on a busy machine it had heard of no peer when the two seconds without denials were over. Change: nothing is denied for six seconds after an era is first seen, in which all live entries register again and hear of each other.

--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -22,10 +22,14 @@
 const STORE_LOST_AGE: Duration = Duration::from_millis(1_600);
 
 /// How long after the store is regained, or has come back from an older copy, its records may lack
-/// live targets and the newest configuration: operators and targets write them again within this
-/// time.
+/// live targets, which write them again within this time.
 const STORE_RECOVERY_TIME: Duration = Duration::from_millis(2_000);
 
+/// How long after a restore of the store nothing is denied by the configuration: within this time
+/// operators write it again, and all live entries register again and hear of each other, so that
+/// one that started meanwhile learns of a newer version in force.
+const DENIAL_GRACE_PERIOD: Duration = Duration::from_millis(6_000);
+
 /// An entry's local replica of the store, kept up to date by own reads and through peers.
 ///
 /// Lock order: `inner` before the locks of the entry's state.
@@ -208,12 +212,12 @@
         }
     }
 
-    /// Records that the configuration matched the store at a time. While operators may still have
-    /// to write it again, an older version in the store confirms nothing.
+    /// Records that the configuration matched the store at a time. Shortly after a restore, a version
+    /// in the store confirms nothing, as it may be an older one.
     fn confirm_catalog(&self, inner: &ReplicaTables, at: Instant) {
         let is_restoring = inner
             .era_seen_at
-            .is_some_and(|seen_at| at < seen_at + STORE_RECOVERY_TIME);
+            .is_some_and(|seen_at| at < seen_at + DENIAL_GRACE_PERIOD);
         if !is_restoring {
             self.state.confirm(at);
         }
