Log silent targets and the ends of callers' connections

Added: 'target silent' with its limit and the time left, left_ms in 'stream ended', 'caller connection failed' with the error, and comfrey_connection_ends by reason.

--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -1,12 +1,14 @@
 //! Accepts and serves the connections of callers.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::catalog::CallerLimits;
@@ -43,8 +45,11 @@
                     drop(open);
                 });
             }
-            // Probably out of file descriptors; some become free as connections end.
-            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            Err(err) => {
+                // Probably out of file descriptors; some become free as connections end.
+                warn!(state.log, "caller not accepted"; "error" => %err);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
         }
     }
 }
@@ -70,6 +75,7 @@
     // Without this option, an event waits for the acknowledgement of earlier ones.
     let _ = stream.set_nodelay(true);
     set_user_timeout(&stream);
+    let caller = stream.peer_addr().ok();
     let n_running = Arc::new(AtomicUsize::new(0));
     let n_served = Arc::new(AtomicU64::new(0));
     let service = {
@@ -91,23 +97,52 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut idle = IdleTimer::default();
-    loop {
+    let reason = loop {
         tokio::select! {
-            // An error concerns this connection only; the caller sees it.
-            _ = connection.as_mut() => return,
-            () = state.drain.closed() => break,
+            ended = connection.as_mut() => {
+                return record_end(&state, &n_served, caller, "caller", ended);
+            }
+            () = state.drain.closed() => break "stopping",
             () = tokio::time::sleep(IDLE_CHECK_PERIOD) => {
                 let n_served = n_served.load(Ordering::Relaxed);
                 let is_busy = 0 < n_running.load(Ordering::Relaxed);
                 let timeout = caller_limits(&state).idle_timeout;
                 if idle.is_over(n_served, is_busy, timeout) {
-                    break;
+                    break "idle";
                 }
             }
         }
-    }
+    };
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let ended = connection.await;
+    record_end(&state, &n_served, caller, reason, ended);
+}
+
+/// Logs and counts the end of a connection: who ended it, or the error that did.
+fn record_end(
+    state: &EntryState,
+    n_served: &AtomicU64,
+    caller: Option<SocketAddr>,
+    reason: &'static str,
+    ended: hyper::Result<()>,
+) {
+    let n_served = n_served.load(Ordering::Relaxed);
+    let caller = caller.map(|address| address.to_string());
+    let reason = match ended {
+        Ok(()) => {
+            debug!(state.log, "caller connection ended"; "caller" => caller, "reason" => reason,
+                "requests" => n_served);
+            reason
+        }
+        Err(err) => {
+            let cause = std::error::Error::source(&err).map(ToString::to_string);
+            info!(state.log, "caller connection failed"; "caller" => caller, "error" => %err,
+                "cause" => cause, "requests" => n_served);
+            "failed"
+        }
+    };
+    let ends = &state.metrics.connection_ends;
+    ends.with_label_values(&[reason]).inc();
 }
 
 fn caller_limits(state: &EntryState) -> CallerLimits {
--- a/fleet/src/process/metrics.rs
+++ b/fleet/src/process/metrics.rs
@@ -18,6 +18,8 @@
     pub dispatches: IntCounterVec,
     /// The time to a response or a first event by kind of call, in seconds.
     pub latency: HistogramVec,
+    /// The connections of callers that ended, by reason.
+    pub connection_ends: IntCounterVec,
     /// Calls to the platform's store by topic and result.
     pub store_calls: IntCounterVec,
     /// The configuration version in force.
@@ -67,6 +69,11 @@
         Self {
             requests: counters("comfrey_requests", "Requests", &["kind", "outcome"]),
             dispatches: counters("comfrey_dispatches", "Dispatches to targets", &["outcome"]),
+            connection_ends: counters(
+                "comfrey_connection_ends",
+                "Connections of callers that ended",
+                &["reason"],
+            ),
             store_calls: counters("comfrey_store_calls", "Store calls", &["topic", "result"]),
             version: gauge("comfrey_config_version", "Configuration version in force"),
             store_era: gauge("comfrey_store_era", "Era of the store"),
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -1,6 +1,7 @@
 //! Calls answered by one complete response.
 
 use http::{Response, StatusCode};
+use slog::info;
 
 use crate::forward::ResponseHead;
 use crate::prelude::*;
@@ -29,14 +30,21 @@
             let dispatched = call.dispatch(&mut excluded, None, call.time_left()).await?;
             read_response(call, dispatched).await
         };
-        let outcome = match tokio::time::timeout(attempt_timeout(call, &progress), attempt).await {
+        let limit = attempt_timeout(call, &progress);
+        let outcome = match tokio::time::timeout(limit, attempt).await {
             Ok(Ok((head, body))) => return call.target_response(head, body),
             Ok(Err(AttemptError::Outcome(outcome))) => outcome,
             Ok(Err(AttemptError::Failure(head, body))) => {
                 last_failure = Some((head, body));
                 AttemptOutcome::Failed
             }
-            Err(_) => AttemptOutcome::Silent,
+            Err(_) => {
+                info!(call.state.log, "target silent"; "request" => &*call.head.attempt_id,
+                    "target" => excluded.last().map(|id: &Arc<str>| id.to_string()),
+                    "limit_ms" => limit.as_millis() as u64,
+                    "left_ms" => call.time_left().as_millis() as u64);
+                AttemptOutcome::Silent
+            }
         };
         progress.record(outcome);
         match call.next_step(&progress, outcome) {
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -153,7 +153,10 @@
     let silence = silence_limit(call, FIRST_EVENT_LIMIT);
     let mut dispatched = tokio::select! {
         dispatched = dispatching => dispatched?,
-        () = wait_silent(call, silence) => return Err(AttemptOutcome::Silent),
+        () = wait_silent(call, silence) => {
+            log_silence(call, None, silence);
+            return Err(AttemptOutcome::Silent);
+        }
     };
     if !dispatched.response.head.status.is_success() {
         return match read_response(call, dispatched).await {
@@ -166,7 +169,10 @@
     }
     let first = tokio::select! {
         first = stream.relay.next_event(&mut dispatched.response) => first,
-        () = wait_silent(call, silence) => return Err(AttemptOutcome::Silent),
+        () = wait_silent(call, silence) => {
+            log_silence(call, Some(&dispatched), silence);
+            return Err(AttemptOutcome::Silent);
+        }
     };
     if let Err(RelayEnd::Broken(outcome)) = first {
         call.record(&dispatched.pick, Some(outcome));
@@ -222,6 +228,7 @@
     info!(call.state.log, "stream ended"; "request" => &*call.head.attempt_id,
         "end" => ?ended, "last_event" => stream.relay.last_id(),
         "failed_runs" => stream.progress.possible_runs,
+        "left_ms" => call.time_left().as_millis() as u64,
         "after_ms" => call.received_at.elapsed().as_millis() as u64);
     let is_cut = matches!(ended, StreamEnd::Broken(_) | StreamEnd::Deadline);
     if is_cut {
@@ -296,10 +303,21 @@
     let limit = silence_limit(call, pauses);
     tokio::select! {
         event = stream.relay.next_event(&mut dispatched.response) => event,
-        () = wait_silent(call, limit) => Err(RelayEnd::Broken(AttemptOutcome::Silent)),
+        () = wait_silent(call, limit) => {
+            log_silence(call, Some(dispatched), limit);
+            Err(RelayEnd::Broken(AttemptOutcome::Silent))
+        }
     }
 }
 
+/// Logs that a target is taken for silent while its connection is still open.
+fn log_silence(call: &CallContext, dispatched: Option<&DispatchedCall>, limit: Duration) {
+    info!(call.state.log, "target silent"; "request" => &*call.head.attempt_id,
+        "target" => dispatched.map(|dispatched| dispatched.pick.id.to_string()),
+        "limit_ms" => limit.as_millis() as u64,
+        "left_ms" => call.time_left().as_millis() as u64);
+}
+
 fn observe_event(call: &CallContext, stream: &mut StreamState) {
     let now = Instant::now();
     let mut table = call.state.table.lock();
