Let a silent target go on beside the one tried next

What callers saw: a stream was cut, or a lookup ended with 502 or 504, long before its deadline, although its target was sound and would have gone on.

Cause: an entry gave a target up when it took it for silent (five allowed pauses, a second without a first event, a third of a lookup's time). With no attempt, retry or other target left, or with a second target that failed, the answer was lost. A suspicion was treated as a failure.

Change: a silent dispatch stays open. The request is also sent to another target where attempts and the retry budget allow it, and whichever answers first goes on; with nothing better at hand the entry waits until the deadline. The silent dispatch still counts as a possible run, so that the attempts of a route and the promise "not run" hold as before. Silence no longer counts as a failure in a target's health; the target is passed over for 0.6 s.

--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -26,10 +26,8 @@
     pub account: Option<&'a str>,
     /// The id of the last event that the caller has received, also through this entry.
     pub last_event_id: Option<u64>,
-    /// The time left for the target to run the request.
+    /// The time left for the target to run the request, and for the head of its response to arrive.
     pub time_left: Duration,
-    /// The time within which the head of the response must arrive.
-    pub head_timeout: Duration,
 }
 
 /// A target's response, with its head read and its body still to be read.
@@ -110,7 +108,7 @@
                 .ok_or(AttemptOutcome::NotSent)?,
         };
         let sending = connection.sender.try_send_request(request);
-        let response = match tokio::time::timeout(call.head_timeout, sending).await {
+        let response = match tokio::time::timeout(call.time_left, sending).await {
             Err(_) => return Err(AttemptOutcome::Silent),
             Ok(Ok(response)) => response,
             Ok(Err(mut err)) => match err.take_message() {
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod leader_task;
 mod logger;
 mod metrics;
+mod open_dispatches;
 mod order_sender;
 mod peer_tasks;
 mod plain_run;
@@ -24,6 +25,7 @@
 mod store_replica;
 mod store_tasks;
 mod stream_run;
+mod stream_source;
 mod topic_copy;
 
 pub use agent_run::{AgentConfig, run_agent};
--- /dev/null
+++ b/fleet/src/process/open_dispatches.rs
@@ -0,0 +1,69 @@
+//! The dispatches of one request that are open at the same time.
+
+use crate::prelude::*;
+use crate::request::{AttemptOutcome, CallProgress, DispatchNumber, NextStep};
+
+use super::request_run::{CallContext, ChosenTarget};
+
+/// The dispatches of one request that are open: the latest one, and those that are silent beside it.
+#[derive(Debug, Default)]
+pub(super) struct OpenDispatches {
+    progress: CallProgress,
+    excluded: SmallVec<[Arc<str>; 2]>,
+    open: SmallVec<[(DispatchNumber, Arc<str>); 2]>,
+}
+
+impl OpenDispatches {
+    /// Begins a dispatch, to a target that the request has not been sent to; `None` if there is no
+    /// other.
+    pub(super) fn begin(&mut self, call: &CallContext) -> (DispatchNumber, Option<ChosenTarget>) {
+        let number = self.progress.begin();
+        let target = call.choose(&mut self.excluded);
+        if let Some(target) = &target {
+            self.open.push((number, target.pick.id.clone()));
+        }
+        (number, target)
+    }
+
+    /// Records the outcome of a dispatch.
+    pub(super) fn end(&mut self, number: DispatchNumber, outcome: AttemptOutcome) {
+        self.open.retain(|(open, _)| *open != number);
+        self.progress.end(number, outcome);
+    }
+
+    /// Records that all dispatches but one were dropped; that one goes on.
+    pub(super) fn keep_only(&mut self, kept: DispatchNumber) {
+        let (kept, dropped) = std::mem::take(&mut self.open)
+            .into_iter()
+            .partition(|(number, _)| *number == kept);
+        self.open = kept;
+        let dropped: SmallVec<[(DispatchNumber, Arc<str>); 2]> = dropped;
+        for (number, _) in dropped {
+            // Its target may have begun to run it.
+            self.progress.end(number, AttemptOutcome::Silent);
+        }
+    }
+
+    /// Records that no open dispatch has sent anything for a time.
+    pub(super) fn record_silence(&mut self, call: &CallContext, silence: Duration) {
+        self.progress.record_silence();
+        for (_, target) in &self.open {
+            call.record_silence(target, silence);
+        }
+    }
+
+    /// Returns whether a dispatch is open that has not fallen silent.
+    pub(super) fn has_sound_dispatch(&self) -> bool {
+        self.progress.has_sound_dispatch()
+    }
+
+    /// Decides what follows an outcome.
+    pub(super) fn next_step(&self, call: &CallContext, outcome: AttemptOutcome) -> NextStep {
+        call.next_step(&self.progress, outcome)
+    }
+
+    /// Returns the number of dispatches that may have run, for logs.
+    pub(super) fn possible_runs(&self) -> u32 {
+        self.progress.possible_runs
+    }
+}
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -1,72 +1,121 @@
 //! Calls answered by one complete response.
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
-use slog::info;
 
 use crate::forward::ResponseHead;
 use crate::prelude::*;
-use crate::request::{AttemptOutcome, CallProgress, NextStep, UnknownReason};
+use crate::request::{AttemptOutcome, NextStep, UnknownReason};
 
 use super::caller_body::CallerBody;
-use super::request_run::{CallContext, DispatchedCall};
+use super::open_dispatches::OpenDispatches;
+use super::request_run::{CallContext, ChosenTarget, DispatchedCall};
 
-/// The fraction of the remaining time after which a repeatable call is retried at another target.
+/// The fraction of the remaining time without a response after which a repeatable call is also sent
+/// to another target.
 const SILENT_FRACTION: f64 = 0.35;
 
+/// A complete response of a target.
+pub(super) type TargetAnswer = (ResponseHead, CallerBody);
+
 /// Runs a call answered by one complete response.
 pub(super) async fn run(call: CallContext) -> Response<CallerBody> {
-    match tokio::time::timeout_at(call.deadline, run_attempts(&call)).await {
-        Ok(response) => response,
-        Err(_) => call.local_response(LocalResponse::Unknown(UnknownReason::Timeout), "deadline"),
+    let mut last_failure = None;
+    let running = run_attempts(&call, &mut last_failure);
+    let step = match tokio::time::timeout_at(call.deadline, running).await {
+        Ok(Ok((head, body))) => return call.target_response(head, body),
+        Ok(Err(step)) => Some(step),
+        Err(_) => None,
+    };
+    // A failure that a target states is authoritative; it takes precedence over a local response.
+    match (last_failure, step) {
+        (Some((head, body)), _) => call.target_response(head, body),
+        (None, Some(step)) => call.give_up(step),
+        (None, None) => {
+            call.local_response(LocalResponse::Unknown(UnknownReason::Timeout), "deadline")
+        }
     }
 }
 
-async fn run_attempts(call: &CallContext) -> Response<CallerBody> {
-    let mut progress = CallProgress::default();
-    let mut excluded = SmallVec::new();
-    let mut last_failure = None;
+/// Dispatches the call until a target answers; a dispatch that is silent stays open beside the next.
+async fn run_attempts(
+    call: &CallContext,
+    last_failure: &mut Option<TargetAnswer>,
+) -> Result<TargetAnswer, NextStep> {
+    let mut dispatches = OpenDispatches::default();
+    let mut running = FuturesUnordered::new();
+    let begin = |dispatches: &mut OpenDispatches| {
+        let (number, target) = dispatches.begin(call);
+        async move { (number, attempt(call, target).await) }
+    };
+    running.push(begin(&mut dispatches));
+    let mut silence = silence_limit(call);
+    let mut silent_at = Instant::now() + silence;
     loop {
-        let attempt = async {
-            let dispatched = call.dispatch(&mut excluded, None, call.time_left()).await?;
-            read_response(call, dispatched).await
-        };
-        let limit = attempt_timeout(call, &progress);
-        let outcome = match tokio::time::timeout(limit, attempt).await {
-            Ok(Ok((head, body))) => return call.target_response(head, body),
-            Ok(Err(AttemptError::Outcome(outcome))) => outcome,
-            Ok(Err(AttemptError::Failure(head, body))) => {
-                last_failure = Some((head, body));
-                AttemptOutcome::Failed
+        let outcome = tokio::select! {
+            biased;
+            Some((number, ended)) = running.next() => {
+                let outcome = match ended {
+                    Ok(answer) => return Ok(answer),
+                    Err(AttemptError::Outcome(outcome)) => outcome,
+                    Err(AttemptError::Failure(answer)) => {
+                        *last_failure = Some(answer);
+                        AttemptOutcome::Failed
+                    }
+                };
+                dispatches.end(number, outcome);
+                if dispatches.has_sound_dispatch() {
+                    continue;
+                }
+                outcome
             }
-            Err(_) => {
-                info!(call.state.log, "target silent"; "request" => &*call.head.attempt_id,
-                    "target" => excluded.last().map(|id: &Arc<str>| id.to_string()),
-                    "limit_ms" => limit.as_millis() as u64,
-                    "left_ms" => call.time_left().as_millis() as u64);
+            () = tokio::time::sleep_until(silent_at), if silent_at < call.deadline => {
+                dispatches.record_silence(call, silence);
                 AttemptOutcome::Silent
             }
         };
-        progress.record(outcome);
-        match call.next_step(&progress, outcome) {
-            NextStep::Retry => {}
-            step => {
-                // A failure that a target states is authoritative; it takes precedence over a local
-                // response.
-                return match last_failure {
-                    Some((head, body)) => call.target_response(head, body),
-                    None => call.give_up(step),
-                };
+        match dispatches.next_step(call, outcome) {
+            NextStep::Retry => {
+                running.push(begin(&mut dispatches));
+                silence = silence_limit(call);
+                silent_at = Instant::now() + silence;
             }
+            // A silent target may still answer, until the deadline.
+            _ if !running.is_empty() => silent_at = call.deadline,
+            step => return Err(step),
         }
     }
 }
 
+/// Dispatches the call once and reads the complete response.
+async fn attempt(
+    call: &CallContext,
+    target: Option<ChosenTarget>,
+) -> Result<TargetAnswer, AttemptError> {
+    let target = target.ok_or(AttemptOutcome::NotSent)?;
+    let dispatched = call.dispatch(target, None).await?;
+    read_response(call, dispatched).await
+}
+
+/// Returns the time without a response after which a call is also sent to another target: a
+/// repeatable call leaves time for that.
+fn silence_limit(call: &CallContext) -> Duration {
+    let left = call.time_left();
+    if !call.route.kind.may_repeat() {
+        return left;
+    }
+    left.mul_f64(SILENT_FRACTION)
+        .max(call.route.objective)
+        .min(left)
+}
+
 /// Why an attempt has no response that ends the call.
 pub(super) enum AttemptError {
     /// No usable response.
     Outcome(AttemptOutcome),
     /// A server error, returned if no retry succeeds.
-    Failure(ResponseHead, CallerBody),
+    Failure(TargetAnswer),
 }
 
 impl From<AttemptOutcome> for AttemptError {
@@ -75,23 +124,11 @@
     }
 }
 
-/// Returns the timeout of the next attempt: a repeatable call leaves time for another attempt.
-fn attempt_timeout(call: &CallContext, progress: &CallProgress) -> Duration {
-    let left = call.time_left();
-    let is_last = call.route.attempts <= progress.possible_runs + 1;
-    if !call.route.kind.may_repeat() || is_last {
-        return left;
-    }
-    left.mul_f64(SILENT_FRACTION)
-        .max(call.route.objective)
-        .min(left)
-}
-
 /// Reads the complete response of a dispatched call, and records its outcome.
 pub(super) async fn read_response(
     call: &CallContext,
     dispatched: DispatchedCall,
-) -> Result<(ResponseHead, CallerBody), AttemptError> {
+) -> Result<TargetAnswer, AttemptError> {
     let DispatchedCall {
         pick,
         guard,
@@ -116,7 +153,7 @@
     let body = CallerBody::whole(body);
     if head.status.is_server_error() {
         call.record(&pick, Some(AttemptOutcome::Failed));
-        return Err(AttemptError::Failure(head, body));
+        return Err(AttemptError::Failure((head, body)));
     }
     call.record(&pick, None);
     Ok((head, body))
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -40,6 +40,12 @@
     pub(super) deadline: Instant,
 }
 
+/// A target chosen for a dispatch; the guard counts the request as running there.
+pub(super) struct ChosenTarget {
+    pub(super) pick: TargetPick,
+    guard: RunningGuard,
+}
+
 /// A dispatch that a target answered; the guard counts the request as running there.
 pub(super) struct DispatchedCall {
     pub(super) pick: TargetPick,
@@ -146,33 +152,36 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Chooses a target and sends the request to it; the caller records the outcome of a call that
-    /// was answered.
+    /// Chooses a target other than the excluded ones, and excludes it from then on; `None` if there
+    /// is no other.
+    pub(super) fn choose(&self, excluded: &mut SmallVec<[Arc<str>; 2]>) -> Option<ChosenTarget> {
+        let now = Instant::now();
+        let pick = self
+            .state
+            .with_table(|table, rng| table.choose(&self.service, excluded, now, rng))?;
+        excluded.push(pick.id.clone());
+        debug!(self.state.log, "dispatch"; "request" => &*self.head.attempt_id,
+            "target" => &*pick.id, "running" => pick.running, "score" => pick.score,
+            "left_ms" => self.time_left().as_millis() as u64);
+        let guard = RunningGuard::begin(&self.state, &pick.id);
+        Some(ChosenTarget { pick, guard })
+    }
+
+    /// Sends the request to a target; the caller records the outcome of a call that was answered.
     pub(super) async fn dispatch(
         &self,
-        excluded: &mut SmallVec<[Arc<str>; 2]>,
+        target: ChosenTarget,
         last_event_id: Option<u64>,
-        head_timeout: Duration,
     ) -> Result<DispatchedCall, AttemptOutcome> {
         let state = &self.state;
-        let now = Instant::now();
-        let pick = state
-            .with_table(|table, rng| table.choose(&self.service, excluded, now, rng))
-            .ok_or(AttemptOutcome::NotSent)?;
-        excluded.push(pick.id.clone());
-        debug!(state.log, "dispatch"; "request" => &*self.head.attempt_id,
-            "target" => &*pick.id, "running" => pick.running, "score" => pick.score,
-            "left_ms" => self.time_left().as_millis() as u64);
-        let guard = RunningGuard::begin(state, &pick.id);
-        let time_left = self.time_left();
+        let ChosenTarget { pick, guard } = target;
         let call = TargetCall {
             head: &self.head,
             body: self.body.clone(),
             pick: &pick,
             account: self.account.as_ref().map(|account| &*account.name),
             last_event_id,
-            time_left,
-            head_timeout: head_timeout.min(time_left),
+            time_left: self.time_left(),
         };
         match call_target(&call, &state.pool, &state.names).await {
             Ok(response) => Ok(DispatchedCall {
@@ -222,6 +231,19 @@
         }
     }
 
+    /// Logs and counts that a target has sent nothing for a time; it gets no new requests for a
+    /// moment while others are there.
+    pub(super) fn record_silence(&self, target: &str, silence: Duration) {
+        info!(self.state.log, "target silent"; "request" => &*self.head.attempt_id,
+            "target" => target, "silent_ms" => silence.as_millis() as u64,
+            "left_ms" => self.time_left().as_millis() as u64);
+        let dispatches = &self.state.metrics.dispatches;
+        dispatches.with_label_values(&["silent"]).inc();
+        if let Some(health) = self.state.table.lock().health_mut(target) {
+            health.record_silence(Instant::now());
+        }
+    }
+
     /// Decides what to do after a failed dispatch.
     pub(super) fn next_step(&self, progress: &CallProgress, outcome: AttemptOutcome) -> NextStep {
         let now = Instant::now();
--- a/fleet/src/request/next_step.rs
+++ b/fleet/src/request/next_step.rs
@@ -12,6 +12,9 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
 /// Counts of the dispatches of one request so far.
+///
+/// A dispatch that falls silent counts as a possible run from then on, but it stays open: a sound
+/// target may still answer, and its outcome then replaces the silence.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CallProgress {
     /// The dispatches that were sent.
@@ -20,9 +23,51 @@
     pub possible_runs: u32,
     /// The connection attempts that failed.
     pub failed_connects: u32,
+    n_begun: u32,
+    /// The dispatches below this number have fallen silent or ended.
+    n_suspected: u32,
+    /// The open dispatches that have not fallen silent.
+    n_sound: u32,
 }
 
+/// The number of a dispatch among those of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DispatchNumber(u32);
+
 impl CallProgress {
+    /// Counts a dispatch that begins.
+    pub fn begin(&mut self) -> DispatchNumber {
+        let number = DispatchNumber(self.n_begun);
+        self.n_begun += 1;
+        self.n_sound += 1;
+        number
+    }
+
+    /// Counts the open dispatches as possible runs, since none of them has sent anything for too
+    /// long.
+    pub fn record_silence(&mut self) {
+        self.sends += self.n_sound;
+        self.possible_runs += self.n_sound;
+        self.n_sound = 0;
+        self.n_suspected = self.n_begun;
+    }
+
+    /// Records the outcome of an open dispatch.
+    pub fn end(&mut self, number: DispatchNumber, outcome: AttemptOutcome) {
+        if number.0 < self.n_suspected {
+            self.sends -= 1;
+            self.possible_runs -= 1;
+        } else {
+            self.n_sound -= 1;
+        }
+        self.record(outcome);
+    }
+
+    /// Returns whether a dispatch is open that has not fallen silent.
+    pub fn has_sound_dispatch(&self) -> bool {
+        0 < self.n_sound
+    }
+
     /// Records the outcome of one dispatch.
     pub fn record(&mut self, outcome: AttemptOutcome) {
         match outcome {
--- a/fleet/src/routing/target_health.rs
+++ b/fleet/src/routing/target_health.rs
@@ -10,7 +10,7 @@
 /// The failures added to the denominator of the failure share, so that a single failure is no proof.
 const PRIOR_RESULTS: f64 = 1.0;
 
-/// How long a target is avoided after a failed connection attempt.
+/// How long a target is avoided after a failed connection attempt, or after it fell silent.
 const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(600);
 
 /// The penalty of a target that fails every request, in running requests.
@@ -101,6 +101,12 @@
         self.avoid_until = Some(now + UNREACHABLE_COOLDOWN);
     }
 
+    /// Records that the target has sent nothing for too long, which is no failure: a sound target may
+    /// go on.
+    pub fn record_silence(&mut self, now: Instant) {
+        self.avoid_until = Some(now + UNREACHABLE_COOLDOWN);
+    }
+
     /// Returns whether the target should be skipped while others are available.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -33,8 +33,16 @@
     Close,
     /// Sends nothing and waits for the peer to close.
     Silence,
+    /// Sends nothing for a time, then the bytes.
+    Late(Duration, String),
+    /// Streams the events after the caller's last one up to `N_EVENTS`, and is silent once: for a
+    /// time after the first of them.
+    SilentOnce(Duration),
 }
 
+/// The number of events in a stream with one silence.
+pub const N_EVENTS: u64 = 6;
+
 impl Reply {
     pub fn raw(text: &str) -> Self {
         Self::Raw(text.to_owned())
@@ -132,6 +140,7 @@
         seen.lock()
             .unwrap()
             .push(String::from_utf8_lossy(&head).into_owned());
+        let head = String::from_utf8_lossy(&head).to_lowercase();
         let reply = {
             let mut script = script.lock().unwrap();
             if script.is_empty() {
@@ -159,8 +168,41 @@
                 stream.read_to_end(&mut rest).await?;
                 return Ok(());
             }
+            Reply::Late(time, text) => {
+                tokio::time::sleep(time).await;
+                stream.write_all(text.as_bytes()).await?;
+            }
+            Reply::SilentOnce(time) => {
+                let last_id = head.split_once("last-event-id: ");
+                let last_id = last_id.and_then(|(_, rest)| rest.lines().next()?.parse().ok());
+                stream_with_silence(&mut stream, last_id.unwrap_or(0), time).await?;
+            }
+        }
+    }
+}
+
+async fn stream_with_silence(
+    stream: &mut TcpStream,
+    last_id: u64,
+    silence: Duration,
+) -> std::io::Result<()> {
+    let head = "HTTP/1.1 200 OK\r\nx-seal: s1\r\ntransfer-encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).await?;
+    for id in last_id + 1..=N_EVENTS {
+        if id == last_id + 2 {
+            tokio::time::sleep(silence).await;
         }
+        let event = event(id);
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes()).await?;
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
+/// Returns the event with an id.
+pub fn event(id: u64) -> String {
+    format!("id: {id}\ndata: {id}\n\n")
 }
 
 /// An entry that serves callers on a local port, with one route and one account.
@@ -192,29 +234,29 @@
     }
 }
 
-fn catalog(kind: CallKind) -> RouteCatalog {
+/// The route that tests use, under the prefix `/r/`.
+pub fn route(kind: CallKind) -> RouteSpec {
+    let backend = Backend {
+        service: "svc".into(),
+        weight: 1,
+    };
+    RouteSpec {
+        name: "r".into(),
+        prefix: "/r/".into(),
+        kind,
+        timeout: ROUTE_TIMEOUT,
+        objective: Duration::from_millis(100),
+        attempts: 2,
+        priority: 2,
+        public: false,
+        backends: SmallVec::from_elem(backend, 1),
+        pause: None,
+    }
+}
+
+fn catalog(route: RouteSpec) -> RouteCatalog {
     let mut catalog = RouteCatalog::default();
-    catalog.add_route(
-        "shop.example",
-        RouteSpec {
-            name: "r".into(),
-            prefix: "/r/".into(),
-            kind,
-            timeout: ROUTE_TIMEOUT,
-            objective: Duration::from_millis(100),
-            attempts: 2,
-            priority: 2,
-            public: false,
-            backends: SmallVec::from_elem(
-                Backend {
-                    service: "svc".into(),
-                    weight: 1,
-                },
-                1,
-            ),
-            pause: None,
-        },
-    );
+    catalog.add_route("shop.example", route);
     let account = Account {
         name: "ana".into(),
         priority: None,
@@ -225,8 +267,13 @@
 
 impl Entry {
     pub async fn start(kind: CallKind, targets: &[&ScriptedTarget]) -> Self {
-        let entry = Self::without_configuration().await;
-        entry.state.catalog.store(Some(Arc::new(catalog(kind))));
+        Self::with_route(route(kind), 1_000.0, targets).await
+    }
+
+    /// Starts an entry with a route and so many retries in its budget.
+    pub async fn with_route(route: RouteSpec, retries: f64, targets: &[&ScriptedTarget]) -> Self {
+        let entry = Self::with_budget(retries).await;
+        entry.state.catalog.store(Some(Arc::new(catalog(route))));
         entry.state.confirm(Instant::now());
         for (n_target, target) in targets.iter().enumerate() {
             let change = RosterChange::Changed(TargetEntry {
@@ -243,11 +290,34 @@
         entry
     }
 
+    /// Records a failure of a target, so that it is chosen after the others.
+    pub fn disfavour(&self, n_target: usize) {
+        let mut table = self.state.table.lock();
+        let health = table.health_mut(&format!("t{n_target}")).unwrap();
+        health.record_failure(Instant::now());
+    }
+
+    /// Reports progress of other streams of the group until the entry is dropped.
+    pub fn keep_progress(&self) {
+        let state = Arc::downgrade(&self.state);
+        tokio::spawn(async move {
+            while let Some(state) = state.upgrade() {
+                report_progress(&state);
+                drop(state);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        });
+    }
+
     pub async fn without_configuration() -> Self {
+        Self::with_budget(1_000.0).await
+    }
+
+    async fn with_budget(retries: f64) -> Self {
         let budget = BudgetSettings {
             window: Duration::from_millis(1),
-            ratio: 100.0,
-            slack: 1_000.0,
+            ratio: retries / 10.0,
+            slack: retries,
         };
         let bounds = ProcessBounds {
             budget,
@@ -325,6 +395,14 @@
     }
 }
 
+fn report_progress(state: &EntryState) {
+    let now = Instant::now();
+    let mut table = state.table.lock();
+    table.group_mut(&"svc".into()).record_progress(now);
+    let limit = table.limit_mut(&"svc".into());
+    limit.observe_pause(Duration::from_millis(20), now);
+}
+
 fn request(path: &str, id: &str, key: &str) -> String {
     format!(
         "GET {path} HTTP/1.1\r\nhost: shop.example\r\nx-id: {id}\r\nx-account: forged\r\n\
