Refuse nothing because a group is silent

What callers saw: once a group had sent no event on any stream for 500 ms, new streams were refused with 503 and streams that had failed were not sent again, although a sound group may be silent for a second or so and go on.

Cause: the stall counted as a broken group, like refusals of two ranks.

Change: only what ranks state breaks a group: refusals of two of them, or the reports of the agents beside them. A stall makes the entry ask these agents, and a stream that finds no free slot meanwhile is told to come back after the time a group takes to recover.

Evidence: silence_alone_breaks_no_group_and_its_agents_are_asked failed before (Probe instead of Open). It replaces streams_without_events_break_a_group, which asserted the refusal; the idle group that the old test also covered has a test of its own. few_requests_probe_a_broken_group took a stall for the break and now lets two targets refuse.

--- a/fleet/src/routing/group_health.rs
+++ b/fleet/src/routing/group_health.rs
@@ -6,8 +6,9 @@
 
 use super::rank_watch::{ASKED_PER_ROUND, RankStatus, RankWatch};
 
-/// How long a group with streams in progress may go without an event on any of them before it
-/// counts as stalled: several times the longest pass that is still of use.
+/// How long a group with streams in progress may go without an event on any of them before the
+/// agents beside its ranks are asked whether it serves: several times the longest pass that is still
+/// of use.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long a target's refusal counts. Refusals by two targets within this time mark the group as
@@ -60,7 +61,7 @@
         ranks: &[IpAddr],
         now: Instant,
     ) -> SmallVec<[IpAddr; ASKED_PER_ROUND]> {
-        if !self.is_broken(own_running, now) {
+        if !self.is_broken(now) && !self.is_stalled(own_running, now) {
             self.watch = None;
             return SmallVec::new();
         }
@@ -85,8 +86,9 @@
         self.refusals.push((target.clone(), now));
     }
 
-    /// Returns whether the group does not serve, given the number of this entry's running streams.
-    pub fn is_broken(&self, own_running: u32, now: Instant) -> bool {
+    /// Returns whether the group does not serve, as its ranks state: by refusals of two targets, or
+    /// to the agents beside them.
+    pub fn is_broken(&self, now: Instant) -> bool {
         let watch = self.watch.as_ref();
         if watch.is_some_and(|watch| watch.is_reported_broken(now)) {
             return true;
@@ -96,9 +98,13 @@
             .iter()
             .filter(|(_, at)| now < *at + REFUSAL_WINDOW)
             .count();
-        let stalled =
-            1 < own_running && self.progress_at.is_some_and(|at| at + STALL_TIMEOUT <= now);
-        1 < refused || stalled
+        1 < refused
+    }
+
+    /// Returns whether no stream has an event for a time, given the number of this entry's running
+    /// streams. A sound group may be silent and go on, so this alone refuses nothing.
+    pub fn is_stalled(&self, own_running: u32, now: Instant) -> bool {
+        1 < own_running && self.progress_at.is_some_and(|at| at + STALL_TIMEOUT <= now)
     }
 
     /// Decides whether a request may go to the group.
@@ -107,7 +113,7 @@
             // Without running streams no event is expected, so silence is no sign of a stall.
             self.progress_at = Some(now);
         }
-        if !self.is_broken(own_running, now) {
+        if !self.is_broken(now) {
             return GroupState::Open;
         }
         if let Some(watch) = &self.watch {
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 use crate::roster::RosterChange;
 
-use super::group_health::{GroupHealth, GroupState};
+use super::group_health::{GROUP_RECOVERY_TIME, GroupHealth, GroupState};
 use super::group_limit::{AdmitDecision, GroupLimit, GroupLoad};
 use super::load_view::{LoadView, name_hash};
 use super::rank_watch::RankStatus;
@@ -252,10 +252,9 @@
 
     /// Returns whether a service's group is known to be broken.
     pub fn is_group_broken(&self, service: &str, now: Instant) -> bool {
-        let own = self.group_load(service, now).own;
         self.groups
             .get(service)
-            .is_some_and(|group| group.is_broken(own, now))
+            .is_some_and(|group| group.is_broken(now))
     }
 
     /// Returns the machines of ranks to ask next whether their group serves again.
@@ -325,9 +324,15 @@
             GroupState::Forming(until) => return (AdmitDecision::Forming(until), load),
             GroupState::Open | GroupState::Probe => {}
         }
+        let is_stalled = self.group_mut(service).is_stalled(load.own, now);
         let limit = self.limit_mut(service);
         limit.update(&load, engine.pause, now);
-        (limit.admit(&load, now), load)
+        let decision = match limit.admit(&load, now) {
+            // No slot gets free before the group goes on or forms again.
+            AdmitDecision::Full(_) if is_stalled => AdmitDecision::Full(GROUP_RECOVERY_TIME),
+            decision => decision,
+        };
+        (decision, load)
     }
 
     /// Returns this entry's running requests by target hash, to report to its peers.
