--- a/fleet/tests/requests.rs
+++ b/fleet/tests/requests.rs
@@ -119,14 +119,17 @@
 }
 
 fn outcomes() -> impl Strategy<Value = Vec<AttemptOutcome>> {
-    let outcome = prop_oneof![
+    proptest::collection::vec(outcome(), 1..12)
+}
+
+fn outcome() -> impl Strategy<Value = AttemptOutcome> {
+    prop_oneof![
         Just(AttemptOutcome::NotSent),
         Just(AttemptOutcome::NotRun),
         Just(AttemptOutcome::Failed),
         Just(AttemptOutcome::Unknown),
         Just(AttemptOutcome::Silent),
-    ];
-    proptest::collection::vec(outcome, 1..12)
+    ]
 }
 
 proptest! {
@@ -157,4 +160,44 @@
             }
         }
     }
+
+    /// However dispatches fall silent and end, a repeatable call runs on no more targets than its
+    /// route allows, and a refusal is true.
+    #[test]
+    fn silent_dispatches_keep_the_attempts_of_a_route_and_the_truth_of_refusals(
+        attempts in 1_u32..4,
+        happenings in proptest::collection::vec((0..3_usize, 0..4_usize, outcome()), 1..30),
+    ) {
+        let route = route(CallKind::Safe, attempts);
+        let mut progress = CallProgress::default();
+        let mut open = vec![progress.begin()];
+        let mut n_ran = 0;
+        for (what, which, outcome) in happenings {
+            let outcome = if what == 0 {
+                progress.record_silence();
+                AttemptOutcome::Silent
+            } else {
+                let number = open.swap_remove(which % open.len());
+                progress.end(number, outcome);
+                n_ran += u32::from(outcome.may_have_run());
+                outcome
+            };
+            prop_assert!(n_ran + open.len() as u32 <= attempts.max(1));
+            if progress.has_sound_dispatch() {
+                continue;
+            }
+            match next_step(&route, &progress, outcome, Duration::from_secs(1), || true) {
+                NextStep::Retry => open.push(progress.begin()),
+                _ if !open.is_empty() => {}
+                NextStep::Refuse(_) => {
+                    prop_assert_eq!(n_ran, 0);
+                    break;
+                }
+                NextStep::GiveUp(_) => {
+                    prop_assert!(0 < n_ran);
+                    break;
+                }
+            }
+        }
+    }
 }
