Resume no stream whose events have no ids

What callers saw: a stream whose target broke off after events without ids was sent again from the start, so that the caller got these events twice.

Cause: the last id decides where the next target goes on; without one the stream began anew.

Change: after an event without an id no other target is tried; the stream goes on with its target or is cut.

Evidence: stream_without_event_ids_is_not_resumed failed before (a, b, a, b) and passes now.

--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -6,7 +6,7 @@
 
 use crate::forward::{RelayEnd, ResponseHead, StreamEvent, StreamRelay};
 use crate::prelude::*;
-use crate::request::{AttemptOutcome, DispatchNumber, NextStep};
+use crate::request::{AttemptOutcome, DispatchNumber, NextStep, UnknownReason};
 
 use super::open_dispatches::OpenDispatches;
 use super::plain_run::{AttemptError, TargetAnswer, read_response};
@@ -31,6 +31,8 @@
     call: Arc<CallContext>,
     dispatches: OpenDispatches,
     last_id: Option<u64>,
+    /// Whether an event without an id was sent, so that no target can go on after it.
+    has_unnumbered: bool,
     last_event_at: Option<Instant>,
     /// The run that sent the last event.
     current: Option<StreamRun>,
@@ -66,6 +68,7 @@
             last_id: call.head.last_event_id,
             call,
             dispatches: OpenDispatches::default(),
+            has_unnumbered: false,
             last_event_at: None,
             current: None,
             starting: FuturesUnordered::new(),
@@ -137,7 +140,7 @@
                 continue;
             }
             let is_open = self.current.is_some() || !self.starting.is_empty();
-            match self.dispatches.next_step(&self.call, outcome) {
+            match self.next_step(outcome) {
                 NextStep::Retry => self.begin(),
                 // A silent target may still go on.
                 _ if is_open => {}
@@ -148,6 +151,13 @@
         }
     }
 
+    fn next_step(&self, outcome: AttemptOutcome) -> NextStep {
+        match self.has_unnumbered {
+            true => NextStep::GiveUp(UnknownReason::BadAnswer),
+            false => self.dispatches.next_step(&self.call, outcome),
+        }
+    }
+
     /// Sends the stream to a target, from the last event on.
     fn begin(&mut self) {
         let (number, target) = self.dispatches.begin(&self.call);
@@ -175,6 +185,7 @@
         }
         drop(table);
         self.last_id = event.id.or(self.last_id);
+        self.has_unnumbered |= event.id.is_none();
         self.last_event_at = Some(now);
         Ok(event)
     }
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -172,6 +172,20 @@
     assert!(resumed);
 }
 
+// Guards against events that are sent twice because no id says where the next target goes on.
+#[tokio::test]
+async fn stream_without_event_ids_is_not_resumed() {
+    let cut = || Reply::cut_stream("data: a\n\ndata: b\n\nda");
+    let targets = [
+        ScriptedTarget::start(vec![cut()]).await,
+        ScriptedTarget::start(vec![cut()]).await,
+    ];
+    let entry = Entry::start(CallKind::ResumableStream, &[&targets[0], &targets[1]]).await;
+    let response = entry.call("r1").await;
+    assert_eq!(response.body, "data: a\n\ndata: b\n\n");
+    assert!(!response.is_complete);
+}
+
 #[tokio::test]
 async fn single_stream_is_cut_and_not_sent_again() {
     let targets = [
