Limit what is read of a target's response

What callers saw: a target that sends a body, a failure body of a stream or interim responses without end kept the caller until the deadline (504), and the entry took what came: memory use beyond its limit ends the process, and all requests in it.

Cause: bodies were read to their end whatever their size, and interim responses were only limited by time. Nothing limited the sum over requests.

Change: a response head has at most 32 KiB, and 128 KiB with the interim responses before it; a body 8 MiB. Bodies draw what they hold beyond 16 KiB from a budget of a quarter of the entry's memory, and hold no more than they leave; bytes are given back when the last reference to them goes. A read over a limit is a broken answer (another target where the call is repeatable, else 502), its connection is reset, and it is logged and counted.

An answer of 5 MiB is delivered as before.

--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -8,6 +8,7 @@
 use crate::request::AttemptOutcome;
 use crate::routing::TargetPick;
 
+use super::byte_budget::{BodyBuffer, ByteBudget, ReadCut, ReadError};
 use super::header_names::HeaderNames;
 use super::request_head::RequestHead;
 use super::response_head::ResponseHead;
@@ -51,6 +52,25 @@
     Broken,
 }
 
+/// Why a target returned no response that may be forwarded.
+#[derive(Clone, Copy, Debug)]
+pub struct CallFailure {
+    /// Whether the target may have run the request.
+    pub outcome: AttemptOutcome,
+    /// The limit that the head exceeded, if it did.
+    pub cut: Option<ReadCut>,
+}
+
+impl From<AttemptOutcome> for CallFailure {
+    fn from(outcome: AttemptOutcome) -> Self {
+        Self { outcome, cut: None }
+    }
+}
+
+/// The limit on the body of one response, in bytes: twice the largest body that callers may send by
+/// default.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
 impl TargetResponse {
     /// Returns the next chunk of the body.
     pub async fn next_chunk(&mut self) -> BodyChunk {
@@ -67,20 +87,10 @@
         }
     }
 
-    /// Reads the rest of the body; `None` where the connection fails before its end.
-    pub async fn read_body(&mut self) -> Option<Bytes> {
-        let mut chunks: SmallVec<[Bytes; 4]> = SmallVec::new();
-        loop {
-            match self.next_chunk().await {
-                BodyChunk::Data(data) => chunks.push(data),
-                BodyChunk::End => break,
-                BodyChunk::Broken => return None,
-            }
-        }
-        if chunks.len() == 1 {
-            return chunks.pop();
-        }
-        Some(chunks.concat().into())
+    /// Reads the rest of the body.
+    pub async fn read_body(&mut self, budget: &Arc<ByteBudget>) -> Result<Bytes, ReadError> {
+        let buffer = BodyBuffer::new(budget, MAX_BODY_BYTES);
+        buffer.read(&mut self.body).await
     }
 
     /// Keeps the connection for later requests; the body must have been read completely.
@@ -96,7 +106,7 @@
     call: &TargetCall<'_>,
     pool: &TargetPool,
     names: &HeaderNames,
-) -> Result<TargetResponse, AttemptOutcome> {
+) -> Result<TargetResponse, CallFailure> {
     let mut idle_connection = pool.take_idle(call.pick.address, Instant::now());
     let mut request = build_request(call, names);
     loop {
@@ -107,9 +117,10 @@
                 .await
                 .ok_or(AttemptOutcome::NotSent)?,
         };
+        connection.meter.begin();
         let sending = connection.sender.try_send_request(request);
         let response = match tokio::time::timeout(call.time_left, sending).await {
-            Err(_) => return Err(AttemptOutcome::Silent),
+            Err(_) => return Err(AttemptOutcome::Silent.into()),
             Ok(Ok(response)) => response,
             Ok(Err(mut err)) => match err.take_message() {
                 // The connection closed before any byte of the request was written.
@@ -117,10 +128,16 @@
                     request = unsent;
                     continue;
                 }
-                None => return Err(AttemptOutcome::Unknown),
+                None => {
+                    return Err(CallFailure {
+                        outcome: AttemptOutcome::Unknown,
+                        cut: connection.meter.cut(err.error()),
+                    });
+                }
             },
         };
-        return read_head(response, connection, call, names);
+        connection.meter.end();
+        return Ok(read_head(response, connection, call, names)?);
     }
 }
 
--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -4,14 +4,15 @@
 use std::net::SocketAddr;
 
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use hyper::client::conn::http1::SendRequest;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use crate::prelude::*;
 
+use super::head_meter::{HeadMeter, bounded_handshake};
+
 /// The longest time for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -39,6 +40,8 @@
 pub struct PooledConnection {
     /// The handle that sends requests.
     pub sender: SendRequest<Full<Bytes>>,
+    /// The limit on the head of the next response.
+    pub meter: HeadMeter,
     task: AbortHandle,
 }
 
@@ -120,15 +123,19 @@
             socket2::SockRef::from(&stream)
                 .set_linger(Some(Duration::ZERO))
                 .ok()?;
-            http1::handshake(TokioIo::new(stream)).await.ok()
+            bounded_handshake(stream).await.ok()
         };
-        let (sender, driver) = tokio::time::timeout(limit, connecting).await.ok()??;
+        let (sender, driver, meter) = tokio::time::timeout(limit, connecting).await.ok()??;
         let task = tokio::spawn(async move {
             // Requests in progress receive the error; for an idle connection it does not matter.
             let _ = driver.await;
         });
         let task = task.abort_handle();
-        Some(PooledConnection { sender, task })
+        Some(PooledConnection {
+            sender,
+            meter,
+            task,
+        })
     }
 }
 
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -10,7 +10,7 @@
 use slog::Logger;
 use tokio::sync::{Notify, watch};
 
-use crate::forward::{HeaderNames, TargetPool};
+use crate::forward::{ByteBudget, HeaderNames, TargetPool};
 use crate::prelude::*;
 use crate::routing::{BudgetSettings, RetryBudget, RoutingTable};
 
@@ -38,6 +38,8 @@
     pub drain: DrainState,
     /// The last time at which this process or a peer read the configuration from the store.
     pub confirmed_at: Mutex<Option<Instant>>,
+    /// The bytes of bodies and events that are buffered.
+    pub buffers: Arc<ByteBudget>,
     /// Counters and histograms.
     pub metrics: EntryMetrics,
     /// The logger.
@@ -61,6 +63,13 @@
 /// request is denied by it.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_secs(3);
 
+/// The stated memory of an entry, in bytes.
+const ENTRY_MEMORY: usize = 182_000_000;
+
+/// The limit on the buffered bytes of all requests together. The rest is for the process itself, its
+/// connections, and what each read may buffer on its own.
+const MAX_BUFFERED_BYTES: usize = ENTRY_MEMORY / 4;
+
 impl EntryState {
     /// Creates the tables of an entry.
     pub fn new(
@@ -70,6 +79,8 @@
         seed: u64,
         log: Logger,
     ) -> Self {
+        let metrics = EntryMetrics::new();
+        let buffered_bytes = metrics.buffered_bytes.clone();
         Self {
             names,
             catalog: ArcSwapOption::empty(),
@@ -79,7 +90,8 @@
             n_entries: AtomicUsize::new(1),
             drain: DrainState::default(),
             confirmed_at: Mutex::new(None),
-            metrics: EntryMetrics::new(),
+            buffers: Arc::new(ByteBudget::new(MAX_BUFFERED_BYTES, buffered_bytes)),
+            metrics,
             log,
             bounds,
             started_at: Instant::now(),
--- a/fleet/src/process/metrics.rs
+++ b/fleet/src/process/metrics.rs
@@ -28,6 +28,10 @@
     pub store_era: IntGauge,
     /// Copies of topics that were replaced as the store came back from an older copy.
     pub replaced_copies: IntCounterVec,
+    /// The bytes of large bodies and events that are buffered.
+    pub buffered_bytes: IntGauge,
+    /// Inputs that exceeded a limit, by the kind of their sender.
+    pub cut_reads: IntCounterVec,
     /// The number of targets that may receive requests.
     pub targets: IntGauge,
 }
@@ -82,12 +86,19 @@
                 "Copies replaced after a restore of the store",
                 &["topic"],
             ),
+            buffered_bytes: gauge("comfrey_buffered_bytes", "Large bodies and events buffered"),
+            cut_reads: counters("comfrey_cut_reads", "Inputs over a limit", &["sender"]),
             targets: gauge("comfrey_targets", "Targets that may get work"),
             latency,
             registry,
         }
     }
 
+    /// Counts an input that exceeded a limit.
+    pub fn count_cut(&self, sender: &str) {
+        self.cut_reads.with_label_values(&[sender]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -4,7 +4,7 @@
 use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
 
-use crate::forward::ResponseHead;
+use crate::forward::{ReadError, ResponseHead};
 use crate::prelude::*;
 use crate::request::{AttemptOutcome, NextStep, UnknownReason};
 
@@ -134,9 +134,15 @@
         guard,
         mut response,
     } = dispatched;
-    let Some(body) = response.read_body().await else {
-        call.record(&pick, Some(AttemptOutcome::Unknown));
-        return Err(AttemptOutcome::Unknown.into());
+    let body = match response.read_body(&call.state.buffers).await {
+        Ok(body) => body,
+        Err(err) => {
+            if let ReadError::Cut(cut) = err {
+                call.record_cut(&pick, cut);
+            }
+            call.record(&pick, Some(AttemptOutcome::Unknown));
+            return Err(AttemptOutcome::Unknown.into());
+        }
     };
     drop(guard);
     let head = response.head.clone();
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -3,10 +3,10 @@
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use slog::{debug, info};
+use slog::{debug, info, warn};
 
 use crate::catalog::{Account, RouteError};
-use crate::forward::{RequestHead, ResponseHead, TargetCall, TargetResponse, call_target};
+use crate::forward::{ReadCut, RequestHead, ResponseHead, TargetCall, TargetResponse, call_target};
 use crate::prelude::*;
 use crate::request::next_step;
 use crate::request::{AttemptOutcome, CallProgress, DeniedReason, NextStep, UnknownReason};
@@ -189,9 +189,12 @@
                 guard,
                 response,
             }),
-            Err(outcome) => {
-                self.record(&pick, Some(outcome));
-                Err(outcome)
+            Err(failure) => {
+                if let Some(cut) = failure.cut {
+                    self.record_cut(&pick, cut);
+                }
+                self.record(&pick, Some(failure.outcome));
+                Err(failure.outcome)
             }
         }
     }
@@ -231,6 +234,14 @@
         }
     }
 
+    /// Logs and counts a read from a target that exceeded a limit.
+    pub(super) fn record_cut(&self, pick: &TargetPick, cut: ReadCut) {
+        warn!(self.state.log, "read cut"; "request" => &*self.head.attempt_id,
+            "target" => &*pick.id, "bytes" => cut.n_read, "limit" => cut.limit,
+            "scope" => %cut.scope);
+        self.state.metrics.count_cut("target");
+    }
+
     /// Logs and counts that a target has sent nothing for a time; it gets no new requests for a
     /// moment while others are there.
     pub(super) fn record_silence(&self, target: &str, silence: Duration) {
--- /dev/null
+++ b/fleet/tests/forwarding/endless_target.rs
@@ -0,0 +1,151 @@
+//! Targets and callers that send bytes without end, over real TCP connections.
+
+use std::time::Duration;
+
+use comfreyhead_fleet::prelude::*;
+
+use crate::wire::{Entry, Reply, ScriptedTarget, route};
+
+/// The stated memory of an entry.
+const ENTRY_MEMORY: usize = 182_000_000;
+
+/// The most that the operating system holds of one connection, in both its buffers.
+const SOCKET_BYTES: usize = 36 << 20;
+
+/// The largest answer, as the entry states it.
+const MAX_ANSWER: usize = 8 << 20;
+
+const CHUNKED: &str = "x-seal: s1\r\ntransfer-encoding: chunked\r\n\r\n";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn body_of(status: &str, n_pieces: usize) -> Reply {
+    let start = format!("HTTP/1.1 {status}\r\n{CHUNKED}");
+    Reply::Flood(start, chunk(&"x".repeat(1 << 16)), n_pieces)
+}
+
+fn endless_body(status: &str) -> Reply {
+    body_of(status, usize::MAX)
+}
+
+fn endless_head() -> Reply {
+    let start = "HTTP/1.1 200 OK\r\nx-seal: s1\r\n".to_owned();
+    Reply::Flood(start, format!("x-a: {}\r\n", "x".repeat(1_000)), usize::MAX)
+}
+
+fn endless_interim() -> Reply {
+    let piece = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(100);
+    Reply::Flood(String::new(), piece, usize::MAX)
+}
+
+fn endless_event() -> Reply {
+    let start = format!("HTTP/1.1 200 OK\r\n{CHUNKED}");
+    let piece = chunk(&format!("data: {}\n", "x".repeat(1 << 16)));
+    Reply::Flood(start, piece, usize::MAX)
+}
+
+fn long_route(kind: CallKind) -> RouteSpec {
+    RouteSpec {
+        timeout: Duration::from_secs(3),
+        ..route(kind)
+    }
+}
+
+async fn target(reply: Reply) -> ScriptedTarget {
+    ScriptedTarget::start(vec![reply]).await
+}
+
+/// Calls a target that floods, and checks the status and how much the target could write.
+async fn assert_cut(kind: CallKind, reply: Reply, limit: usize) {
+    let flooding = target(reply).await;
+    let entry = Entry::with_route(long_route(kind), 1_000.0, &[&flooding]).await;
+    let answer = entry.call("r1").await;
+    assert_eq!(answer.status, 502, "{}", flooding.written());
+    let written = flooding.written();
+    assert!(written <= limit + SOCKET_BYTES, "{written}");
+}
+
+// Guards against an entry that takes an answer without end until its memory is used up.
+#[tokio::test]
+async fn endless_body_is_cut_and_answered_502() {
+    assert_cut(CallKind::Unsafe, endless_body("200 OK"), MAX_ANSWER).await;
+}
+
+// Guards against a stream whose target states its failure in a body without end.
+#[tokio::test]
+async fn endless_failure_of_a_stream_is_cut_and_answered_502() {
+    assert_cut(CallKind::SingleStream, endless_body("500 No"), MAX_ANSWER).await;
+}
+
+// Guards against a head without end.
+#[tokio::test]
+async fn endless_head_is_cut_and_answered_502() {
+    assert_cut(CallKind::Unsafe, endless_head(), 1 << 17).await;
+}
+
+// Guards against interim responses without end, each of which is short.
+#[tokio::test]
+async fn endless_interim_responses_are_cut_and_answered_502() {
+    assert_cut(CallKind::Unsafe, endless_interim(), 1 << 17).await;
+}
+
+// Guards against an event without end.
+#[tokio::test]
+async fn endless_event_is_cut_and_answered_502() {
+    assert_cut(CallKind::SingleStream, endless_event(), 1 << 20).await;
+}
+
+// Guards against a repeatable call that gets no answer because its first target sends too much.
+#[tokio::test]
+async fn safe_call_is_answered_by_another_target_than_the_endless_one() {
+    let flooding = target(endless_body("200 OK")).await;
+    let sound = target(Reply::whole("200 OK", "hello")).await;
+    let route = long_route(CallKind::Safe);
+    let entry = Entry::with_route(route, 1_000.0, &[&flooding, &sound]).await;
+    entry.disfavour(1);
+    let answer = entry.call("r1").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "hello"));
+    assert_eq!(flooding.requests().len(), 1);
+}
+
+// Guards against a limit that cuts an answer of several megabytes.
+#[tokio::test]
+async fn answer_of_several_megabytes_is_delivered() {
+    let body = "x".repeat(5 << 20);
+    let sound = target(Reply::whole("200 OK", &body)).await;
+    let entry = Entry::with_route(long_route(CallKind::Safe), 0.0, &[&sound]).await;
+    let answer = entry.call("r1").await;
+    assert_eq!((answer.status, answer.body.len()), (200, body.len()));
+}
+
+/// The number of calls and of callers whose bodies together exceed the memory of an entry.
+const N_LARGE: usize = 48;
+
+// Guards against answers that together use up the memory, each of which is below its limit.
+#[tokio::test]
+async fn many_large_answers_leave_memory_and_ordinary_calls_are_served() {
+    let large = vec![body_of("200 OK", 96); N_LARGE];
+    let flooding = ScriptedTarget::start(large).await;
+    let entry = Entry::with_route(long_route(CallKind::Unsafe), 0.0, &[&flooding]).await;
+    let entry = Arc::new(entry);
+    let calls: Vec<_> = (0..N_LARGE)
+        .map(|n_call| {
+            let entry = entry.clone();
+            tokio::spawn(async move { entry.call(&format!("r{n_call}")).await.status })
+        })
+        .collect();
+    let mut most_held = 0;
+    for _ in 0..150 {
+        most_held = most_held.max(flooding.held());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    flooding.then(Reply::whole("200 OK", &"y".repeat(100_000)));
+    let ordinary = entry.call("ordinary").await;
+    assert_eq!((ordinary.status, ordinary.body.len()), (200, 100_000));
+    assert!(most_held <= ENTRY_MEMORY / 2, "{most_held}");
+    for call in calls {
+        assert!(matches!(call.await.unwrap(), 502 | 504));
+    }
+}
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use comfreyhead_fleet::catalog::{Account, Backend};
@@ -38,6 +38,8 @@
     /// Streams the events after the caller's last one up to `N_EVENTS`, and is silent once: for a
     /// time after the first of them.
     SilentOnce(Duration),
+    /// Writes a start, then a piece so many times, and waits for the peer to close.
+    Flood(String, String, usize),
 }
 
 /// The number of events in a stream with one silence.
@@ -78,6 +80,16 @@
     script: Arc<Mutex<Vec<Reply>>>,
     seen: Arc<Mutex<Vec<String>>>,
     end: Arc<Mutex<Option<ErrorKind>>>,
+    flood: Arc<FloodCount>,
+}
+
+/// The bytes of floods that a target could write.
+#[derive(Debug, Default)]
+struct FloodCount {
+    /// On all connections.
+    written: AtomicUsize,
+    /// On connections that are open.
+    held: AtomicUsize,
 }
 
 impl ScriptedTarget {
@@ -88,17 +100,20 @@
             script: Arc::new(Mutex::new(script)),
             seen: Arc::default(),
             end: Arc::default(),
+            flood: Arc::default(),
         };
-        let (script, seen, end) = (
+        let (script, seen, end, flood) = (
             target.script.clone(),
             target.seen.clone(),
             target.end.clone(),
+            target.flood.clone(),
         );
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (script, seen, end) = (script.clone(), seen.clone(), end.clone());
+                let flood = flood.clone();
                 tokio::spawn(async move {
-                    if let Err(err) = follow(stream, &script, &seen).await {
+                    if let Err(err) = follow(stream, &script, &seen, &flood).await {
                         *end.lock().unwrap() = Some(err.kind());
                     }
                 });
@@ -117,6 +132,16 @@
         self.seen.lock().unwrap().clone()
     }
 
+    /// Returns the bytes of floods that could be written.
+    pub fn written(&self) -> usize {
+        self.flood.written.load(Ordering::Relaxed)
+    }
+
+    /// Returns the bytes of floods that could be written to connections that are open.
+    pub fn held(&self) -> usize {
+        self.flood.held.load(Ordering::Relaxed)
+    }
+
     /// Returns the error that ended a connection last.
     pub fn last_end(&self) -> Option<ErrorKind> {
         *self.end.lock().unwrap()
@@ -127,6 +152,7 @@
     mut stream: TcpStream,
     script: &Mutex<Vec<Reply>>,
     seen: &Mutex<Vec<String>>,
+    flood: &FloodCount,
 ) -> std::io::Result<()> {
     loop {
         let mut head = Vec::new();
@@ -177,10 +203,40 @@
                 let last_id = last_id.and_then(|(_, rest)| rest.lines().next()?.parse().ok());
                 stream_with_silence(&mut stream, last_id.unwrap_or(0), time).await?;
             }
+            Reply::Flood(start, piece, n_pieces) => {
+                // What this side buffers is no memory of the entry's.
+                socket2::SockRef::from(&stream).set_send_buffer_size(1 << 14)?;
+                stream.write_all(start.as_bytes()).await?;
+                let mut held = 0;
+                let ended = write_flood(&mut stream, &piece, n_pieces, flood, &mut held).await;
+                flood.held.fetch_sub(held, Ordering::Relaxed);
+                return ended;
+            }
         }
     }
 }
 
+async fn write_flood(
+    stream: &mut TcpStream,
+    piece: &str,
+    n_pieces: usize,
+    flood: &FloodCount,
+    held: &mut usize,
+) -> std::io::Result<()> {
+    for _ in 0..n_pieces {
+        let mut rest = piece.as_bytes();
+        while !rest.is_empty() {
+            let n_written = stream.write(rest).await?;
+            rest = &rest[n_written..];
+            *held += n_written;
+            flood.written.fetch_add(n_written, Ordering::Relaxed);
+            flood.held.fetch_add(n_written, Ordering::Relaxed);
+        }
+    }
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).await.map(|_| ())
+}
+
 async fn stream_with_silence(
     stream: &mut TcpStream,
     last_id: u64,
@@ -363,12 +419,17 @@
         tokio::time::sleep(after).await;
     }
 
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.unwrap()
+    }
+
     async fn exchange(&self, path: &str, id: &str, key: &str) -> Answer {
-        let mut stream = TcpStream::connect(self.address).await.unwrap();
-        stream
-            .write_all(request(path, id, key).as_bytes())
-            .await
-            .unwrap();
+        self.send(request(path, id, key).as_bytes()).await
+    }
+
+    async fn send(&self, request: &[u8]) -> Answer {
+        let mut stream = self.connect().await;
+        stream.write_all(request).await.unwrap();
         let mut bytes = Vec::new();
         let ended = stream.read_to_end(&mut bytes).await.is_ok();
         let text = String::from_utf8_lossy(&bytes).into_owned();
