--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -419,7 +419,8 @@
         tokio::time::sleep(after).await;
     }
 
-    async fn connect(&self) -> TcpStream {
+    /// Opens a connection to the entry.
+    pub async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.address).await.unwrap()
     }
 
@@ -427,7 +428,8 @@
         self.send(request(path, id, key).as_bytes()).await
     }
 
-    async fn send(&self, request: &[u8]) -> Answer {
+    /// Sends the bytes of a request.
+    pub async fn send(&self, request: &[u8]) -> Answer {
         let mut stream = self.connect().await;
         stream.write_all(request).await.unwrap();
         let mut bytes = Vec::new();
