Close no caller connection with a request in it

What callers saw: a request on a kept connection got neither an answer nor a refusal, beside a change of the idle timeout, a stop, or a reload that occupied the processor.

Cause: the idle check and the stop took a ready timer at random before the socket was read, and hyper then closed a connection with a request or half a head in it. A stream counted as idle time once its head was sent. A shorter idle timeout held at once for connections that callers relied on. A stopping entry dropped connections that it had not accepted yet.

Change: the connection is polled first, and closed only if no response is unfinished, no head partly read, and the socket holds no input. Idle time counts from the last byte, against the longer of the timeout at the last use and the one now. Connections that were established before a stopping entry refuses are accepted and answered 503. Each close logs its reason.

--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -3,8 +3,9 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
+use futures::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -12,9 +13,12 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::catalog::CallerLimits;
-use crate::forward::set_user_timeout;
+use crate::forward::{SharedStream, StreamInput, set_user_timeout};
 use crate::prelude::*;
 
+use super::connection_activity::{
+    CallerStream, CloseStep, ConnectionActivity, EntryPhase, RunningBody,
+};
 use super::entry_state::EntryState;
 use super::request_run::run_request;
 
@@ -22,8 +26,11 @@
 /// limit, and a larger one costs memory on small VMs.
 const MIN_READ_BUFFER: usize = 8_192;
 
-/// How often a connection is checked for the idle timeout.
-const IDLE_CHECK_PERIOD: Duration = Duration::from_secs(2);
+/// The time after which a connection is looked at again that was due to be closed and has input.
+const INPUT_PERIOD: Duration = Duration::from_millis(1);
+
+/// The time after which connections are accepted again where that has failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections until new requests are refused; open ones then finish on their own tasks.
 pub async fn serve_callers(
@@ -31,30 +38,44 @@
     state: Arc<EntryState>,
     n_open: Arc<AtomicUsize>,
 ) {
+    // The process must not end before the last connections are taken over.
+    let accepting = CountGuard::new(&n_open);
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = state.drain.closed() => return,
+            () = state.drain.closed() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let state = state.clone();
-                let open = CountGuard::new(&n_open);
-                tokio::spawn(async move {
-                    serve_connection(stream, state).await;
-                    drop(open);
-                });
-            }
+            Ok((stream, _)) => spawn_connection(stream, &state, &n_open),
             Err(err) => {
                 // Probably out of file descriptors; some become free as connections end.
                 warn!(state.log, "caller not accepted"; "error" => %err);
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                if state.drain.is_closed(Instant::now()) {
+                    break;
+                }
             }
         }
     }
+    // Connections that were established before are answered, too.
+    tokio::time::sleep(INPUT_PERIOD).await;
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        spawn_connection(stream, &state, &n_open);
+    }
+    drop(accepting);
 }
 
-/// Counts one open connection or running request until dropped.
+fn spawn_connection(stream: TcpStream, state: &Arc<EntryState>, n_open: &Arc<AtomicUsize>) {
+    let state = state.clone();
+    let open = CountGuard::new(n_open);
+    tokio::spawn(async move {
+        serve_connection(stream, state).await;
+        drop(open);
+    });
+}
+
+/// Counts one open connection until dropped.
 struct CountGuard(Arc<AtomicUsize>);
 
 impl CountGuard {
@@ -70,77 +91,94 @@
     }
 }
 
-/// Serves a connection until it ends, is idle for too long, or new requests are refused.
+/// Serves a connection until it ends, or until nothing is in progress on it and it is idle for too
+/// long or new requests are refused.
 async fn serve_connection(stream: TcpStream, state: Arc<EntryState>) {
     // Without this option, an event waits for the acknowledgement of earlier ones.
     let _ = stream.set_nodelay(true);
     set_user_timeout(&stream);
     let caller = stream.peer_addr().ok();
-    let n_running = Arc::new(AtomicUsize::new(0));
-    let n_served = Arc::new(AtomicU64::new(0));
+    let stream = SharedStream::new(stream);
+    let limits = caller_limits(&state);
+    let activity = Arc::new(ConnectionActivity::new(&limits));
     let service = {
-        let (state, n_running, n_served) = (state.clone(), n_running.clone(), n_served.clone());
+        let (state, activity) = (state.clone(), activity.clone());
         service_fn(move |request| {
-            let running = CountGuard::new(&n_running);
-            n_served.fetch_add(1, Ordering::Relaxed);
-            let state = state.clone();
+            let guard = activity.begin_request();
+            let (state, activity) = (state.clone(), activity.clone());
             async move {
-                let response = run_request(state, request).await;
-                drop(running);
-                Ok::<_, Infallible>(response)
+                let response = run_request(state.clone(), request).await;
+                activity.set_idle_timeout(caller_limits(&state).idle_timeout);
+                Ok::<_, Infallible>(response.map(|body| RunningBody::new(body, guard)))
             }
         })
     };
-    let limits = caller_limits(&state);
+    let caller_stream = CallerStream::new(stream.clone(), activity.clone());
     let connection = http1::Builder::new()
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(caller_stream), service);
     let mut connection = pin!(connection);
-    let mut idle = IdleTimer::default();
+    let mut phase = EntryPhase::Serving;
+    let mut look_at = Instant::now();
     let reason = loop {
+        // What has arrived is read before anything else is decided.
         tokio::select! {
+            biased;
             ended = connection.as_mut() => {
-                return record_end(&state, &n_served, caller, "caller", ended);
+                return record_end(&state, &activity, caller, ended);
             }
-            () = state.drain.closed() => break "stopping",
-            () = tokio::time::sleep(IDLE_CHECK_PERIOD) => {
-                let n_served = n_served.load(Ordering::Relaxed);
-                let is_busy = 0 < n_running.load(Ordering::Relaxed);
-                let timeout = caller_limits(&state).idle_timeout;
-                if idle.is_over(n_served, is_busy, timeout) {
-                    break "idle";
-                }
+            () = state.drain.closed(), if phase == EntryPhase::Serving => {
+                phase = EntryPhase::Stopping;
+            }
+            () = activity.response_ended.notified() => {}
+            () = tokio::time::sleep_until(look_at) => {}
+        }
+        let now = Instant::now();
+        let reason = match activity.close_step(now, &caller_limits(&state), phase) {
+            CloseStep::LookAt(at) => {
+                look_at = at;
+                continue;
             }
+            CloseStep::Close(reason) => reason,
+        };
+        if stream.input() != StreamInput::Bytes {
+            break reason;
         }
+        info!(state.log, "caller connection kept"; "caller" => caller.map(|at| at.to_string()),
+            "why" => "input at its end", "reason" => reason);
+        look_at = now + INPUT_PERIOD;
     };
-    connection.as_mut().graceful_shutdown();
-    let ended = connection.await;
-    record_end(&state, &n_served, caller, reason, ended);
+    info!(state.log, "caller connection closed"; "caller" => caller.map(|at| at.to_string()),
+        "reason" => reason, "input" => "none", "requests" => activity.n_requests(),
+        "idle_ms" => activity.idle_time().as_millis() as u64);
+    count_end(&state, reason);
 }
 
-/// Logs and counts the end of a connection: who ended it, or the error that did.
+/// Logs and counts the end of a connection that the caller or an error ended.
 fn record_end(
     state: &EntryState,
-    n_served: &AtomicU64,
+    activity: &ConnectionActivity,
     caller: Option<SocketAddr>,
-    reason: &'static str,
     ended: hyper::Result<()>,
 ) {
-    let n_served = n_served.load(Ordering::Relaxed);
+    let n_requests = activity.n_requests();
     let caller = caller.map(|address| address.to_string());
-    let reason = match ended {
+    match ended {
         Ok(()) => {
-            debug!(state.log, "caller connection ended"; "caller" => caller, "reason" => reason,
-                "requests" => n_served);
-            reason
+            debug!(state.log, "caller connection ended"; "caller" => caller,
+                "requests" => n_requests);
+            count_end(state, "caller");
         }
         Err(err) => {
             let cause = std::error::Error::source(&err).map(ToString::to_string);
             info!(state.log, "caller connection failed"; "caller" => caller, "error" => %err,
-                "cause" => cause, "requests" => n_served);
-            "failed"
+                "cause" => cause, "requests" => n_requests);
+            count_end(state, "failed");
         }
-    };
+    }
+}
+
+fn count_end(state: &EntryState, reason: &str) {
     let ends = &state.metrics.connection_ends;
     ends.with_label_values(&[reason]).inc();
 }
@@ -152,22 +190,3 @@
         .as_ref()
         .map_or_else(CallerLimits::default, |catalog| catalog.limits)
 }
-
-/// Detects a connection without requests for longer than the idle timeout.
-#[derive(Debug, Default)]
-struct IdleTimer {
-    seen: Option<(u64, Instant)>,
-}
-
-impl IdleTimer {
-    fn is_over(&mut self, n_served: u64, is_busy: bool, timeout: Duration) -> bool {
-        let now = Instant::now();
-        match self.seen {
-            Some((seen, at)) if seen == n_served && !is_busy => at + timeout <= now,
-            _ => {
-                self.seen = Some((n_served, now));
-                false
-            }
-        }
-    }
-}
--- /dev/null
+++ b/fleet/src/process/connection_activity.rs
@@ -0,0 +1,248 @@
+//! What is in progress on a caller's connection, and when the entry may close it.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use hyper::body::{Body, Frame, SizeHint};
+use parking_lot::Mutex;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
+
+use crate::catalog::CallerLimits;
+use crate::forward::SharedStream;
+use crate::prelude::*;
+
+use super::caller_body::CallerBody;
+
+/// The time beyond the idle timeout for which a request that is on its way is awaited.
+const IDLE_SLACK: Duration = Duration::from_secs(2);
+
+/// What is in progress on a caller's connection.
+#[derive(Debug)]
+pub(super) struct ConnectionActivity {
+    progress: Mutex<ConnectionProgress>,
+    /// Notified whenever a response has ended.
+    pub(super) response_ended: Notify,
+}
+
+#[derive(Debug)]
+struct ConnectionProgress {
+    n_requests: u64,
+    n_running: usize,
+    is_write_blocked: bool,
+    /// When the first byte of a head was read whose request has not begun.
+    head_since: Option<Instant>,
+    last_used_at: Instant,
+    /// The idle timeout in force at the last use, on which the caller may rely.
+    idle_timeout: Duration,
+}
+
+/// What to do with a caller's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseStep {
+    /// Nothing is in progress; close it.
+    Close(&'static str),
+    /// Look again at this time, or when a response has ended.
+    LookAt(Instant),
+}
+
+impl ConnectionActivity {
+    /// Creates the state of a connection that has just been accepted.
+    pub(super) fn new(limits: &CallerLimits) -> Self {
+        let progress = ConnectionProgress {
+            n_requests: 0,
+            n_running: 0,
+            is_write_blocked: false,
+            head_since: None,
+            last_used_at: Instant::now(),
+            idle_timeout: limits.idle_timeout,
+        };
+        Self {
+            progress: Mutex::new(progress),
+            response_ended: Notify::new(),
+        }
+    }
+
+    /// Records that a request has begun, until the guard is dropped.
+    pub(super) fn begin_request(self: &Arc<Self>) -> ResponseGuard {
+        let mut progress = self.progress.lock();
+        progress.n_requests += 1;
+        progress.n_running += 1;
+        progress.head_since = None;
+        ResponseGuard(self.clone())
+    }
+
+    /// Records the idle timeout that a caller learns of by a use at this time.
+    pub(super) fn set_idle_timeout(&self, timeout: Duration) {
+        self.progress.lock().idle_timeout = timeout;
+    }
+
+    /// Returns the number of requests so far.
+    pub(super) fn n_requests(&self) -> u64 {
+        self.progress.lock().n_requests
+    }
+
+    /// Returns the time since the connection was last used.
+    pub(super) fn idle_time(&self) -> Duration {
+        self.progress.lock().last_used_at.elapsed()
+    }
+
+    /// Decides whether a connection that has no unread input may be closed.
+    pub(super) fn close_step(
+        &self,
+        now: Instant,
+        limits: &CallerLimits,
+        entry: EntryPhase,
+    ) -> CloseStep {
+        let progress = self.progress.lock();
+        let idle_timeout = progress.idle_timeout.max(limits.idle_timeout);
+        let idle_end = progress.last_used_at + idle_timeout + IDLE_SLACK;
+        let is_busy = 0 < progress.n_running || progress.is_write_blocked;
+        if is_busy || progress.head_since.is_some() {
+            return CloseStep::LookAt(now + IDLE_SLACK);
+        }
+        match entry {
+            EntryPhase::Stopping => CloseStep::Close("stopping"),
+            EntryPhase::Serving if now < idle_end => CloseStep::LookAt(idle_end),
+            EntryPhase::Serving => CloseStep::Close("idle"),
+        }
+    }
+
+    fn record_read(&self, bytes: &[u8]) {
+        let mut progress = self.progress.lock();
+        let now = Instant::now();
+        progress.last_used_at = now;
+        // Some callers end a body with a line break that belongs to no request.
+        let has_text = bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
+        if progress.n_running == 0 && has_text {
+            progress.head_since.get_or_insert(now);
+        }
+    }
+
+    fn record_write(&self, is_blocked: bool) {
+        let mut progress = self.progress.lock();
+        progress.is_write_blocked = is_blocked;
+        if !is_blocked {
+            progress.last_used_at = Instant::now();
+        }
+    }
+}
+
+/// Whether the entry accepts requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EntryPhase {
+    Serving,
+    Stopping,
+}
+
+/// Counts a request as running until its response has been written.
+#[derive(Debug)]
+pub(super) struct ResponseGuard(Arc<ConnectionActivity>);
+
+impl Drop for ResponseGuard {
+    fn drop(&mut self) {
+        let mut progress = self.0.progress.lock();
+        progress.n_running -= 1;
+        progress.last_used_at = Instant::now();
+        drop(progress);
+        self.0.response_ended.notify_one();
+    }
+}
+
+/// The body of a response, which counts as running until it is dropped.
+#[derive(Debug)]
+pub(super) struct RunningBody {
+    body: CallerBody,
+    _guard: ResponseGuard,
+}
+
+impl RunningBody {
+    pub(super) fn new(body: CallerBody, guard: ResponseGuard) -> Self {
+        Self {
+            body,
+            _guard: guard,
+        }
+    }
+}
+
+impl Body for RunningBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A caller's stream, whose reads and writes are recorded.
+#[derive(Debug)]
+pub(super) struct CallerStream {
+    stream: SharedStream,
+    activity: Arc<ConnectionActivity>,
+}
+
+impl CallerStream {
+    pub(super) fn new(stream: SharedStream, activity: Arc<ConnectionActivity>) -> Self {
+        Self { stream, activity }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let n_before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buf);
+        let read = &buf.filled()[n_before..];
+        if !read.is_empty() {
+            self.activity.record_read(read);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(context, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.activity.record_write(polled.is_pending());
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod agent_run;
 mod caller_body;
 mod caller_server;
+mod connection_activity;
 mod drain;
 mod entry_run;
 mod entry_state;
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -1,6 +1,8 @@
 //! Forwarding over real TCP connections, with an entry, callers, and scripted targets that send
 //! faulty responses.
 
+#[path = "forwarding/connections.rs"]
+mod connections;
 #[path = "forwarding/silent_target.rs"]
 mod silent_target;
 mod wire;
--- /dev/null
+++ b/fleet/tests/forwarding/connections.rs
@@ -0,0 +1,190 @@
+//! Callers' connections that the entry closes, and connections to targets that end.
+
+use std::time::Duration;
+
+use comfreyhead_fleet::catalog::CallerLimits;
+use comfreyhead_fleet::prelude::*;
+use tokio::time::sleep;
+
+use crate::wire::{Entry, Reply, ScriptedTarget, hold, kept_request, route, runtime_apart};
+
+/// The number of connections in tests of a race that each of them may win.
+const N_CONNECTIONS: usize = 10;
+
+fn limits(idle_timeout: Duration) -> CallerLimits {
+    CallerLimits {
+        idle_timeout,
+        ..CallerLimits::default()
+    }
+}
+
+fn long_route(kind: CallKind) -> RouteSpec {
+    RouteSpec {
+        timeout: Duration::from_secs(9),
+        ..route(kind)
+    }
+}
+
+async fn target(n_replies: usize) -> ScriptedTarget {
+    ScriptedTarget::start(vec![Reply::whole("200 OK", "hello"); n_replies]).await
+}
+
+// Guards against an idle check that closes connections whose next request lies in the socket.
+#[tokio::test]
+async fn request_that_waits_while_the_idle_time_ends_is_answered() {
+    // Arrange: the runtime is busy when the connections are due to be closed.
+    let runtime = runtime_apart();
+    let target = target(2 * N_CONNECTIONS).await;
+    let entry = Entry::on_runtime(&runtime, route(CallKind::Safe), &[&target]).await;
+    entry.set_limits(route(CallKind::Safe), limits(Duration::from_secs(1)));
+    let mut callers = Vec::new();
+    for n_caller in 0..N_CONNECTIONS {
+        let mut caller = entry.connect().await;
+        let answer = caller.call(&format!("a{n_caller}")).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        callers.push(caller);
+    }
+    sleep(Duration::from_millis(2_600)).await;
+    hold(&runtime, Duration::from_millis(1_800));
+    sleep(Duration::from_millis(100)).await;
+
+    // Act
+    for (n_caller, caller) in callers.iter_mut().enumerate() {
+        caller.send(&kept_request(&format!("b{n_caller}"))).await;
+    }
+    let mut answers = Vec::new();
+    for caller in &mut callers {
+        answers.push(caller.response().await);
+    }
+
+    // Assert
+    for answer in answers {
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    }
+}
+
+// Guards against a shorter idle timeout that closes connections used under the longer one.
+#[tokio::test]
+async fn connection_is_kept_for_the_idle_timeout_of_its_last_use() {
+    let target = target(2).await;
+    let entry = Entry::start(CallKind::Safe, &[&target]).await;
+    entry.set_limits(route(CallKind::Safe), limits(Duration::from_secs(10)));
+    let mut caller = entry.connect().await;
+    caller.call("r1").await;
+    entry.set_limits(route(CallKind::Safe), limits(Duration::from_secs(1)));
+    sleep(Duration::from_secs(7)).await;
+    let answer = caller.call("r2").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
+
+// Guards against a response that counts as idle time while its body is still being sent.
+#[tokio::test]
+async fn connection_is_not_idle_during_a_stream() {
+    let events = "id: 1\ndata: a\n\n";
+    let head = "HTTP/1.1 200 OK\r\nx-seal: s1\r\ntransfer-encoding: chunked\r\n\r\n";
+    let target = ScriptedTarget::start(vec![
+        Reply::RawThenLate(
+            format!("{head}{:x}\r\n{events}\r\n", events.len()),
+            Duration::from_secs(5),
+            "0\r\n\r\n".to_owned(),
+        ),
+        Reply::stream(events),
+    ])
+    .await;
+    let kind = CallKind::ResumableStream;
+    let entry = Entry::with_route(long_route(kind), 0.0, &[&target]).await;
+    entry.set_limits(long_route(kind), limits(Duration::from_secs(1)));
+    let mut caller = entry.connect().await;
+    let first = caller.call("r1").await;
+    assert!(first.ends_with("0\r\n\r\n"), "{first:?}");
+    let second = caller.call("r2").await;
+    assert!(second.starts_with("HTTP/1.1 200"), "{second:?}");
+}
+
+// Guards against a stopping entry that closes connections with a request in the socket.
+#[tokio::test]
+async fn request_that_arrives_before_a_stopping_entry_refuses_is_answered() {
+    // Arrange
+    let runtime = runtime_apart();
+    let target = target(N_CONNECTIONS).await;
+    let entry = Entry::on_runtime(&runtime, route(CallKind::Safe), &[&target]).await;
+    let mut callers = Vec::new();
+    for n_caller in 0..N_CONNECTIONS {
+        let mut caller = entry.connect().await;
+        caller.call(&format!("a{n_caller}")).await;
+        callers.push(caller);
+    }
+
+    // Act: the accept time ends while the runtime is busy and requests lie in the sockets.
+    entry.refuse_after(Duration::from_millis(300));
+    sleep(Duration::from_millis(50)).await;
+    hold(&runtime, Duration::from_millis(500));
+    sleep(Duration::from_millis(100)).await;
+    for (n_caller, caller) in callers.iter_mut().enumerate() {
+        caller.send(&kept_request(&format!("b{n_caller}"))).await;
+    }
+
+    // Assert
+    for caller in &mut callers {
+        let answer = caller.end().await.to_lowercase();
+        assert!(answer.starts_with("http/1.1 503"), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+    }
+}
+
+// Guards against a stopping entry that drops connections which it has not accepted yet.
+#[tokio::test]
+async fn new_connection_that_arrives_before_a_stopping_entry_refuses_is_answered() {
+    let runtime = runtime_apart();
+    let target = target(1).await;
+    let entry = Entry::on_runtime(&runtime, route(CallKind::Safe), &[&target]).await;
+    entry.refuse_after(Duration::from_millis(300));
+    sleep(Duration::from_millis(50)).await;
+    hold(&runtime, Duration::from_millis(500));
+    sleep(Duration::from_millis(100)).await;
+    let mut callers = Vec::new();
+    for n_caller in 0..N_CONNECTIONS {
+        let mut caller = entry.connect().await;
+        caller.send(&kept_request(&format!("b{n_caller}"))).await;
+        callers.push(caller);
+    }
+    for caller in &mut callers {
+        let answer = caller.end().await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    }
+}
+
+// Guards against a stopping entry that closes a connection with half a request.
+#[tokio::test]
+async fn request_that_is_partly_read_when_the_entry_refuses_is_answered() {
+    let target = target(1).await;
+    let entry = Entry::start(CallKind::Safe, &[&target]).await;
+    let mut caller = entry.connect().await;
+    caller.call("r1").await;
+    let request = kept_request("r2");
+    let (first, second) = request.split_at(30);
+    caller.send(first).await;
+    entry.refuse_after(Duration::from_millis(50));
+    sleep(Duration::from_millis(300)).await;
+    caller.send(second).await;
+    let answer = caller.end().await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+}
+
+// Guards against a header timeout that ends connections between two requests.
+#[tokio::test]
+async fn connection_without_a_head_is_not_refused() {
+    let target = target(2).await;
+    let entry = Entry::start(CallKind::Safe, &[&target]).await;
+    let limits = CallerLimits {
+        header_timeout: Duration::from_millis(300),
+        ..CallerLimits::default()
+    };
+    entry.set_limits(route(CallKind::Safe), limits);
+    let mut caller = entry.connect().await;
+    for id in ["r1", "r2"] {
+        sleep(Duration::from_millis(800)).await;
+        let answer = caller.call(id).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    }
+}
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -1,5 +1,7 @@
 //! An entry that serves real TCP connections, and targets that follow a script.
 
+mod caller_connection;
+
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -16,8 +18,11 @@
 use slog::{Discard, Logger, o};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 
+pub use caller_connection::{hold, kept_request, runtime_apart};
+
 /// The timeout of the route that all tests use.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -33,6 +38,8 @@
     Close,
     /// Sends nothing and waits for the peer to close.
     Silence,
+    /// Writes bytes, and more of them after a time.
+    RawThenLate(String, Duration, String),
     /// Sends nothing for a time, then the bytes.
     Late(Duration, String),
     /// Streams the events after the caller's last one up to `N_EVENTS`, and is silent once: for a
@@ -168,6 +175,11 @@
                 stream.read_to_end(&mut rest).await?;
                 return Ok(());
             }
+            Reply::RawThenLate(first, time, second) => {
+                stream.write_all(first.as_bytes()).await?;
+                tokio::time::sleep(time).await;
+                stream.write_all(second.as_bytes()).await?;
+            }
             Reply::Late(time, text) => {
                 tokio::time::sleep(time).await;
                 stream.write_all(text.as_bytes()).await?;
@@ -272,9 +284,25 @@
 
     /// Starts an entry with a route and so many retries in its budget.
     pub async fn with_route(route: RouteSpec, retries: f64, targets: &[&ScriptedTarget]) -> Self {
-        let entry = Self::with_budget(retries).await;
-        entry.state.catalog.store(Some(Arc::new(catalog(route))));
-        entry.state.confirm(Instant::now());
+        let entry = Self::with_budget(retries, &Handle::current()).await;
+        entry.configure(route, targets);
+        entry
+    }
+
+    /// Starts an entry on another runtime.
+    pub async fn on_runtime(
+        runtime: &Handle,
+        route: RouteSpec,
+        targets: &[&ScriptedTarget],
+    ) -> Self {
+        let entry = Self::with_budget(1_000.0, runtime).await;
+        entry.configure(route, targets);
+        entry
+    }
+
+    fn configure(&self, route: RouteSpec, targets: &[&ScriptedTarget]) {
+        self.state.catalog.store(Some(Arc::new(catalog(route))));
+        self.state.confirm(Instant::now());
         for (n_target, target) in targets.iter().enumerate() {
             let change = RosterChange::Changed(TargetEntry {
                 id: format!("t{n_target}").into(),
@@ -285,9 +313,8 @@
                 draining: false,
                 started_ms: 0,
             });
-            entry.state.table.lock().apply(&change);
+            self.state.table.lock().apply(&change);
         }
-        entry
     }
 
     /// Records a failure of a target, so that it is chosen after the others.
@@ -310,10 +337,10 @@
     }
 
     pub async fn without_configuration() -> Self {
-        Self::with_budget(1_000.0).await
+        Self::with_budget(1_000.0, &Handle::current()).await
     }
 
-    async fn with_budget(retries: f64) -> Self {
+    async fn with_budget(retries: f64, runtime: &Handle) -> Self {
         let budget = BudgetSettings {
             window: Duration::from_millis(1),
             ratio: retries / 10.0,
@@ -327,9 +354,11 @@
         let (_, bounds) = watch::channel(bounds);
         let log = Logger::root(Discard, o!());
         let state = Arc::new(EntryState::new(header_names(), "a".into(), bounds, 1, log));
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let bind = || TcpListener::bind("127.0.0.1:0");
+        let listener = runtime.spawn(async move { bind().await.unwrap() });
+        let listener = listener.await.unwrap();
         let address = listener.local_addr().unwrap();
-        tokio::spawn(serve_callers(
+        runtime.spawn(serve_callers(
             listener,
             state.clone(),
             Arc::new(AtomicUsize::new(0)),
