Refuse a head that takes longer than its limit

What callers saw: a head that arrived byte by byte kept its connection, and one that stopped half way was never answered.

Cause: the limit on the time of a head was read from the configuration and not used. The server library's own timer begins with the end of the last response and would end idle connections.

Change: the time counts from the first byte of a head. Once it is over, what has arrived is read, and if the head is still incomplete the caller gets 408, which promises that nothing ran. What the caller still sends is discarded for a second, so that a reset does not take the answer away.

Evidence: head_that_takes_too_long_is_refused failed before (no answer within 3 s at a limit of 0.4 s) and passes now; connection_without_a_head_is_not_refused shows that the limit does not end idle connections.

--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -1,7 +1,8 @@
 //! Accepts and serves the connections of callers.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::io::ErrorKind;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -29,6 +30,19 @@
 /// The time after which a connection is looked at again that was due to be closed and has input.
 const INPUT_PERIOD: Duration = Duration::from_millis(1);
 
+/// Why a connection is closed whose head takes too long to arrive.
+const HEADER_TIMEOUT_REASON: &str = "header timeout";
+
+/// The response to a head that takes too long to arrive: the status promises that nothing ran.
+const HEADER_TIMEOUT_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// The longest time for which the input after a refusal is discarded.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// The number of bytes that are discarded at a time.
+const DISCARD_LEN: usize = 4_096;
+
 /// The time after which connections are accepted again where that has failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -130,7 +144,7 @@
             () = state.drain.closed(), if phase == EntryPhase::Serving => {
                 phase = EntryPhase::Stopping;
             }
-            () = activity.response_ended.notified() => {}
+            () = activity.changed.notified() => {}
             () = tokio::time::sleep_until(look_at) => {}
         }
         let now = Instant::now();
@@ -140,6 +154,7 @@
                 continue;
             }
             CloseStep::Close(reason) => reason,
+            CloseStep::RefuseHead => HEADER_TIMEOUT_REASON,
         };
         if stream.input() != StreamInput::Bytes {
             break reason;
@@ -148,10 +163,38 @@
             "why" => "input at its end", "reason" => reason);
         look_at = now + INPUT_PERIOD;
     };
+    let is_refused = reason == HEADER_TIMEOUT_REASON;
+    let input = if is_refused { "part of a head" } else { "none" };
     info!(state.log, "caller connection closed"; "caller" => caller.map(|at| at.to_string()),
-        "reason" => reason, "input" => "none", "requests" => activity.n_requests(),
+        "reason" => reason, "input" => input, "requests" => activity.n_requests(),
         "idle_ms" => activity.idle_time().as_millis() as u64);
     count_end(&state, reason);
+    if is_refused {
+        let requests = &state.metrics.requests;
+        requests.with_label_values(&["own", "408"]).inc();
+        // Fails only where the caller has gone.
+        let _ = stream.get().try_write(HEADER_TIMEOUT_RESPONSE);
+        discard_input(&stream).await;
+    }
+}
+
+/// Ends the response and discards what the caller still sends: a close with unread input resets the
+/// connection, and the caller may lose the response.
+async fn discard_input(stream: &SharedStream) {
+    let stream = stream.get();
+    let _ = socket2::SockRef::from(stream).shutdown(Shutdown::Write);
+    let discarding = async {
+        let mut bytes = vec![0; DISCARD_LEN];
+        while stream.readable().await.is_ok() {
+            match stream.try_read(&mut bytes) {
+                Ok(0) => return,
+                Err(err) if err.kind() != ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+        }
+    };
+    // A caller that sends for longer does not read the response, either.
+    let _ = tokio::time::timeout(DISCARD_TIME, discarding).await;
 }
 
 /// Logs and counts the end of a connection that the caller or an error ended.
--- a/fleet/src/process/connection_activity.rs
+++ b/fleet/src/process/connection_activity.rs
@@ -22,8 +22,8 @@
 #[derive(Debug)]
 pub(super) struct ConnectionActivity {
     progress: Mutex<ConnectionProgress>,
-    /// Notified whenever a response has ended.
-    pub(super) response_ended: Notify,
+    /// Notified whenever a head begins to arrive or a response has ended.
+    pub(super) changed: Notify,
 }
 
 #[derive(Debug)]
@@ -43,7 +43,9 @@
 pub(super) enum CloseStep {
     /// Nothing is in progress; close it.
     Close(&'static str),
-    /// Look again at this time, or when a response has ended.
+    /// A head has taken too long to arrive.
+    RefuseHead,
+    /// Look again at this time, or when something changes.
     LookAt(Instant),
 }
 
@@ -60,7 +62,7 @@
         };
         Self {
             progress: Mutex::new(progress),
-            response_ended: Notify::new(),
+            changed: Notify::new(),
         }
     }
 
@@ -99,9 +101,16 @@
         let idle_timeout = progress.idle_timeout.max(limits.idle_timeout);
         let idle_end = progress.last_used_at + idle_timeout + IDLE_SLACK;
         let is_busy = 0 < progress.n_running || progress.is_write_blocked;
-        if is_busy || progress.head_since.is_some() {
+        if is_busy {
             return CloseStep::LookAt(now + IDLE_SLACK);
         }
+        if let Some(since) = progress.head_since {
+            let head_end = since + limits.header_timeout;
+            return match now < head_end {
+                true => CloseStep::LookAt(head_end),
+                false => CloseStep::RefuseHead,
+            };
+        }
         match entry {
             EntryPhase::Stopping => CloseStep::Close("stopping"),
             EntryPhase::Serving if now < idle_end => CloseStep::LookAt(idle_end),
@@ -115,8 +124,10 @@
         progress.last_used_at = now;
         // Some callers end a body with a line break that belongs to no request.
         let has_text = bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
-        if progress.n_running == 0 && has_text {
-            progress.head_since.get_or_insert(now);
+        if progress.n_running == 0 && progress.head_since.is_none() && has_text {
+            progress.head_since = Some(now);
+            drop(progress);
+            self.changed.notify_one();
         }
     }
 
@@ -146,7 +157,7 @@
         progress.n_running -= 1;
         progress.last_used_at = Instant::now();
         drop(progress);
-        self.0.response_ended.notify_one();
+        self.0.changed.notify_one();
     }
 }
 
--- a/fleet/tests/forwarding/connections.rs
+++ b/fleet/tests/forwarding/connections.rs
@@ -4,7 +4,7 @@
 
 use comfreyhead_fleet::catalog::CallerLimits;
 use comfreyhead_fleet::prelude::*;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::wire::{Entry, Reply, ScriptedTarget, hold, kept_request, route, runtime_apart};
 
@@ -171,6 +171,32 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
 }
 
+// Guards against heads that arrive without end and keep a connection for good.
+#[tokio::test]
+async fn head_that_takes_too_long_is_refused() {
+    let target = target(1).await;
+    let entry = Entry::start(CallKind::Safe, &[&target]).await;
+    let header_timeout = Duration::from_millis(400);
+    let limits = CallerLimits {
+        header_timeout,
+        ..CallerLimits::default()
+    };
+    entry.set_limits(route(CallKind::Safe), limits);
+    let mut caller = entry.connect().await;
+    caller.call("r1").await;
+    let trickle = async {
+        caller.send("GET /r/x HTTP/1.1\r\nhost: ").await;
+        for _ in 0..6 {
+            caller.send("a").await;
+            sleep(Duration::from_millis(100)).await;
+        }
+        caller.end().await
+    };
+    let answer = timeout(Duration::from_secs(3), trickle).await;
+    let answer = answer.unwrap_or_default();
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer:?}");
+}
+
 // Guards against a header timeout that ends connections between two requests.
 #[tokio::test]
 async fn connection_without_a_head_is_not_refused() {
