--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -3,6 +3,8 @@
 
 #[path = "forwarding/endless_target.rs"]
 mod endless_target;
+#[path = "forwarding/connections.rs"]
+mod connections;
 #[path = "forwarding/silent_target.rs"]
 mod silent_target;
 mod wire;
