Read an answer of another machine only up to a limit

What callers saw: a target, the log service or the VM list that sent bytes without end filled the memory of an agent or an entry VM; once it was killed, all requests in it were lost.

Cause: the HTTP client collected JSON bodies and bodies of errors without a limit, until the timeout.

Change: each read states a limit beside its time: 4 MiB for a service's answer and the VM list, 32 MiB for a page of the log or a report of an engine, 64 KiB for an append, an agent's reply, any error and an HTTP/1 head. HttpFailure gets TooLong, which never proves that nothing ran; an error keeps its status, with the limit in place of its body. A page that would be too long is read in parts. The agent logs an answer that it lost.

--- a/src/bin/comfrey/client.rs
+++ b/src/bin/comfrey/client.rs
@@ -3,15 +3,18 @@
 use std::net::SocketAddr;
 
 use comfreyhead::prelude::*;
-use comfreyhead::process::platform::{HttpClient, HttpFailure};
+use comfreyhead::process::platform::{AnswerLimit, HttpClient, HttpFailure};
 use http::Request;
 use http_body_util::Full;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-/// The timeout for a response.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The limit of a response.
+const RESPONSE_LIMIT: AnswerLimit = AnswerLimit {
+    time: Duration::from_secs(20),
+    bytes: 64 << 20,
+};
 /// The environment variable with the operator's token.
 const TOKEN_VARIABLE: &str = "COMFREY_TOKEN";
 /// The environment variable with the address of an entry VM.
@@ -83,7 +86,7 @@
                 .header("authorization", format!("Bearer {}", self.token))
                 .body(Full::from(text.clone()))
                 .map_err(|err| Error::Invalid(err.to_string()))?;
-            match self.client.json(request, RESPONSE_TIMEOUT).await {
+            match self.client.json(request, RESPONSE_LIMIT).await {
                 Ok(response) => return Ok(response),
                 Err(err @ HttpFailure::NotSent(_)) => failure = Some(entry_error(*entry, &err)),
                 Err(err) => return Err(entry_error(*entry, &err)),
@@ -101,7 +104,7 @@
             .header("authorization", format!("Bearer {}", self.token))
             .body(Full::default())
             .map_err(|err| HttpFailure::Decode(err.to_string()))?;
-        self.client.json(request, RESPONSE_TIMEOUT).await
+        self.client.json(request, RESPONSE_LIMIT).await
     }
 }
 
@@ -114,8 +117,8 @@
                 "entry VM {entry} responded with status {status}: {message}"
             ))
         }
-        HttpFailure::Lost(reason) => Error::Peer(format!(
-            "entry VM {entry}: {reason}; check the history before sending it again"
+        HttpFailure::Lost(_) | HttpFailure::TooLong(_) => Error::Peer(format!(
+            "entry VM {entry}: {failure}; check the history before sending it again"
         )),
         failure => Error::Peer(format!("entry VM {entry}: {failure}")),
     }
--- a/src/process/agent/lookup_run.rs
+++ b/src/process/agent/lookup_run.rs
@@ -1,5 +1,7 @@
 //! Runs an idempotent call at a service.
 
+use slog::info;
+
 use crate::connection::LossReason;
 use crate::prelude::*;
 use crate::process::platform::{CallFailure, ServiceCall};
@@ -42,6 +44,9 @@
             process.mark_target_crashed();
             run.lose(LossReason::Crashed);
         }
-        Err(CallFailure::Unknown(_)) => run.lose(LossReason::BrokenOff),
+        Err(CallFailure::Unknown(reason)) => {
+            info!(process.log, "target's answer lost"; "work" => %run.work, "reason" => reason);
+            run.lose(LossReason::BrokenOff);
+        }
     }
 }
--- a/src/process/agent/order_driver.rs
+++ b/src/process/agent/order_driver.rs
@@ -214,7 +214,12 @@
                 body: &body,
                 timeout: ORDER_TIMEOUT,
             };
-            target_event(attempt, process.service.run(&call).await)
+            let answer = process.service.run(&call).await;
+            if let Err(CallFailure::Unknown(reason)) = &answer {
+                info!(process.log, "target's answer lost"; "attempt" => %attempt,
+                    "reason" => reason);
+            }
+            target_event(attempt, answer)
         });
     }
 
--- a/src/process/entry/dispatch.rs
+++ b/src/process/entry/dispatch.rs
@@ -17,7 +17,7 @@
 };
 use crate::prelude::*;
 use crate::process::membership::DispatchSignal;
-use crate::process::platform::{HttpFailure, json_request};
+use crate::process::platform::{AnswerLimit, HttpFailure, json_request};
 use crate::process::routing::{CancelAnswer, DispatchResult, RefusalReason, WorkCancel};
 use crate::request::{EventBody, TrackerEvent, WorkId};
 
@@ -29,6 +29,8 @@
 const RESUME_DELAY: Duration = Duration::from_millis(50);
 /// The timeout for the response to a resume or a cancellation.
 const AGENT_REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The maximum size of an agent's answer to an order or a cancellation, in bytes.
+pub(super) const MAX_REPLY_BYTES: usize = 64 << 10;
 /// The retry delay suggested to a caller when the chosen agent cannot be reached.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -131,13 +133,17 @@
     events: UnboundedSender<TrackerEvent>,
 ) {
     let attempt = location.work.attempt;
+    let limit = AnswerLimit {
+        time: AGENT_REPLY_TIMEOUT,
+        bytes: MAX_REPLY_BYTES,
+    };
     let answer = match post(
         &location,
         CANCEL_PATH,
         &cancel,
         &process.settings.tokens.peer,
     ) {
-        Ok(request) => process.work_client.json(request, AGENT_REPLY_TIMEOUT).await,
+        Ok(request) => process.work_client.json(request, limit).await,
         Err(err) => Err(err),
     };
     let answer = answer.unwrap_or(CancelAnswer::Forgotten);
--- a/src/process/entry/order_driver.rs
+++ b/src/process/entry/order_driver.rs
@@ -17,10 +17,10 @@
     EntryAction, EntryEvent, EntryOrders, OrderReply, OrderRequest, OrderSettings, TryId,
     TryRequest, rank_agents,
 };
-use crate::process::platform::HttpFailure;
+use crate::process::platform::{AnswerLimit, HttpFailure};
 use crate::process::routing::TargetEligibility;
 
-use super::dispatch::post_json;
+use super::dispatch::{MAX_REPLY_BYTES, post_json};
 use super::entry_process::EntryProcess;
 
 /// How long after the deadline an agent's reply is still awaited.
@@ -154,14 +154,13 @@
         };
         let process = Arc::clone(&self.process);
         self.spawn_event(async move {
+            let limit = AnswerLimit {
+                time: remaining + REPLY_GRACE,
+                bytes: MAX_REPLY_BYTES,
+            };
             let request = post_json(&url, &dispatch, &process.settings.tokens.peer);
             let answer: Result<OrderReply, HttpFailure> = match request {
-                Ok(request) => {
-                    process
-                        .work_client
-                        .json(request, remaining + REPLY_GRACE)
-                        .await
-                }
+                Ok(request) => process.work_client.json(request, limit).await,
                 Err(err) => Err(err),
             };
             match answer {
--- a/src/process/platform/http_client.rs
+++ b/src/process/platform/http_client.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::connection::{BodyError, read_body};
 use crate::prelude::*;
 
 /// The timeout for opening a connection.
@@ -22,6 +23,10 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// The timeout for the acknowledgement of a keep-alive ping.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The maximum size of the head of an HTTP/1 response, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// The maximum size of the body of a response outside 2xx, in bytes.
+const MAX_ERROR_BYTES: usize = 64 << 10;
 
 quick_error! {
     /// Why an HTTP request has no usable response.
@@ -39,6 +44,10 @@
         Status(status: StatusCode, body: Bytes) {
             display("status {}: {}", status, String::from_utf8_lossy(body))
         }
+        /// The response has more bytes than its limit; the server may have processed the request.
+        TooLong(limit: usize) {
+            display("the answer is longer than {} bytes", limit)
+        }
         /// The request cannot be encoded or the response cannot be decoded.
         Decode(reason: String) {
             display("unexpected answer: {}", reason)
@@ -53,6 +62,15 @@
     }
 }
 
+/// How much of a response is read, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerLimit {
+    /// The timeout for the head of the response, and again for its body.
+    pub time: Duration,
+    /// The maximum size of the body, in bytes.
+    pub bytes: usize,
+}
+
 /// A pooled HTTP client.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -65,6 +83,7 @@
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .retry_canceled_requests(false)
             .build(connector());
         Self { inner }
@@ -106,32 +125,35 @@
         if status.is_success() {
             return Ok(response);
         }
-        let body = tokio::time::timeout(timeout, response.into_body().collect()).await;
-        let body = body
-            .ok()
-            .and_then(Result::ok)
-            .map(|body| body.to_bytes())
-            .unwrap_or_default();
+        let body = read_body(response.into_body(), MAX_ERROR_BYTES);
+        let body = match tokio::time::timeout(timeout, body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(err)) => Bytes::from(err.to_string()),
+            Err(_) => Bytes::default(),
+        };
         Err(HttpFailure::Status(status, body))
     }
 
     /// Sends `request` and decodes the response body as JSON.
     ///
-    /// `timeout` applies to the head of the response and again to its body.
-    ///
     /// # Errors
-    /// As [`HttpClient::send`], and `Decode` if the body is not a JSON value of type `T`.
+    /// As [`HttpClient::send`], `TooLong` if the body exceeds its limit, and `Decode` if it is not
+    /// a JSON value of type `T`.
     pub async fn json<T: DeserializeOwned>(
         &self,
         request: Request<Full<Bytes>>,
-        timeout: Duration,
+        limit: AnswerLimit,
     ) -> Result<T, HttpFailure> {
-        let response = self.send(request, timeout).await?;
-        let body = tokio::time::timeout(timeout, response.into_body().collect())
+        let AnswerLimit { time, bytes } = limit;
+        let response = self.send(request, time).await?;
+        let body = tokio::time::timeout(time, read_body(response.into_body(), bytes))
             .await
-            .map_err(|_| HttpFailure::Lost(format!("no whole answer within {timeout:?}")))?
-            .map_err(|err| HttpFailure::Lost(err.to_string()))?;
-        serde_json::from_slice(&body.to_bytes()).map_err(|err| HttpFailure::Decode(err.to_string()))
+            .map_err(|_| HttpFailure::Lost(format!("no whole answer within {time:?}")))?
+            .map_err(|err| match err {
+                BodyError::TooLarge(limit) => HttpFailure::TooLong(limit),
+                BodyError::CutShort(reason) => HttpFailure::Lost(reason),
+            })?;
+        serde_json::from_slice(&body).map_err(|err| HttpFailure::Decode(err.to_string()))
     }
 
     /// Sends a GET request to `url` and decodes the response body as JSON.
@@ -141,12 +163,12 @@
     pub async fn get<T: DeserializeOwned>(
         &self,
         url: &str,
-        timeout: Duration,
+        limit: AnswerLimit,
     ) -> Result<T, HttpFailure> {
         let request = Request::get(url)
             .body(Full::default())
             .map_err(bad_request)?;
-        self.json(request, timeout).await
+        self.json(request, limit).await
     }
 
     /// Sends `body` as JSON in a POST request to `url` and decodes the response body as JSON.
@@ -157,9 +179,9 @@
         &self,
         url: &str,
         body: &impl Serialize,
-        timeout: Duration,
+        limit: AnswerLimit,
     ) -> Result<T, HttpFailure> {
-        self.json(json_request(url, body)?, timeout).await
+        self.json(json_request(url, body)?, limit).await
     }
 }
 
--- a/src/process/platform/log_service.rs
+++ b/src/process/platform/log_service.rs
@@ -5,14 +5,20 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::connection::MAX_CONTROL_BYTES;
 use crate::prelude::*;
 
-use super::http_client::{HttpClient, HttpFailure};
+use super::http_client::{AnswerLimit, HttpClient, HttpFailure};
 
-/// The timeout for one append.
-const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// The limit of the answer to one append, an offset.
+const APPEND_LIMIT: AnswerLimit = AnswerLimit {
+    time: Duration::from_secs(3),
+    bytes: 64 << 10,
+};
 /// The timeout for one read, added to the time that the read may wait for records.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// The maximum size of one page, in bytes; a record as long as a control message fits.
+const MAX_PAGE_BYTES: usize = MAX_CONTROL_BYTES as usize;
 
 /// A record of a stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -93,7 +99,7 @@
         let url = format!("{}/v1/streams/{stream}/records", self.base_url);
         let result = self
             .client
-            .post(&url, &AppendBody { records }, APPEND_TIMEOUT)
+            .post(&url, &AppendBody { records }, APPEND_LIMIT)
             .await;
         match result {
             Ok(AppendResponse { first_offset }) => Ok(first_offset),
@@ -106,7 +112,7 @@
     }
 
     /// Reads up to `max` records of `stream` starting at `from`, waiting up to `wait` for the
-    /// first one.
+    /// first one. Reads fewer where they would be too long for one page.
     ///
     /// # Errors
     /// The log service did not respond, or not with a page of records.
@@ -117,12 +123,22 @@
         max: usize,
         wait: Duration,
     ) -> Result<LogPage> {
-        let url = format!(
-            "{}/v1/streams/{stream}/records?from={from}&max={max}&wait_ms={}",
-            self.base_url,
-            wait.as_millis()
-        );
-        let page = self.client.get(&url, READ_TIMEOUT + wait).await;
+        let limit = AnswerLimit {
+            time: READ_TIMEOUT + wait,
+            bytes: MAX_PAGE_BYTES,
+        };
+        let mut max = max;
+        let page = loop {
+            let url = format!(
+                "{}/v1/streams/{stream}/records?from={from}&max={max}&wait_ms={}",
+                self.base_url,
+                wait.as_millis()
+            );
+            match self.client.get(&url, limit).await {
+                Err(HttpFailure::TooLong(_)) if 1 < max => max /= 2,
+                page => break page,
+            }
+        };
         page.map_err(|err| Error::Platform(format!("log service, read of {stream}: {err}")))
     }
 }
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -9,7 +9,7 @@
 mod weight_store;
 
 pub use config_log::{CONFIG_STREAM, ConfigLog};
-pub use http_client::{HttpClient, HttpFailure, json_request};
+pub use http_client::{AnswerLimit, HttpClient, HttpFailure, json_request};
 pub use log_service::{AppendFailure, LogClient, LogPage, LogRecord};
 pub use model_engine::{
     CacheEvent, CachePage, EngineCall, EngineClient, EngineEvent, EngineExpertLoads, EngineLoad,
--- a/src/process/platform/model_engine.rs
+++ b/src/process/platform/model_engine.rs
@@ -13,10 +13,15 @@
 use crate::version::expert_map::{ExpertMap, LoadSample, MapId, RankId};
 
 use super::header_value;
-use super::http_client::{HttpClient, HttpFailure, bad_request, json_request};
+use super::http_client::{AnswerLimit, HttpClient, HttpFailure, bad_request, json_request};
 
 /// The timeout for a control call to the engine.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The limit of a report of the engine; its expert maps are the longest part.
+const REPORT_LIMIT: AnswerLimit = AnswerLimit {
+    time: CONTROL_TIMEOUT,
+    bytes: 32 << 20,
+};
 /// The data of the event that marks the end of a stream.
 const END_OF_STREAM: &str = "[DONE]";
 
@@ -179,7 +184,7 @@
     /// The engine did not respond with a success status.
     pub async fn load(&self) -> Result<EngineLoad, HttpFailure> {
         self.client
-            .get(&format!("{}/load", self.base_url), CONTROL_TIMEOUT)
+            .get(&format!("{}/load", self.base_url), REPORT_LIMIT)
             .await
     }
 
@@ -189,7 +194,7 @@
     /// The engine did not respond with a success status.
     pub async fn cache_events(&self, from: u64) -> Result<CachePage, HttpFailure> {
         let url = format!("{}/cache-events?from={from}", self.base_url);
-        self.client.get(&url, CONTROL_TIMEOUT).await
+        self.client.get(&url, REPORT_LIMIT).await
     }
 
     /// Queues a window to run after the one that is running.
@@ -215,7 +220,7 @@
     /// The engine did not respond with a success status.
     pub async fn steps(&self) -> Result<EngineSteps, HttpFailure> {
         self.client
-            .get(&format!("{}/expert-map", self.base_url), CONTROL_TIMEOUT)
+            .get(&format!("{}/expert-map", self.base_url), REPORT_LIMIT)
             .await
     }
 
@@ -237,7 +242,7 @@
     /// The engine did not respond with a success status.
     pub async fn expert_loads(&self) -> Result<EngineExpertLoads, HttpFailure> {
         self.client
-            .get(&format!("{}/expert-loads", self.base_url), CONTROL_TIMEOUT)
+            .get(&format!("{}/expert-loads", self.base_url), REPORT_LIMIT)
             .await
     }
 
--- a/src/process/platform/plain_service.rs
+++ b/src/process/platform/plain_service.rs
@@ -7,7 +7,10 @@
 
 use crate::prelude::*;
 
-use super::http_client::{HttpClient, HttpFailure, json_request};
+use super::http_client::{AnswerLimit, HttpClient, HttpFailure, json_request};
+
+/// The maximum size of an answer, in bytes; an agent keeps no longer one for its entry VM.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 quick_error! {
     /// Why a call has no result.
@@ -67,11 +70,16 @@
         let request = self
             .request(call)
             .map_err(|err| CallFailure::NotSent(err.to_string()))?;
-        match self.client.json(request, call.timeout).await {
+        let limit = AnswerLimit {
+            time: call.timeout,
+            bytes: MAX_ANSWER_BYTES,
+        };
+        match self.client.json(request, limit).await {
             Ok(body) => Ok(body),
             Err(HttpFailure::NotSent(reason)) => Err(CallFailure::NotSent(reason)),
             Err(HttpFailure::Status(status, body)) if status.is_client_error() => {
-                let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+                let text = || Value::String(String::from_utf8_lossy(&body).into_owned());
+                let body = serde_json::from_slice(&body).unwrap_or_else(|_| text());
                 Err(CallFailure::Refused(status.as_u16(), body))
             }
             Err(err) => Err(CallFailure::Unknown(err.to_string())),
--- a/src/process/platform/vm_list.rs
+++ b/src/process/platform/vm_list.rs
@@ -4,10 +4,13 @@
 
 use crate::prelude::*;
 
-use super::http_client::HttpClient;
+use super::http_client::{AnswerLimit, HttpClient};
 
-/// The timeout for one read of the list.
-const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// The limit of one read of the list.
+const LIST_LIMIT: AnswerLimit = AnswerLimit {
+    time: Duration::from_secs(2),
+    bytes: 4 << 20,
+};
 
 /// The state of a VM as the platform lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,7 +65,7 @@
     pub async fn read(&self) -> Result<VmList> {
         let list = self
             .client
-            .get(&format!("{}/v1/vms", self.base_url), LIST_TIMEOUT)
+            .get(&format!("{}/v1/vms", self.base_url), LIST_LIMIT)
             .await;
         list.map_err(|err| Error::Platform(format!("VM list: {err}")))
     }
