Bound the load of an expert's weights in size and time

What was seen: a weight store that sent bytes without end filled the agent's memory, and one that stopped in the middle of a body held the load of a map for ever.

Cause: the body was collected whole, without a limit or a timeout, although only its size is used.

Change: the body is counted and not kept, up to 64 MiB, four times the size that placement assumes for an expert, and for at most 30 s.

--- a/src/process/agent/steps/map_loader.rs
+++ b/src/process/agent/steps/map_loader.rs
@@ -78,7 +78,7 @@
             .load(&membership.model, u32::from(layer), u32::from(expert))
             .await;
         match loaded {
-            Ok(bytes) => return Ok(bytes.len()),
+            Ok(bytes) => return Ok(bytes),
             Err(WeightFailure::Limited(wait)) => tokio::time::sleep(wait).await,
             Err(err) if MAX_RETRIES <= n_retries => return Err(err),
             Err(_) => n_retries += 1,
--- a/tests/answer_limits.rs
+++ b/tests/answer_limits.rs
@@ -5,8 +5,8 @@
 
 use comfreyhead::prelude::*;
 use comfreyhead::process::platform::{
-    AppendFailure, CallFailure, EngineCall, EngineClient, HttpFailure, LogClient, ServiceCall,
-    ServiceClient, VmListClient,
+    AnswerLimit, AppendFailure, CallFailure, EngineCall, EngineClient, HttpFailure, LogClient,
+    ServiceCall, ServiceClient, VmListClient, WeightClient,
 };
 use comfreyhead_standins::{LogOptions, LogStandIn};
 use serde_json::{Value, json};
@@ -235,3 +235,32 @@
     assert_eq!(page.tail, LogOffset(41));
     assert!(page.records.len() < 40, "{}", page.records.len());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn weights_without_end_are_refused_at_64_mib() {
+    let server = EndlessServer::start(JSON_HEAD, b"w").await;
+    let weights = WeightClient::new(&server.url());
+    let model = ModelName::from("kit-assistant");
+
+    let loaded = tokio::time::timeout(Duration::from_secs(5), weights.load(&model, 1, 2)).await;
+
+    server.assert_taken(64 << 20).await;
+    let err = loaded.expect("an end").expect_err("no weights").to_string();
+    assert!(err.contains("longer than 67108864 bytes"), "{err}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn weights_that_stop_halfway_are_given_up() {
+    let server = EndlessServer::start("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", b"").await;
+    let limit = AnswerLimit {
+        time: Duration::from_secs(1),
+        bytes: 1 << 20,
+    };
+    let weights = WeightClient::with_limit(&server.url(), limit);
+    let model = ModelName::from("kit-assistant");
+
+    let loaded = tokio::time::timeout(Duration::from_secs(5), weights.load(&model, 1, 2)).await;
+
+    let err = loaded.expect("an end").expect_err("no weights").to_string();
+    assert!(err.contains("no whole answer within 1s"), "{err}");
+}
