End an engine's event at 4 MiB

What callers saw: a stream whose engine sent an event without end stood still until its deadline, while the agent's memory and processor time grew with each byte.

Cause: the parser of server-sent events keeps an event until its blank line.

Change: the bytes of an open event are counted before the parser sees them. At 4 MiB, what an agent keeps of an answer, the agent cancels the request at the engine, logs it and reports the answer as broken off; the entry VM goes on at another target. The engine is not taken for crashed.

--- a/src/process/agent/model_run.rs
+++ b/src/process/agent/model_run.rs
@@ -1,7 +1,7 @@
 //! Runs a model request at an engine.
 
 use futures::{Stream, StreamExt};
-use slog::{debug, info};
+use slog::{debug, info, warn};
 
 use crate::connection::LossReason;
 use crate::prelude::*;
@@ -37,6 +37,8 @@
     /// The stream broke or could not start, or the run was cancelled. Unless it was cancelled, the
     /// answer may be resumed.
     Broken,
+    /// The engine sent an event longer than this limit, in bytes.
+    TooLong(usize),
 }
 
 /// Runs a request until its answer is complete, fails or is lost.
@@ -61,8 +63,10 @@
             Err(failure) => on_start_failure(process, run, failure),
         },
     };
-    if matches!(end, StreamEnd::Broken) {
-        resume_model(process, start, &mut prefix).await;
+    match end {
+        StreamEnd::Finished => {}
+        StreamEnd::Broken => resume_model(process, start, &mut prefix).await,
+        StreamEnd::TooLong(limit) => break_off(process, run, limit).await,
     }
     clear_suspicion(process, start);
 }
@@ -96,8 +100,10 @@
                 StreamEnd::Broken
             }
         };
-        if matches!(end, StreamEnd::Finished) {
-            return;
+        match end {
+            StreamEnd::Finished => return,
+            StreamEnd::Broken => {}
+            StreamEnd::TooLong(limit) => return break_off(process, run, limit).await,
         }
     }
     if run.cancel.is_cancelled() {
@@ -109,6 +115,13 @@
     run.lose(LossReason::Crashed);
 }
 
+/// Gives up an answer with an event that is too long, which the engine would send again.
+async fn break_off(process: &AgentProcess, run: &WorkRun, limit: usize) {
+    warn!(process.log, "event of the target too long"; "work" => %run.work, "limit" => limit);
+    let _ = process.engine.cancel(run.work.request).await;
+    run.lose(LossReason::BrokenOff);
+}
+
 async fn forward_events(
     stream: impl Stream<Item = EngineEvent>,
     run: &WorkRun,
@@ -137,6 +150,7 @@
                 run.lose(LossReason::Diverged);
                 return StreamEnd::Finished;
             }
+            Some(EngineEvent::TooLong(limit)) => return StreamEnd::TooLong(limit),
             Some(EngineEvent::Broken(_)) | None => return StreamEnd::Broken,
         }
     }
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Clients of the platform services and of the targets, one module per external interface.
 
 mod config_log;
+mod event_limit;
 mod http_client;
 mod log_service;
 mod model_engine;
--- a/src/process/platform/model_engine.rs
+++ b/src/process/platform/model_engine.rs
@@ -1,7 +1,7 @@
 //! The agent's client of a model engine, an OpenAI-style HTTP API with numbered events.
 
 use bytes::Bytes;
-use eventsource_stream::Eventsource;
+use eventsource_stream::{EventStreamError, Eventsource};
 use futures::{Stream, StreamExt};
 use http::Request;
 use http_body_util::{BodyDataStream, Full};
@@ -12,6 +12,7 @@
 use crate::process::step_window::WindowNumber;
 use crate::version::expert_map::{ExpertMap, LoadSample, MapId, RankId};
 
+use super::event_limit::{EventFault, limit_events};
 use super::header_value;
 use super::http_client::{AnswerLimit, HttpClient, HttpFailure, bad_request, json_request};
 
@@ -102,6 +103,8 @@
     End,
     /// The stream failed before its end; holds the reason.
     Broken(String),
+    /// An event is longer than this limit, in bytes; nothing more is read.
+    TooLong(usize),
 }
 
 /// A client of one model engine.
@@ -266,10 +269,13 @@
         timeout: Duration,
     ) -> Result<impl Stream<Item = EngineEvent> + Send + use<>, HttpFailure> {
         let response = self.client.send(request, timeout).await?;
-        let events = BodyDataStream::new(response.into_body()).eventsource();
+        let events = limit_events(BodyDataStream::new(response.into_body())).eventsource();
         Ok(events.map(|event| match event {
             Ok(event) if event.data == END_OF_STREAM => EngineEvent::End,
             Ok(event) => EngineEvent::Chunk(event.data),
+            Err(EventStreamError::Transport(EventFault::TooLong(limit))) => {
+                EngineEvent::TooLong(limit)
+            }
             Err(err) => EngineEvent::Broken(err.to_string()),
         }))
     }
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -130,6 +130,8 @@
     started: Vec<String>,
     recent_steps: VecDeque<(Instant, usize)>,
     n_crashes: u64,
+    /// Whether a stream goes on with an event without end after its first events.
+    pub(crate) sends_endless_events: bool,
 }
 
 #[derive(Debug)]
@@ -211,6 +213,11 @@
         self.shared.crash();
     }
 
+    /// Sets whether each stream goes on with an event without end after its first events.
+    pub fn set_endless_events(&self, endless: bool) {
+        self.shared.state.lock().sends_endless_events = endless;
+    }
+
     /// Returns the ids of the requests that started to run, in order, including repeats.
     pub fn started(&self) -> Vec<String> {
         self.shared.state.lock().started.clone()
@@ -260,6 +267,7 @@
             started: Vec::new(),
             recent_steps: VecDeque::new(),
             n_crashes: 0,
+            sends_endless_events: false,
         }
     }
 
--- a/standins/src/engine_http.rs
+++ b/standins/src/engine_http.rs
@@ -21,6 +21,11 @@
 /// The priority of a request without an `x-priority` header.
 const DEFAULT_PRIORITY: u32 = 2;
 
+/// A part of an event without end.
+const ENDLESS_CHUNK: &[u8] = &[b'x'; 64 << 10];
+/// The number of bytes of an event without end after which the stream stands still.
+const MAX_ENDLESS_BYTES: usize = 512 << 20;
+
 /// Handles one request.
 pub(crate) async fn handle_request(
     shared: Arc<EngineShared>,
@@ -126,6 +131,7 @@
         id: id.to_owned(),
         next: from as usize,
         is_done: false,
+        n_endless_bytes: 0,
         shared,
     };
     let frames = stream::unfold(reader, read_events);
@@ -142,6 +148,7 @@
     id: String,
     next: usize,
     is_done: bool,
+    n_endless_bytes: usize,
     shared: Arc<EngineShared>,
 }
 
@@ -166,6 +173,14 @@
             // wait until the connection is dropped.
             return std::future::pending().await;
         };
+        let is_endless = 0 < reader.next && reader.shared.state.lock().sends_endless_events;
+        if is_endless {
+            if MAX_ENDLESS_BYTES <= reader.n_endless_bytes {
+                return std::future::pending().await;
+            }
+            reader.n_endless_bytes += ENDLESS_CHUNK.len();
+            return Some((Ok(Frame::data(Bytes::from_static(ENDLESS_CHUNK))), reader));
+        }
         let text = reader.take_events(&response);
         if !text.is_empty() {
             return Some((Ok(Frame::data(Bytes::from(text))), reader));
--- a/tests/answer_limits.rs
+++ b/tests/answer_limits.rs
@@ -5,10 +5,11 @@
 
 use comfreyhead::prelude::*;
 use comfreyhead::process::platform::{
-    AnswerLimit, AppendFailure, CallFailure, EngineCall, EngineClient, HttpFailure, LogClient,
-    ServiceCall, ServiceClient, VmListClient, WeightClient,
+    AnswerLimit, AppendFailure, CallFailure, EngineCall, EngineClient, EngineEvent, HttpFailure,
+    LogClient, ServiceCall, ServiceClient, VmListClient, WeightClient,
 };
 use comfreyhead_standins::{LogOptions, LogStandIn};
+use futures::StreamExt;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -264,3 +265,37 @@
     let err = loaded.expect("an end").expect_err("no weights").to_string();
     assert!(err.contains("no whole answer within 1s"), "{err}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn event_without_end_is_refused_at_4_mib() {
+    let head = JSON_HEAD.replace("application/json", "text/event-stream");
+    for filler in [&b"data: more\n"[..], b"x"] {
+        let server = EndlessServer::start(&head, filler).await;
+        let body = json!({});
+        let engine = EngineClient::new(&server.url());
+        let started = engine.start(&engine_call(&body)).await;
+        let mut events = Box::pin(started.expect("a stream"));
+
+        let event = tokio::time::timeout(Duration::from_secs(5), events.next()).await;
+
+        server.assert_taken(4 << 20).await;
+        let event = event.expect("an event before the timeout");
+        assert_eq!(event, Some(EngineEvent::TooLong(4 << 20)));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn short_events_are_read_however_many() {
+    let head = JSON_HEAD.replace("application/json", "text/event-stream");
+    for filler in [&b"data: more\n\n"[..], b"data: more\r\n\r\n"] {
+        let server = EndlessServer::start(&head, filler).await;
+        let body = json!({});
+        let engine = EngineClient::new(&server.url());
+        let started = engine.start(&engine_call(&body)).await;
+
+        let events = started.expect("a stream").take(600_000);
+        let are_chunks = events.all(async |event| event == EngineEvent::Chunk("more".to_owned()));
+
+        assert!(are_chunks.await);
+    }
+}
--- a/tests/whole_path/fleet.rs
+++ b/tests/whole_path/fleet.rs
@@ -288,6 +288,15 @@
         self.signal("CONT");
     }
 
+    /// Returns the highest resident memory of the daemon so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let pid = self.child.as_ref().expect("a running daemon").id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        kib.and_then(|kib| kib.parse().ok()).expect("a peak")
+    }
+
     /// Waits until the daemon exits on its own and returns whether it exited successfully.
     pub async fn wait_for_end(&mut self) -> bool {
         let deadline = tokio::time::Instant::now() + STATE_TIMEOUT;
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod faults;
 mod fleet;
+mod limits;
 mod operators;
 mod orders;
 mod requests;
