--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Clients of the platform services and of the targets, one module per external interface.
 
 mod config_log;
+mod event_limit;
 mod http_client;
 mod log_service;
 mod model_engine;
@@ -9,7 +10,7 @@
 mod weight_store;
 
 pub use config_log::{CONFIG_STREAM, ConfigLog};
-pub use http_client::{HttpClient, HttpFailure, json_request};
+pub use http_client::{AnswerLimit, HttpClient, HttpFailure, json_request};
 pub use log_service::{AppendFailure, LogClient, LogPage, LogRecord};
 pub use model_engine::{
     CacheEvent, CachePage, EngineCall, EngineClient, EngineEvent, EngineExpertLoads, EngineLoad,
--- a/src/process/platform/model_engine.rs
+++ b/src/process/platform/model_engine.rs
@@ -1,7 +1,7 @@
 //! The agent's client of a model engine, an OpenAI-style HTTP API with numbered events.
 
 use bytes::Bytes;
-use eventsource_stream::Eventsource;
+use eventsource_stream::{EventStreamError, Eventsource};
 use futures::{Stream, StreamExt};
 use http::Request;
 use http_body_util::{BodyDataStream, Full};
@@ -12,11 +12,17 @@
 use crate::process::step_window::WindowNumber;
 use crate::version::expert_map::{ExpertMap, LoadSample, MapId, RankId};
 
+use super::event_limit::{EventFault, limit_events};
 use super::header_value;
-use super::http_client::{HttpClient, HttpFailure, bad_request, json_request};
+use super::http_client::{AnswerLimit, HttpClient, HttpFailure, bad_request, json_request};
 
 /// The timeout for a control call to the engine.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The limit of a report of the engine; its expert maps are the longest part.
+const REPORT_LIMIT: AnswerLimit = AnswerLimit {
+    time: CONTROL_TIMEOUT,
+    bytes: 32 << 20,
+};
 /// The data of the event that marks the end of a stream.
 const END_OF_STREAM: &str = "[DONE]";
 
@@ -97,6 +103,8 @@
     End,
     /// The stream failed before its end; holds the reason.
     Broken(String),
+    /// An event is longer than this limit, in bytes; nothing more is read.
+    TooLong(usize),
 }
 
 /// A client of one model engine.
@@ -179,7 +187,7 @@
     /// The engine did not respond with a success status.
     pub async fn load(&self) -> Result<EngineLoad, HttpFailure> {
         self.client
-            .get(&format!("{}/load", self.base_url), CONTROL_TIMEOUT)
+            .get(&format!("{}/load", self.base_url), REPORT_LIMIT)
             .await
     }
 
@@ -189,7 +197,7 @@
     /// The engine did not respond with a success status.
     pub async fn cache_events(&self, from: u64) -> Result<CachePage, HttpFailure> {
         let url = format!("{}/cache-events?from={from}", self.base_url);
-        self.client.get(&url, CONTROL_TIMEOUT).await
+        self.client.get(&url, REPORT_LIMIT).await
     }
 
     /// Queues a window to run after the one that is running.
@@ -215,7 +223,7 @@
     /// The engine did not respond with a success status.
     pub async fn steps(&self) -> Result<EngineSteps, HttpFailure> {
         self.client
-            .get(&format!("{}/expert-map", self.base_url), CONTROL_TIMEOUT)
+            .get(&format!("{}/expert-map", self.base_url), REPORT_LIMIT)
             .await
     }
 
@@ -237,7 +245,7 @@
     /// The engine did not respond with a success status.
     pub async fn expert_loads(&self) -> Result<EngineExpertLoads, HttpFailure> {
         self.client
-            .get(&format!("{}/expert-loads", self.base_url), CONTROL_TIMEOUT)
+            .get(&format!("{}/expert-loads", self.base_url), REPORT_LIMIT)
             .await
     }
 
@@ -261,10 +269,13 @@
         timeout: Duration,
     ) -> Result<impl Stream<Item = EngineEvent> + Send + use<>, HttpFailure> {
         let response = self.client.send(request, timeout).await?;
-        let events = BodyDataStream::new(response.into_body()).eventsource();
+        let events = limit_events(BodyDataStream::new(response.into_body())).eventsource();
         Ok(events.map(|event| match event {
             Ok(event) if event.data == END_OF_STREAM => EngineEvent::End,
             Ok(event) => EngineEvent::Chunk(event.data),
+            Err(EventStreamError::Transport(EventFault::TooLong(limit))) => {
+                EngineEvent::TooLong(limit)
+            }
             Err(err) => EngineEvent::Broken(err.to_string()),
         }))
     }
