Count no silence up to the deadline as a target's failure

What callers saw: nothing at once, but a sound target whose answers take longer than their callers' deadlines collected failures and could be ejected.

Cause: the time limit of a dispatch and that of its request end together; where the former came first, the silence was recorded as a failure.

--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -295,6 +295,7 @@
 
     /// Logs and counts a read from a target that exceeded a limit.
     pub(super) fn record_cut(&self, pick: &TargetPick, cut: ReadCut) {
+            Some(AttemptOutcome::Silent) => health.record_silence(now),
         warn!(self.state.log, "read cut"; "request" => &*self.head.attempt_id,
             "target" => &*pick.id, "bytes" => cut.n_read, "limit" => cut.limit,
             "scope" => %cut.scope);
--- a/fleet/tests/forwarding/endless_target.rs
+++ b/fleet/tests/forwarding/endless_target.rs
@@ -165,7 +165,7 @@
     let body = vec![b'x'; 4 << 20];
     let mut open = Vec::new();
     for n_caller in 0..N_LARGE {
-        let mut caller = entry.connect().await;
+        let mut caller = entry.open().await;
         let head = request_with_body(&format!("r{n_caller}"), body.len());
         caller.write_all(head.as_bytes()).await.unwrap();
         // All but the last byte, so that the entry waits for the rest.
--- a/fleet/tests/forwarding/silent_target.rs
+++ b/fleet/tests/forwarding/silent_target.rs
@@ -4,19 +4,11 @@
 
 use comfreyhead_fleet::prelude::*;
 
-use crate::wire::{Entry, N_EVENTS, Reply, ScriptedTarget, event, route};
+use crate::wire::{Entry, N_EVENTS, Reply, ScriptedTarget, event, route, stream_route};
 
 /// How long a sound target is silent.
 const SILENCE: Duration = Duration::from_millis(1_300);
 
-fn stream_route() -> RouteSpec {
-    RouteSpec {
-        timeout: Duration::from_secs(6),
-        pause: Some(Duration::from_millis(120)),
-        ..route(CallKind::ResumableStream)
-    }
-}
-
 fn whole_stream() -> String {
     (1..=N_EVENTS).map(event).collect()
 }
@@ -135,3 +127,32 @@
     let answer = entry.call("r1").await;
     assert_eq!((answer.status, answer.body.as_str()), (200, "late"));
 }
+
+// Guards against a target that goes on with a request which another one has answered.
+#[tokio::test]
+async fn silent_target_is_reset_once_another_has_answered() {
+    let silent = target(Reply::Silence).await;
+    let sound = target(Reply::whole("200 OK", "good")).await;
+    let entry = Entry::start(CallKind::Safe, &[&silent, &sound]).await;
+    entry.disfavour(1);
+    assert_eq!(entry.call("r1").await.body, "good");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(silent.last_end(), Some(std::io::ErrorKind::ConnectionReset));
+}
+
+// Guards against the ejection of a sound target whose answers take longer than their deadlines.
+#[tokio::test]
+async fn silence_up_to_the_deadline_is_no_failure_of_the_target() {
+    for kind in [CallKind::Unsafe, CallKind::Safe, CallKind::SingleStream] {
+        for _ in 0..5 {
+            let silent = target(Reply::Silence).await;
+            let route = RouteSpec {
+                timeout: Duration::from_millis(150),
+                ..route(kind)
+            };
+            let entry = Entry::with_route(route, 1_000.0, &[&silent]).await;
+            assert!([502, 504].contains(&entry.call("r1").await.status));
+            assert_eq!(entry.failures(0), 0.0);
+        }
+    }
+}
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -1,6 +1,7 @@
 //! An entry that serves real TCP connections, and targets that follow a script.
 
 mod caller_connection;
+mod silence;
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use tokio::sync::watch;
 
 pub use caller_connection::{hold, kept_request, runtime_apart};
+pub use silence::stream_route;
 
 /// The timeout of the route that all tests use.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -340,7 +342,16 @@
 
     /// Starts an entry with a route and so many retries in its budget.
     pub async fn with_route(route: RouteSpec, retries: f64, targets: &[&ScriptedTarget]) -> Self {
-        let entry = Self::with_budget(retries, &Handle::current()).await;
+        Self::with_budget(route, budget(retries), targets).await
+    }
+
+    /// Starts an entry with a route and the limits of its retry budget.
+    pub async fn with_budget(
+        route: RouteSpec,
+        budget: BudgetSettings,
+        targets: &[&ScriptedTarget],
+    ) -> Self {
+        let entry = Self::serve(budget, &Handle::current()).await;
         entry.configure(route, targets);
         entry
     }
@@ -351,7 +362,7 @@
         route: RouteSpec,
         targets: &[&ScriptedTarget],
     ) -> Self {
-        let entry = Self::with_budget(1_000.0, runtime).await;
+        let entry = Self::serve(budget(1_000.0), runtime).await;
         entry.configure(route, targets);
         entry
     }
@@ -373,35 +384,11 @@
         }
     }
 
-    /// Records a failure of a target, so that it is chosen after the others.
-    pub fn disfavour(&self, n_target: usize) {
-        let mut table = self.state.table.lock();
-        let health = table.health_mut(&format!("t{n_target}")).unwrap();
-        health.record_failure(Instant::now());
-    }
-
-    /// Reports progress of other streams of the group until the entry is dropped.
-    pub fn keep_progress(&self) {
-        let state = Arc::downgrade(&self.state);
-        tokio::spawn(async move {
-            while let Some(state) = state.upgrade() {
-                report_progress(&state);
-                drop(state);
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        });
-    }
-
     pub async fn without_configuration() -> Self {
-        Self::with_budget(1_000.0, &Handle::current()).await
+        Self::serve(budget(1_000.0), &Handle::current()).await
     }
 
-    async fn with_budget(retries: f64, runtime: &Handle) -> Self {
-        let budget = BudgetSettings {
-            window: Duration::from_millis(1),
-            ratio: retries / 10.0,
-            slack: retries,
-        };
+    async fn serve(budget: BudgetSettings, runtime: &Handle) -> Self {
         let bounds = ProcessBounds {
             budget,
             grace: Duration::from_secs(8),
@@ -449,7 +436,7 @@
     }
 
     /// Opens a connection to the entry.
-    pub async fn connect(&self) -> TcpStream {
+    pub async fn open(&self) -> TcpStream {
         TcpStream::connect(self.address).await.unwrap()
     }
 
@@ -459,7 +446,7 @@
 
     /// Sends the bytes of a request.
     pub async fn send(&self, request: &[u8]) -> Answer {
-        let mut stream = self.connect().await;
+        let mut stream = self.open().await;
         stream.write_all(request).await.unwrap();
         let mut bytes = Vec::new();
         let ended = stream.read_to_end(&mut bytes).await.is_ok();
@@ -487,12 +474,12 @@
     }
 }
 
-fn report_progress(state: &EntryState) {
-    let now = Instant::now();
-    let mut table = state.table.lock();
-    table.group_mut(&"svc".into()).record_progress(now);
-    let limit = table.limit_mut(&"svc".into());
-    limit.observe_pause(Duration::from_millis(20), now);
+fn budget(retries: f64) -> BudgetSettings {
+    BudgetSettings {
+        window: Duration::from_millis(1),
+        ratio: retries / 10.0,
+        slack: retries,
+    }
 }
 
 fn request(path: &str, id: &str, key: &str) -> String {
