End the runs of a stream at its deadline though its caller does not read

Cause: the runs lived until the error had been handed to the caller, so that a target kept a slot for as long as the caller's connection lasted.

Evidence: stream_to_a_caller_that_does_not_read_ends_at_its_deadline failed before (still running 200 ms after the deadline) and passes now.

--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -118,6 +118,8 @@
     info!(call.state.log, "stream ended"; "request" => &*call.head.attempt_id,
         "end" => ?ended, "last_event" => source.last_id(),
         "possible_runs" => source.possible_runs(),
+    // Ends the runs at once, also where the caller does not read.
+    drop(source);
         "left_ms" => call.time_left().as_millis() as u64,
         "after_ms" => call.received_at.elapsed().as_millis() as u64);
     let is_cut = matches!(ended, StreamEnd::Broken(_) | StreamEnd::Deadline);
--- a/fleet/tests/forwarding/silent_target.rs
+++ b/fleet/tests/forwarding/silent_target.rs
@@ -140,6 +140,27 @@
     assert_eq!(silent.last_end(), Some(std::io::ErrorKind::ConnectionReset));
 }
 
+// Guards against a run that goes on after its deadline since its caller does not read.
+#[tokio::test]
+async fn stream_to_a_caller_that_does_not_read_ends_at_its_deadline() {
+    let event = format!("data: {}\n\n", "x".repeat(20_000));
+    let large = target(Reply::stream(&event.repeat(1_000))).await;
+    let route = RouteSpec {
+        timeout: Duration::from_millis(500),
+        ..stream_route()
+    };
+    let entry = Entry::with_route(route, 1_000.0, &[&large]).await;
+    let leaving = entry.call_and_leave("r1", Duration::from_secs(2));
+    let n_busy = async {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let before = entry.n_busy_targets();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        (before, entry.n_busy_targets())
+    };
+    let (n_busy, ()) = tokio::join!(n_busy, leaving);
+    assert_eq!(n_busy, (1, 0));
+}
+
 // Guards against the ejection of a sound target whose answers take longer than their deadlines.
 #[tokio::test]
 async fn silence_up_to_the_deadline_is_no_failure_of_the_target() {
