--- a/fleet/src/forward/event_parser.rs
+++ b/fleet/src/forward/event_parser.rs
@@ -23,6 +23,14 @@
     pub bytes: Bytes,
 }
 
+impl StreamEvent {
+    /// Returns whether the event has data; a comment has none.
+    pub fn has_data(&self) -> bool {
+        let mut lines = self.bytes.split(|&byte| byte == b'\n');
+        lines.any(|line| line.starts_with(b"data"))
+    }
+}
+
 impl EventParser {
     /// Appends bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
--- a/fleet/src/process/drain.rs
+++ b/fleet/src/process/drain.rs
@@ -12,6 +12,9 @@
 /// How long before the end of the grace period the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// How long before the exit the last answers are given.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// Whether an entry is stopping, and when it began to.
 #[derive(Debug, Default)]
 pub struct DrainState {
@@ -40,11 +43,23 @@
 
     /// Waits until new requests are refused.
     pub async fn closed(&self) {
+        let began_at = self.begun().await;
+        tokio::time::sleep_until(began_at + ACCEPT_TIME).await;
+    }
+
+    /// Waits until requests without an answer have to get one, as the process will exit.
+    pub async fn answers_due(&self, grace: Duration) {
+        let began_at = self.begun().await;
+        let due_at = Self::end_of_grace(began_at, grace.saturating_sub(ANSWER_MARGIN));
+        tokio::time::sleep_until(due_at).await;
+    }
+
+    async fn begun(&self) -> Instant {
         loop {
             let begun = self.begun.notified();
             let began_at = *self.began_at.lock();
             match began_at {
-                Some(at) => return tokio::time::sleep_until(at + ACCEPT_TIME).await,
+                Some(at) => return at,
                 None => begun.await,
             }
         }
--- a/fleet/src/process/open_dispatches.rs
+++ b/fleet/src/process/open_dispatches.rs
@@ -1,7 +1,7 @@
 //! The dispatches of one request that are open at the same time.
 
 use crate::prelude::*;
-use crate::request::{AttemptOutcome, CallProgress, DispatchNumber, NextStep};
+use crate::request::{AttemptOutcome, CallProgress, DispatchNumber, NextStep, stop_step};
 
 use super::request_run::{CallContext, ChosenTarget};
 
@@ -16,13 +16,11 @@
 impl OpenDispatches {
     /// Begins a dispatch, to a target that the request has not been sent to; `None` if there is no
     /// other.
-    pub(super) fn begin(&mut self, call: &CallContext) -> (DispatchNumber, Option<ChosenTarget>) {
+    pub(super) fn begin(&mut self, call: &CallContext) -> Option<(DispatchNumber, ChosenTarget)> {
+        let target = call.choose(&mut self.excluded)?;
         let number = self.progress.begin();
-        let target = call.choose(&mut self.excluded);
-        if let Some(target) = &target {
-            self.open.push((number, target.pick.id.clone()));
-        }
-        (number, target)
+        self.open.push((number, target.pick.id.clone()));
+        Some((number, target))
     }
 
     /// Records the outcome of a dispatch.
@@ -46,20 +44,27 @@
 
     /// Records that no open dispatch has sent anything for a time.
     pub(super) fn record_silence(&mut self, call: &CallContext, silence: Duration) {
-        self.progress.record_silence();
-        for (_, target) in &self.open {
-            call.record_silence(target, silence);
+        for (number, target) in &self.open {
+            if !self.progress.is_silent(*number) {
+                call.record_silence(target, silence);
+            }
         }
+        self.progress.record_silence();
     }
 
     /// Returns whether a dispatch is open that has not fallen silent.
-    pub(super) fn has_sound_dispatch(&self) -> bool {
-        self.progress.has_sound_dispatch()
+    pub(super) fn has_active_dispatch(&self) -> bool {
+        self.progress.has_active_dispatch()
     }
 
     /// Decides what follows an outcome.
     pub(super) fn next_step(&self, call: &CallContext, outcome: AttemptOutcome) -> NextStep {
-        call.next_step(&self.progress, outcome)
+        call.next_step(&self.progress, outcome, &self.excluded)
+    }
+
+    /// Returns what follows an outcome if the request is not sent again.
+    pub(super) fn stop_step(&self, outcome: AttemptOutcome) -> NextStep {
+        stop_step(&self.progress, outcome)
     }
 
     /// Returns the number of dispatches that may have run, for logs.
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -22,11 +22,13 @@
 /// Runs a call answered by one complete response.
 pub(super) async fn run(call: CallContext) -> Response<CallerBody> {
     let mut last_failure = None;
-    let running = run_attempts(&call, &mut last_failure);
-    let step = match tokio::time::timeout_at(call.deadline, running).await {
-        Ok(Ok((head, body))) => return call.target_response(head, body),
-        Ok(Err(step)) => Some(step),
-        Err(_) => None,
+    let step = tokio::select! {
+        biased;
+        ended = run_attempts(&call, &mut last_failure) => match ended {
+            Ok((head, body)) => return call.target_response(head, body),
+            Err(step) => Some(step),
+        },
+        () = call.answer_due() => None,
     };
     // A failure that a target states is authoritative; it takes precedence over a local response.
     match (last_failure, step) {
@@ -46,10 +48,11 @@
     let mut dispatches = OpenDispatches::default();
     let mut running = FuturesUnordered::new();
     let begin = |dispatches: &mut OpenDispatches| {
-        let (number, target) = dispatches.begin(call);
-        async move { (number, attempt(call, target).await) }
+        let (number, target) = dispatches.begin(call)?;
+        Some(async move { (number, attempt(call, target).await) })
     };
-    running.push(begin(&mut dispatches));
+    let first = begin(&mut dispatches);
+    running.push(first.ok_or_else(|| dispatches.stop_step(AttemptOutcome::NotSent))?);
     let mut silence = silence_limit(call);
     let mut silent_at = Instant::now() + silence;
     loop {
@@ -65,7 +68,7 @@
                     }
                 };
                 dispatches.end(number, outcome);
-                if dispatches.has_sound_dispatch() {
+                if dispatches.has_active_dispatch() {
                     continue;
                 }
                 outcome
@@ -74,26 +77,30 @@
                 dispatches.record_silence(call, silence);
                 AttemptOutcome::Silent
             }
+            () = tokio::time::sleep_until(call.failure_due()), if last_failure.is_some() => {
+                return Err(dispatches.stop_step(AttemptOutcome::Failed));
+            }
+        };
+        let step = dispatches.next_step(call, outcome);
+        let next = match step {
+            NextStep::Retry => begin(&mut dispatches),
+            _ => None,
         };
-        match dispatches.next_step(call, outcome) {
-            NextStep::Retry => {
-                running.push(begin(&mut dispatches));
+        match next {
+            Some(next) => {
+                running.push(next);
                 silence = silence_limit(call);
                 silent_at = Instant::now() + silence;
             }
             // A silent target may still answer, until the deadline.
-            _ if !running.is_empty() => silent_at = call.deadline,
-            step => return Err(step),
+            None if !running.is_empty() => silent_at = call.deadline,
+            None => return Err(dispatches.stop_step(outcome)),
         }
     }
 }
 
 /// Dispatches the call once and reads the complete response.
-async fn attempt(
-    call: &CallContext,
-    target: Option<ChosenTarget>,
-) -> Result<TargetAnswer, AttemptError> {
-    let target = target.ok_or(AttemptOutcome::NotSent)?;
+async fn attempt(call: &CallContext, target: ChosenTarget) -> Result<TargetAnswer, AttemptError> {
     let dispatched = call.dispatch(target, None).await?;
     read_response(call, dispatched).await
 }
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -11,8 +11,8 @@
     TargetResponse, call_target,
 };
 use crate::prelude::*;
-use crate::request::next_step;
 use crate::request::{AttemptOutcome, CallProgress, DeniedReason, NextStep, UnknownReason};
+use crate::request::{next_step, stop_step};
 use crate::routing::{GROUP_RECOVERY_TIME, TargetPick};
 
 use super::caller_body::CallerBody;
@@ -34,6 +34,13 @@
 /// The `Retry-After` time while this entry stops: the caller may retry at another one.
 const RETRY_STOPPING: Duration = Duration::from_millis(50);
 
+/// The time before the deadline at which a stated failure is passed on, as a fraction of the
+/// request's time.
+const FAILURE_MARGIN_FRACTION: f64 = 0.05;
+
+/// The shortest time before the deadline at which a stated failure is passed on.
+const MIN_FAILURE_MARGIN: Duration = Duration::from_millis(50);
+
 /// A request that a route admits, with all that its attempts need.
 pub(super) struct CallContext {
     pub(super) state: Arc<EntryState>,
@@ -288,6 +295,7 @@
         };
         match outcome {
             None => health.record_success(now),
+            Some(AttemptOutcome::Silent) => health.record_silence(now),
             Some(AttemptOutcome::NotSent) => health.record_unreachable(now),
             Some(_) => health.record_failure(now),
         }
@@ -295,7 +303,6 @@
 
     /// Logs and counts a read from a target that exceeded a limit.
     pub(super) fn record_cut(&self, pick: &TargetPick, cut: ReadCut) {
-            Some(AttemptOutcome::Silent) => health.record_silence(now),
         warn!(self.state.log, "read cut"; "request" => &*self.head.attempt_id,
             "target" => &*pick.id, "bytes" => cut.n_read, "limit" => cut.limit,
             "scope" => %cut.scope);
@@ -315,21 +322,55 @@
         }
     }
 
-    /// Decides what to do after a failed dispatch.
-    pub(super) fn next_step(&self, progress: &CallProgress, outcome: AttemptOutcome) -> NextStep {
+    /// Decides what to do after a dispatch that failed or is silent.
+    pub(super) fn next_step(
+        &self,
+        progress: &CallProgress,
+        outcome: AttemptOutcome,
+        excluded: &[Arc<str>],
+    ) -> NextStep {
         let now = Instant::now();
         let table = self.state.table.lock();
-        let may_serve =
-            table.has_target(&self.service) && !table.is_group_broken(&self.service, now);
+        let has_target = table.has_target(&self.service, excluded);
+        let is_broken = table.is_group_broken(&self.service, now);
         drop(table);
-        let budget = || may_serve && self.state.draw_retry(&self.service, now);
-        let step = next_step(&self.route, progress, outcome, self.time_left(), budget);
+        let budget = || !is_broken && self.state.draw_retry(&self.service, now);
+        let step = match has_target {
+            true => next_step(&self.route, progress, outcome, self.time_left(), budget),
+            false => stop_step(progress, outcome),
+        };
         info!(self.state.log, "after a failed dispatch"; "request" => &*self.head.attempt_id,
             "sends" => progress.sends, "runs" => progress.possible_runs,
             "connects" => progress.failed_connects, "step" => ?step);
         step
     }
 
+    /// Returns whether the targets of the service are ranks of a group, which stall together.
+    pub(super) fn is_to_group(&self) -> bool {
+        let catalog = self.state.catalog.load();
+        let services = catalog.as_ref().map(|catalog| &catalog.services);
+        let spec = services.and_then(|services| services.get(&self.service));
+        spec.is_some_and(|spec| spec.engine.is_some())
+    }
+
+    /// Waits until the request has to get an answer: at its deadline, or before this process exits.
+    pub(super) async fn answer_due(&self) {
+        tokio::select! {
+            () = tokio::time::sleep_until(self.deadline) => {}
+            () = self.state.drain.answers_due(self.state.grace()) => {}
+        }
+    }
+
+    /// Returns when a failure that a target stated is passed on though other targets may still
+    /// answer: early enough to reach the caller before its deadline.
+    pub(super) fn failure_due(&self) -> Instant {
+        let time = self.deadline.saturating_duration_since(self.received_at);
+        let margin = time
+            .mul_f64(FAILURE_MARGIN_FRACTION)
+            .max(MIN_FAILURE_MARGIN);
+        self.received_at + time.saturating_sub(margin)
+    }
+
     /// Returns the response to a request that no target answered.
     pub(super) fn give_up(&self, step: NextStep) -> Response<CallerBody> {
         let answer = match step {
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -29,23 +29,21 @@
     }
     let call = Arc::new(call);
     let mut source = StreamSource::new(call.clone());
-    let first = match tokio::time::timeout_at(call.deadline, source.next()).await {
-        Ok(Err(SourceEnd::Broken(step))) => {
-            return match source.take_failure() {
-                Some((head, body)) => call.target_response(head, body),
-                None => call.give_up(step),
-            };
+    let first = tokio::select! {
+        biased;
+        first = source.next() => Some(first),
+        () = call.answer_due() => None,
+    };
+    let first = match (first, source.take_failure()) {
+        (Some(Err(SourceEnd::Broken(_))) | None, Some((head, body))) => {
+            return call.target_response(head, body);
         }
-        Ok(first) => first,
-        Err(_) => {
-            return match source.take_failure() {
-                Some((head, body)) => call.target_response(head, body),
-                None => {
-                    let answer = LocalResponse::Unknown(UnknownReason::Timeout);
-                    call.local_response(answer, "deadline before the first event")
-                }
-            };
+        (Some(Err(SourceEnd::Broken(step))), None) => return call.give_up(step),
+        (None, None) => {
+            let answer = LocalResponse::Unknown(UnknownReason::Timeout);
+            return call.local_response(answer, "deadline before the first event");
         }
+        (Some(first), _) => first,
     };
     let Some(head) = source.head() else {
         return call.give_up(NextStep::GiveUp(UnknownReason::BadAnswer));
@@ -118,10 +116,10 @@
     info!(call.state.log, "stream ended"; "request" => &*call.head.attempt_id,
         "end" => ?ended, "last_event" => source.last_id(),
         "possible_runs" => source.possible_runs(),
-    // Ends the runs at once, also where the caller does not read.
-    drop(source);
         "left_ms" => call.time_left().as_millis() as u64,
         "after_ms" => call.received_at.elapsed().as_millis() as u64);
+    // Ends the runs at once, also where the caller does not read.
+    drop(source);
     let is_cut = matches!(ended, StreamEnd::Broken(_) | StreamEnd::Deadline);
     if is_cut {
         // Fails only if the caller has disconnected, and then nobody needs the error.
--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -34,6 +34,8 @@
     /// Whether an event without an id was sent, so that no target can go on after it.
     has_unnumbered: bool,
     last_event_at: Option<Instant>,
+    /// Whether an event was sent to the caller, so that a stated failure cannot be passed on.
+    has_begun: bool,
     /// The run that sent the last event.
     current: Option<StreamRun>,
     /// The runs that have not sent an event.
@@ -70,6 +72,7 @@
             dispatches: OpenDispatches::default(),
             has_unnumbered: false,
             last_event_at: None,
+            has_begun: false,
             current: None,
             starting: FuturesUnordered::new(),
             stated_failure: None,
@@ -115,6 +118,9 @@
 
     /// Returns the next event of the stream.
     pub(super) async fn next(&mut self) -> Result<StreamEvent, SourceEnd> {
+        if self.current.is_none() && self.starting.is_empty() {
+            return Err(self.broken(AttemptOutcome::NotSent));
+        }
         let mut silence = self.silence_limit();
         let mut silent_at = Instant::now() + silence;
         loop {
@@ -125,26 +131,35 @@
                     received => return self.accept(received),
                 },
                 Some(started) = self.starting.next() => match started {
+                    // Without an event it does not show that the silent run has no more to send.
+                    Ok((run, Err(_))) if self.current.is_some() => {
+                        self.end_start(run.number, AttemptOutcome::Unknown.into())
+                    }
                     Ok((run, received)) => {
                         self.current = Some(run);
                         return self.accept(received);
                     }
                     Err((number, err)) => self.end_start(number, err),
                 },
-                () = wait_silent(&self.call, silent_at) => {
+                () = wait_silent(&self.call, silent_at, silence) => {
                     self.dispatches.record_silence(&self.call, silence);
                     AttemptOutcome::Silent
                 }
+                () = tokio::time::sleep_until(self.call.failure_due()),
+                    if self.stated_failure.is_some() && !self.has_begun =>
+                {
+                    return Err(self.broken(AttemptOutcome::Failed));
+                }
             };
-            if self.dispatches.has_sound_dispatch() {
+            if self.dispatches.has_active_dispatch() {
                 continue;
             }
-            let is_open = self.current.is_some() || !self.starting.is_empty();
-            match self.next_step(outcome) {
-                NextStep::Retry => self.begin(),
-                // A silent target may still go on.
-                _ if is_open => {}
-                step => return Err(SourceEnd::Broken(step)),
+            if self.next_step(outcome) == NextStep::Retry {
+                self.begin();
+            }
+            // A silent target may still go on.
+            if self.current.is_none() && self.starting.is_empty() {
+                return Err(self.broken(outcome));
             }
             silence = self.silence_limit();
             silent_at = Instant::now() + silence;
@@ -158,9 +173,15 @@
         }
     }
 
-    /// Sends the stream to a target, from the last event on.
+    fn broken(&self, outcome: AttemptOutcome) -> SourceEnd {
+        SourceEnd::Broken(self.dispatches.stop_step(outcome))
+    }
+
+    /// Sends the stream to another target, if there is one, from the last event on.
     fn begin(&mut self) {
-        let (number, target) = self.dispatches.begin(&self.call);
+        let Some((number, target)) = self.dispatches.begin(&self.call) else {
+            return;
+        };
         let starting = start(self.call.clone(), number, target, self.last_id);
         self.starting.push(Box::pin(starting));
     }
@@ -178,14 +199,16 @@
         let now = Instant::now();
         let mut table = self.call.state.table.lock();
         table.group_mut(&self.call.service).record_progress(now);
-        if let Some(last_at) = self.last_event_at {
-            let pause = now.saturating_duration_since(last_at);
+        let pause = self.last_event_at.map(|at| now - at);
+        // A silence tells nothing of the group's speed.
+        if let Some(pause) = pause.filter(|pause| *pause < silent_pause(&self.call)) {
             let limit = table.limit_mut(&self.call.service);
             limit.observe_pause(pause, now);
         }
         drop(table);
+        self.has_begun = true;
         self.last_id = event.id.or(self.last_id);
-        self.has_unnumbered |= event.id.is_none();
+        self.has_unnumbered |= event.id.is_none() && event.has_data();
         self.last_event_at = Some(now);
         Ok(event)
     }
@@ -220,13 +243,18 @@
             return call.time_left();
         }
         match self.current {
-            Some(_) => call.route.pause.unwrap_or(MIN_SILENCE) * MAX_SILENT_PAUSES,
+            Some(_) => silent_pause(call),
             None => FIRST_EVENT_LIMIT,
         }
-        .max(MIN_SILENCE)
     }
 }
 
+/// Returns the pause between two events from which a target counts as silent.
+fn silent_pause(call: &CallContext) -> Duration {
+    let pause = call.route.pause.unwrap_or(MIN_SILENCE);
+    MIN_SILENCE.max(pause * MAX_SILENT_PAUSES)
+}
+
 /// Returns the next event of a run; waits forever where there is none.
 async fn receive(run: &mut Option<StreamRun>) -> Result<StreamEvent, RelayEnd> {
     match run {
@@ -239,7 +267,7 @@
 async fn start(
     call: Arc<CallContext>,
     number: DispatchNumber,
-    target: Option<ChosenTarget>,
+    target: ChosenTarget,
     last_id: Option<u64>,
 ) -> StartResult {
     match attempt_start(&call, target, last_id).await {
@@ -257,10 +285,9 @@
 
 async fn attempt_start(
     call: &CallContext,
-    target: Option<ChosenTarget>,
+    target: ChosenTarget,
     last_id: Option<u64>,
 ) -> Result<(DispatchedCall, StreamRelay, Result<StreamEvent, RelayEnd>), AttemptError> {
-    let target = target.ok_or(AttemptOutcome::NotSent)?;
     let mut dispatched = call.dispatch(target, last_id).await?;
     if !dispatched.response.head.status.is_success() {
         // An answer outside 2xx has no events, so that it is complete as it is.
@@ -277,20 +304,21 @@
     Ok((dispatched, relay, first))
 }
 
-/// Waits until the open runs count as silent: the time has come and other streams of the group make
-/// progress. If the whole group stalls, no single target is at fault.
-async fn wait_silent(call: &CallContext, silent_at: Instant) {
+/// Waits until the open runs count as silent: the time has come, and other streams of a group have had
+/// an event in the second half of the silence. If the whole group stalls, no single rank is at fault.
+async fn wait_silent(call: &CallContext, silent_at: Instant, silence: Duration) {
     tokio::time::sleep_until(silent_at).await;
+    let is_group = call.is_to_group();
     loop {
         let now = Instant::now();
-        let has_progress = call
-            .state
-            .table
-            .lock()
-            .limit_mut(&call.service)
-            .pause_at(now)
-            .is_some();
-        if has_progress && !call.time_left().is_zero() {
+        let is_suspect = !is_group
+            || call
+                .state
+                .table
+                .lock()
+                .group_mut(&call.service)
+                .has_progressed(silence / 2, now);
+        if is_suspect && !call.time_left().is_zero() {
             return;
         }
         tokio::time::sleep(MIN_SILENCE / 2).await;
--- a/fleet/src/request/mod.rs
+++ b/fleet/src/request/mod.rs
@@ -7,5 +7,5 @@
 
 pub use attempt_outcome::AttemptOutcome;
 pub use local_response::{DeniedReason, LocalResponse, UnknownReason};
-pub use next_step::{CallProgress, DispatchNumber, NextStep, next_step};
+pub use next_step::{CallProgress, DispatchNumber, NextStep, next_step, stop_step};
 pub use not_run_proof::NotRunProof;
--- a/fleet/src/request/next_step.rs
+++ b/fleet/src/request/next_step.rs
@@ -25,9 +25,9 @@
     pub failed_connects: u32,
     n_begun: u32,
     /// The dispatches below this number have fallen silent or ended.
-    n_suspected: u32,
+    n_silent: u32,
     /// The open dispatches that have not fallen silent.
-    n_sound: u32,
+    n_active: u32,
 }
 
 /// The number of a dispatch among those of its request.
@@ -39,33 +39,38 @@
     pub fn begin(&mut self) -> DispatchNumber {
         let number = DispatchNumber(self.n_begun);
         self.n_begun += 1;
-        self.n_sound += 1;
+        self.n_active += 1;
         number
     }
 
     /// Counts the open dispatches as possible runs, since none of them has sent anything for too
     /// long.
     pub fn record_silence(&mut self) {
-        self.sends += self.n_sound;
-        self.possible_runs += self.n_sound;
-        self.n_sound = 0;
-        self.n_suspected = self.n_begun;
+        self.sends += self.n_active;
+        self.possible_runs += self.n_active;
+        self.n_active = 0;
+        self.n_silent = self.n_begun;
     }
 
     /// Records the outcome of an open dispatch.
     pub fn end(&mut self, number: DispatchNumber, outcome: AttemptOutcome) {
-        if number.0 < self.n_suspected {
+        if self.is_silent(number) {
             self.sends -= 1;
             self.possible_runs -= 1;
         } else {
-            self.n_sound -= 1;
+            self.n_active -= 1;
         }
         self.record(outcome);
     }
 
     /// Returns whether a dispatch is open that has not fallen silent.
-    pub fn has_sound_dispatch(&self) -> bool {
-        0 < self.n_sound
+    pub fn has_active_dispatch(&self) -> bool {
+        0 < self.n_active
+    }
+
+    /// Returns whether an open dispatch has fallen silent.
+    pub fn is_silent(&self, number: DispatchNumber) -> bool {
+        number.0 < self.n_silent
     }
 
     /// Records the outcome of one dispatch.
@@ -101,6 +106,15 @@
     GiveUp(UnknownReason),
 }
 
+/// Returns what follows if the request is not sent again.
+pub fn stop_step(progress: &CallProgress, outcome: AttemptOutcome) -> NextStep {
+    match progress.not_run_proof() {
+        Some(proof) => NextStep::Refuse(proof),
+        None if outcome == AttemptOutcome::Silent => NextStep::GiveUp(UnknownReason::Timeout),
+        None => NextStep::GiveUp(UnknownReason::BadAnswer),
+    }
+}
+
 /// Decides what follows a dispatch without a response.
 ///
 /// `progress` already includes `outcome`. `budget` takes one retry from the retry budget and
@@ -113,11 +127,7 @@
     time_left: Duration,
     budget: impl FnOnce() -> bool,
 ) -> NextStep {
-    let stop = match progress.not_run_proof() {
-        Some(proof) => NextStep::Refuse(proof),
-        None if outcome == AttemptOutcome::Silent => NextStep::GiveUp(UnknownReason::Timeout),
-        None => NextStep::GiveUp(UnknownReason::BadAnswer),
-    };
+    let stop = stop_step(progress, outcome);
     if 0 < progress.possible_runs && !route.kind.may_repeat() {
         return stop;
     }
--- a/fleet/src/routing/group_health.rs
+++ b/fleet/src/routing/group_health.rs
@@ -107,6 +107,11 @@
         1 < own_running && self.progress_at.is_some_and(|at| at + STALL_TIMEOUT <= now)
     }
 
+    /// Returns whether any stream of the group has had an event within a time.
+    pub fn has_progressed(&self, within: Duration, now: Instant) -> bool {
+        self.progress_at.is_some_and(|at| now < at + within)
+    }
+
     /// Decides whether a request may go to the group.
     pub fn admit(&mut self, own_running: u32, form_time: Duration, now: Instant) -> GroupState {
         if own_running == 0 && self.refusals.is_empty() {
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -210,9 +210,10 @@
         }
     }
 
-    /// Returns whether any target of a service accepts requests.
-    pub fn has_target(&self, service: &str) -> bool {
-        self.usable(service).next().is_some()
+    /// Returns whether any target of a service other than the excluded ones accepts requests.
+    pub fn has_target(&self, service: &str, excluded: &[Arc<str>]) -> bool {
+        self.usable(service)
+            .any(|row| !excluded.contains(&row.entry.id))
     }
 
     /// Returns the number of targets that accept requests.
--- a/fleet/tests/requests.rs
+++ b/fleet/tests/requests.rs
@@ -183,7 +183,7 @@
                 outcome
             };
             prop_assert!(n_ran + open.len() as u32 <= attempts.max(1));
-            if progress.has_sound_dispatch() {
+            if progress.has_active_dispatch() {
                 continue;
             }
             match next_step(&route, &progress, outcome, Duration::from_secs(1), || true) {
