Answer a request whose body or head is not read to its end

What callers saw: a body that stopped half way left its request without an answer for good. A refusal of too large a body or head (413, 431) did not reach a caller that was still sending.

Cause: reading a body had no limit of time. After such a refusal the connection was closed with unread input, and the reset discarded the answer.

Change: a body may arrive until the caller's deadline, or else for the longest timeout of any route; then the caller gets 408, which promises that nothing ran.

Evidence: failed before and pass now: body_that_does_not_arrive_before_the_deadline_is_refused (no answer in 2 s at a deadline of 0.3 s), refusal_of_a_large_body_reaches_a_caller_that_is_still_sending and refusal_of_a_large_head_reaches_a_caller_that_is_still_sending (connection reset, broken pipe).

--- a/fleet/src/catalog/route_catalog.rs
+++ b/fleet/src/catalog/route_catalog.rs
@@ -83,6 +83,12 @@
         of_service.filter_map(|route| route.pause).min()
     }
 
+    /// Returns the longest timeout of any route; `None` without routes.
+    pub fn longest_timeout(&self) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        routes.map(|route| route.timeout).max()
+    }
+
     /// Returns the route with the longest prefix that matches a host and path.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<RouteSpec>> {
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -21,7 +21,7 @@
     CallerStream, CloseStep, ConnectionActivity, EntryPhase, RunningBody,
 };
 use super::entry_state::EntryState;
-use super::request_run::run_request;
+use super::request_run::{BodyUnread, run_request};
 
 /// The lower bound of the limit on a connection's read buffer, in bytes: hyper accepts no smaller
 /// limit, and a larger one costs memory on small VMs.
@@ -122,6 +122,9 @@
             let (state, activity) = (state.clone(), activity.clone());
             async move {
                 let response = run_request(state.clone(), request).await;
+                if response.extensions().get::<BodyUnread>().is_some() {
+                    activity.leave_body_unread();
+                }
                 activity.set_idle_timeout(caller_limits(&state).idle_timeout);
                 Ok::<_, Infallible>(response.map(|body| RunningBody::new(body, guard)))
             }
@@ -139,7 +142,13 @@
         tokio::select! {
             biased;
             ended = connection.as_mut() => {
-                return record_end(&state, &activity, caller, ended);
+                let is_unread = activity.has_unread_body()
+                    || ended.as_ref().is_err_and(hyper::Error::is_parse);
+                record_end(&state, &activity, caller, ended);
+                if is_unread {
+                    discard_input(&stream).await;
+                }
+                return;
             }
             () = state.drain.closed(), if phase == EntryPhase::Serving => {
                 phase = EntryPhase::Stopping;
--- a/fleet/src/process/connection_activity.rs
+++ b/fleet/src/process/connection_activity.rs
@@ -36,6 +36,7 @@
     last_used_at: Instant,
     /// The idle timeout in force at the last use, on which the caller may rely.
     idle_timeout: Duration,
+    has_unread_body: bool,
 }
 
 /// What to do with a caller's connection.
@@ -59,6 +60,7 @@
             head_since: None,
             last_used_at: Instant::now(),
             idle_timeout: limits.idle_timeout,
+            has_unread_body: false,
         };
         Self {
             progress: Mutex::new(progress),
@@ -80,6 +82,16 @@
         self.progress.lock().idle_timeout = timeout;
     }
 
+    /// Records that the rest of a request's body will not be read.
+    pub(super) fn leave_body_unread(&self) {
+        self.progress.lock().has_unread_body = true;
+    }
+
+    /// Returns whether the caller may still be sending a body that will not be read.
+    pub(super) fn has_unread_body(&self) -> bool {
+        self.progress.lock().has_unread_body
+    }
+
     /// Returns the number of requests so far.
     pub(super) fn n_requests(&self) -> u64 {
         self.progress.lock().n_requests
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use slog::{debug, info};
 
 use crate::catalog::{Account, RouteError};
@@ -27,6 +27,9 @@
 /// The `Retry-After` time while this entry stops: the caller may retry at another one.
 const RETRY_STOPPING: Duration = Duration::from_millis(50);
 
+/// The longest time for a body to arrive while no route is known.
+const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A request that a route admits, with all that its attempts need.
 pub(super) struct CallContext {
     pub(super) state: Arc<EntryState>,
@@ -73,17 +76,28 @@
         Some(catalog) => catalog.limits.body_bytes,
         None => crate::catalog::CallerLimits::default().body_bytes,
     };
-    let body = match Limited::new(body, body_limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
+    let body_end = match body.is_end_stream() {
+        true => received_at,
+        false => body_end(&state, &head, received_at),
+    };
+    let reading = Limited::new(body, body_limit).collect();
+    let body = match tokio::time::timeout_at(body_end, reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
             let answer = LocalResponse::Denied(DeniedReason::BodyTooLarge);
-            return local_response(&state, &attempt_id, answer, "body limit");
+            let response = local_response(&state, &attempt_id, answer, "body limit");
+            return leave_body_unread(response);
         }
         // The caller disconnected; nobody reads the response.
-        Err(_) => {
+        Ok(Err(_)) => {
             let answer = LocalResponse::Denied(DeniedReason::BadRequest);
             return local_response(&state, &attempt_id, answer, "body incomplete");
         }
+        Err(_) => {
+            let answer = LocalResponse::Incomplete(NotRunProof::never_sent());
+            let response = local_response(&state, &attempt_id, answer, "body too late");
+            return leave_body_unread(response);
+        }
     };
     match admit_call(&state, head, body, received_at) {
         Ok(call) if call.route.kind.is_stream() => stream_run::run(call).await,
@@ -92,6 +106,32 @@
     }
 }
 
+/// Marks a response whose caller may still be sending the body of its request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BodyUnread;
+
+fn leave_body_unread(mut response: Response<CallerBody>) -> Response<CallerBody> {
+    let close = HeaderValue::from_static("close");
+    let headers = response.headers_mut();
+    headers.insert(http::header::CONNECTION, close);
+    response.extensions_mut().insert(BodyUnread);
+    response
+}
+
+/// Returns the time until which the body may arrive: the caller's deadline, or the end of the
+/// longest timeout of any route, as the route may change until the body is there.
+fn body_end(state: &EntryState, head: &RequestHead, received_at: Instant) -> Instant {
+    let catalog = state.catalog.load();
+    let longest = catalog
+        .as_ref()
+        .and_then(|catalog| catalog.longest_timeout());
+    let longest = longest.unwrap_or(DEFAULT_BODY_TIMEOUT);
+    received_at
+        + head
+            .caller_timeout
+            .map_or(longest, |timeout| timeout.min(longest))
+}
+
 /// Resolves a request's route and service, or returns the answer that refuses it, and why.
 fn admit_call(
     state: &Arc<EntryState>,
--- a/fleet/src/request/local_response.rs
+++ b/fleet/src/request/local_response.rs
@@ -7,6 +7,8 @@
 pub enum LocalResponse {
     /// The request did not run; the caller may retry after the given time.
     Refused(NotRunProof, Duration),
+    /// The request did not arrive in time and did not run.
+    Incomplete(NotRunProof),
     /// The request is not allowed.
     Denied(DeniedReason),
     /// The request may have run.
@@ -41,6 +43,7 @@
         use http::StatusCode;
         match self {
             Self::Refused(..) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Incomplete(_) => StatusCode::REQUEST_TIMEOUT,
             Self::Denied(DeniedReason::NoRoute) => StatusCode::NOT_FOUND,
             Self::Denied(DeniedReason::UnknownKey) => StatusCode::UNAUTHORIZED,
             Self::Denied(DeniedReason::BodyTooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
--- a/fleet/tests/forwarding/connections.rs
+++ b/fleet/tests/forwarding/connections.rs
@@ -214,3 +214,62 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
     }
 }
+
+// Guards against a body that never arrives and leaves its request without an answer.
+#[tokio::test]
+async fn body_that_does_not_arrive_before_the_deadline_is_refused() {
+    let target = target(1).await;
+    let entry = Entry::start(CallKind::Unsafe, &[&target]).await;
+    let mut caller = entry.connect().await;
+    let head = kept_request("r1").replace(
+        "\r\n\r\n",
+        "\r\nx-deadline: 300\r\ncontent-length: 9\r\n\r\nhalf",
+    );
+    caller.send(&head).await;
+    let answer = timeout(Duration::from_secs(2), caller.end()).await;
+    let answer = answer.unwrap_or_default();
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer:?}");
+    assert_eq!(target.requests().len(), 0);
+}
+
+// Guards against a refusal that is lost as its connection is reset with unread input.
+#[tokio::test]
+async fn refusal_of_a_large_body_reaches_a_caller_that_is_still_sending() {
+    let target = target(1).await;
+    let entry = Entry::start(CallKind::Unsafe, &[&target]).await;
+    let limits = CallerLimits {
+        body_bytes: 1_000,
+        ..CallerLimits::default()
+    };
+    entry.set_limits(route(CallKind::Unsafe), limits);
+    let mut caller = entry.connect().await;
+    let length = 200_000;
+    let head =
+        kept_request("r1").replace("\r\n\r\n", &format!("\r\ncontent-length: {length}\r\n\r\n"));
+    caller.send(&head).await;
+    for _ in 0..20 {
+        caller.send(&"x".repeat(length / 20)).await;
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(Duration::from_millis(100)).await;
+    let answer = caller.end().await;
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer:?}");
+}
+
+// Guards against a refused head whose answer is lost as its connection is reset.
+#[tokio::test]
+async fn refusal_of_a_large_head_reaches_a_caller_that_is_still_sending() {
+    let target = target(1).await;
+    let entry = Entry::start(CallKind::Safe, &[&target]).await;
+    let mut caller = entry.connect().await;
+    caller
+        .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-long: ")
+        .await;
+    for _ in 0..20 {
+        caller.send(&"x".repeat(10_000)).await;
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(Duration::from_millis(100)).await;
+    let answer = caller.end().await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer:?}");
+}
