Let no transport timer end an answer that is owed

What callers saw: a stream was cut, or a call ended with 502, where the caller or the target read nothing for 1.5 s and went on.

Cause: TCP_USER_TIMEOUT of 1.5 s on callers' and targets' connections. The option counts a peer that acknowledges but has no room in its buffer, too.

Change: targets' connections have no such timer; their requests end by the deadline, which resets them, and idle ones by their idle time. A caller's connection is given up only 10 s after the longest timeout of any route, and after 60 s at least.

Evidence: failed before and pass now: caller_that_pauses_reading_gets_its_whole_stream (128,870 of 12.8 million bytes at a pause of 3.5 s), target_that_pauses_reading_may_still_answer (502).

--- a/fleet/src/forward/mod.rs
+++ b/fleet/src/forward/mod.rs
@@ -16,5 +16,4 @@
 pub use shared_stream::{SharedStream, StreamInput};
 pub use stream_relay::{RelayEnd, StreamRelay};
 pub use target_call::{BodyChunk, TargetCall, TargetResponse, call_target};
-pub(crate) use target_pool::set_user_timeout;
 pub use target_pool::{PooledConnection, TargetPool};
--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -22,9 +22,6 @@
 /// is sent while the target closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// The time without an acknowledgement after which the operating system gives up a connection.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// The most idle connections that are kept to one target.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -114,7 +111,6 @@
         let connecting = async {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            set_user_timeout(&stream);
             // An abandoned request must not reach its target later: without a reset, bytes that a
             // network partition delays are still delivered after the connection was closed.
             socket2::SockRef::from(&stream)
@@ -131,10 +127,3 @@
         Some(PooledConnection { sender, task })
     }
 }
-
-/// Sets `TCP_USER_TIMEOUT`, so that a connection fails whose other side stops acknowledging data.
-pub(crate) fn set_user_timeout(stream: &TcpStream) {
-    let socket = socket2::SockRef::from(stream);
-    // Where the option cannot be set, the timeouts of requests still detect a silent peer.
-    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
-}
--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::catalog::CallerLimits;
-use crate::forward::{SharedStream, StreamInput, set_user_timeout};
+use crate::forward::{SharedStream, StreamInput};
 use crate::prelude::*;
 
 use super::connection_activity::{
@@ -37,6 +37,12 @@
 const HEADER_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// The shortest time without an acknowledgement after which a caller's connection is given up.
+const MIN_USER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The time beyond the longest timeout of any route after which a caller's connection is given up.
+const USER_TIMEOUT_MARGIN: Duration = Duration::from_secs(10);
+
 /// The longest time for which the input after a refusal is discarded.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
@@ -110,7 +116,6 @@
 async fn serve_connection(stream: TcpStream, state: Arc<EntryState>) {
     // Without this option, an event waits for the acknowledgement of earlier ones.
     let _ = stream.set_nodelay(true);
-    set_user_timeout(&stream);
     let caller = stream.peer_addr().ok();
     let stream = SharedStream::new(stream);
     let limits = caller_limits(&state);
@@ -137,6 +142,7 @@
     let mut connection = pin!(connection);
     let mut phase = EntryPhase::Serving;
     let mut look_at = Instant::now();
+    let mut owed_by = None;
     let reason = loop {
         // What has arrived is read before anything else is decided.
         tokio::select! {
@@ -156,6 +162,11 @@
             () = activity.changed.notified() => {}
             () = tokio::time::sleep_until(look_at) => {}
         }
+        let version = state.version();
+        if owed_by != Some(version) {
+            owed_by = Some(version);
+            set_user_timeout(&stream, &state);
+        }
         let now = Instant::now();
         let reason = match activity.close_step(now, &caller_limits(&state), phase) {
             CloseStep::LookAt(at) => {
@@ -172,18 +183,29 @@
             "why" => "input at its end", "reason" => reason);
         look_at = now + INPUT_PERIOD;
     };
+    close_connection(&state, &activity, caller, &stream, reason).await;
+}
+
+/// Ends a connection for a reason of the entry's own, and answers a head that is not complete.
+async fn close_connection(
+    state: &EntryState,
+    activity: &ConnectionActivity,
+    caller: Option<SocketAddr>,
+    stream: &SharedStream,
+    reason: &str,
+) {
     let is_refused = reason == HEADER_TIMEOUT_REASON;
     let input = if is_refused { "part of a head" } else { "none" };
     info!(state.log, "caller connection closed"; "caller" => caller.map(|at| at.to_string()),
         "reason" => reason, "input" => input, "requests" => activity.n_requests(),
         "idle_ms" => activity.idle_time().as_millis() as u64);
-    count_end(&state, reason);
+    count_end(state, reason);
     if is_refused {
         let requests = &state.metrics.requests;
         requests.with_label_values(&["own", "408"]).inc();
         // Fails only where the caller has gone.
         let _ = stream.get().try_write(HEADER_TIMEOUT_RESPONSE);
-        discard_input(&stream).await;
+        discard_input(stream).await;
     }
 }
 
@@ -235,6 +257,19 @@
     ends.with_label_values(&[reason]).inc();
 }
 
+/// Sets the time without an acknowledgement, or without room in the caller's buffer, after which the
+/// operating system gives up a connection: none of its answers can be owed any more.
+fn set_user_timeout(stream: &SharedStream, state: &EntryState) {
+    let catalog = state.catalog.load();
+    let longest = catalog
+        .as_ref()
+        .and_then(|catalog| catalog.longest_timeout());
+    let timeout = longest.unwrap_or(MIN_USER_TIMEOUT) + USER_TIMEOUT_MARGIN;
+    let socket = socket2::SockRef::from(stream.get());
+    // Without the option, the connection is kept for longer.
+    let _ = socket.set_tcp_user_timeout(Some(timeout.max(MIN_USER_TIMEOUT)));
+}
+
 fn caller_limits(state: &EntryState) -> CallerLimits {
     state
         .catalog
--- a/fleet/tests/forwarding/connections.rs
+++ b/fleet/tests/forwarding/connections.rs
@@ -273,3 +273,44 @@
     let answer = caller.end().await;
     assert!(answer.starts_with("HTTP/1.1 431"), "{answer:?}");
 }
+
+// Guards against a transport timer that cuts a stream whose caller pauses for two seconds.
+#[tokio::test]
+async fn caller_that_pauses_reading_gets_its_whole_stream() {
+    let data = "x".repeat(16_000);
+    let events: String = (1..=800)
+        .map(|id| format!("id: {id}\ndata: {data}\n\n"))
+        .collect();
+    let target = ScriptedTarget::start(vec![Reply::stream(&events)]).await;
+    let kind = CallKind::ResumableStream;
+    let entry = Entry::with_route(long_route(kind), 0.0, &[&target]).await;
+    let mut caller = entry.connect_with_small_buffer().await;
+    caller.send(&kept_request("r1")).await;
+    sleep(Duration::from_millis(3_500)).await;
+    let answer = caller.response().await;
+    assert!(answer.len() >= events.len(), "{} bytes", answer.len());
+    assert!(answer.ends_with("0\r\n\r\n"));
+}
+
+// Guards against a transport timer that ends a call whose target pauses reading for two seconds.
+#[tokio::test]
+async fn target_that_pauses_reading_may_still_answer() {
+    let response = "HTTP/1.1 200 OK\r\nx-seal: s1\r\ncontent-length: 4\r\n\r\nlate";
+    let pause = Duration::from_millis(3_500);
+    let target = ScriptedTarget::start(vec![Reply::Late(pause, response.to_owned())]).await;
+    let unsafe_route = long_route(CallKind::Unsafe);
+    let entry = Entry::with_route(unsafe_route.clone(), 0.0, &[&target]).await;
+    let body = "x".repeat(12_000_000);
+    let limits = CallerLimits {
+        body_bytes: body.len(),
+        ..CallerLimits::default()
+    };
+    entry.set_limits(unsafe_route, limits);
+    let mut caller = entry.connect().await;
+    let length = format!("\r\ncontent-length: {}\r\n\r\n", body.len());
+    let head = kept_request("r1").replace("\r\n\r\n", &length);
+    caller.send(&head).await;
+    caller.send(&body).await;
+    let answer = caller.response().await;
+    assert!(answer.ends_with("late"), "{answer:?}");
+}
--- a/fleet/tests/wire/caller_connection.rs
+++ b/fleet/tests/wire/caller_connection.rs
@@ -5,7 +5,7 @@
 use comfreyhead_fleet::catalog::CallerLimits;
 use comfreyhead_fleet::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::runtime::Handle;
 
 use super::{Entry, catalog};
@@ -55,13 +55,14 @@
 }
 
 fn is_whole(bytes: &[u8]) -> bool {
-    let text = String::from_utf8_lossy(bytes).to_lowercase();
-    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+    let Some(head_len) = bytes.windows(4).position(|end| end == b"\r\n\r\n") else {
         return false;
     };
+    let (head, body) = bytes.split_at(head_len + 4);
+    let head = String::from_utf8_lossy(head).to_lowercase();
     match head.split_once("content-length: ") {
         Some((_, rest)) => rest.lines().next().unwrap().parse() == Ok(body.len()),
-        None => body.ends_with("0\r\n\r\n"),
+        None => body.ends_with(b"0\r\n\r\n"),
     }
 }
 
@@ -98,6 +99,15 @@
         CallerConnection { stream, read }
     }
 
+    /// Connects with a small receive buffer, so that a pause in reading soon closes the window.
+    pub async fn connect_with_small_buffer(&self) -> CallerConnection {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(65_536).unwrap();
+        let stream = socket.connect(self.address).await.unwrap();
+        let read = Vec::new();
+        CallerConnection { stream, read }
+    }
+
     /// Puts a configuration with a route and limits on callers in force.
     pub fn set_limits(&self, route: RouteSpec, limits: CallerLimits) {
         let mut catalog = catalog(route);
