--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -20,6 +20,7 @@
 mod ready_server;
 mod record_decoders;
 mod replica_tables;
+mod request_body;
 mod request_run;
 mod running_guard;
 mod store_access;
