Give lapsed targets their grace at the first read after an outage

What callers saw: after an outage of the store of 1.7 or 3 s the live targets whose records had lapsed were not routable from the first read on, until they had written again; they should keep their place for two seconds.

Cause: the read removed the records before it recorded that the store was back, so no removal counted as one made around an outage.

Evidence: four tests of fleet/tests/store_outage.rs failed before, after 1.7 and 3.0 s, with and without a tick between; they pass now.

Change: a read of the targets that ends an outage states so before its records are applied. Draining targets, and those removed while the store was sound, get no grace, as before.

--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -160,11 +160,15 @@
             return false;
         }
         self.observe_era_at(&mut inner, delta.era, now);
+        // Detects an outage that no tick has seen, before this read ends it.
+        self.update_store_status(&mut inner, now);
+        if topic == StoreTopic::Targets && inner.store_lost {
+            // The records that lapsed in the outage disappear in this read.
+            inner.store_regained_at = Some(now);
+        }
         if !self.apply(&mut inner, topic, delta, RecordSource::Store) {
             return false;
         }
-        // Detects an outage that no tick has seen, before this read ends it.
-        self.update_store_status(&mut inner, now);
         if let Some(copy) = inner.copy_mut(topic) {
             copy.read_at = Some(copy.read_at.map_or(asked_at, |at| at.max(asked_at)));
         }
--- /dev/null
+++ b/fleet/tests/store_outage.rs
@@ -0,0 +1,204 @@
+//! The store is away for some seconds and comes back: the records that lapsed meanwhile are gone,
+//! although their targets may live and write them again.
+//!
+//! Decisions only, without a network.
+
+use std::time::Duration;
+
+use comfreyhead_fleet::catalog::RouteCatalog;
+use comfreyhead_fleet::forward::HeaderNames;
+use comfreyhead_fleet::mirror::{MirrorDelta, MirrorRecord, StoreEra};
+use comfreyhead_fleet::peers::StoreTopic;
+use comfreyhead_fleet::prelude::*;
+use comfreyhead_fleet::process::{Decoders, EntryState, ProcessBounds, StoreReplica};
+use comfreyhead_fleet::routing::BudgetSettings;
+use http::HeaderName;
+use slog::{Discard, Logger, o};
+use tokio::sync::watch;
+
+/// The time in which live targets write their records again.
+const RESTORE_TIME: Duration = Duration::from_secs(2);
+
+/// Whether the state that depends on time is updated while the store is away.
+#[derive(Clone, Copy, Debug)]
+enum OutageTick {
+    Seen,
+    Unseen,
+}
+
+fn delta(end: u64, complete: bool, records: &[(&str, u64, &str)]) -> MirrorDelta {
+    let record = |(key, offset, value): &(&str, u64, &str)| MirrorRecord {
+        key: (*key).to_owned(),
+        offset: *offset,
+        value: (!value.is_empty()).then(|| value.as_bytes().to_vec()),
+    };
+    MirrorDelta {
+        era: StoreEra(0),
+        end,
+        complete,
+        records: records.iter().map(record).collect(),
+    }
+}
+
+/// Decodes a target that consists of its state and port.
+fn decode_target(id: &str, bytes: &[u8]) -> Result<TargetEntry, String> {
+    let text = std::str::from_utf8(bytes).map_err(|err| err.to_string())?;
+    let (state, port) = text.split_once(' ').ok_or("no port")?;
+    Ok(TargetEntry {
+        id: id.into(),
+        service: "svc".into(),
+        address: ([127, 0, 0, 1], port.parse().map_err(|_| "bad port")?).into(),
+        zone: "a".into(),
+        slots: 4,
+        draining: state == "draining",
+        started_ms: 7,
+    })
+}
+
+/// An entry's replica without its tasks.
+fn replica() -> (Arc<EntryState>, StoreReplica) {
+    let name = |name| HeaderName::from_static(name);
+    let names = HeaderNames {
+        attempt_id: name("x-id"),
+        deadline_ms: name("x-deadline"),
+        expected_target: name("x-expect"),
+        account: name("x-account"),
+        signature: name("x-seal"),
+        not_run: name("x-not-run"),
+        last_event_id: name("last-event-id"),
+        retry_after: http::header::RETRY_AFTER,
+        key: http::header::AUTHORIZATION,
+        key_scheme: "Token".into(),
+    };
+    let budget = BudgetSettings {
+        window: Duration::from_secs(10),
+        ratio: 0.2,
+        slack: 100.0,
+    };
+    let bounds = ProcessBounds {
+        budget,
+        grace: Duration::from_secs(8),
+    };
+    let (_, bounds) = watch::channel(bounds);
+    let log = Logger::root(Discard, o!());
+    let state = Arc::new(EntryState::new(names, "a".into(), bounds, 1, log));
+    let decoders = Decoders {
+        catalog: |_| Ok(RouteCatalog::default()),
+        target: decode_target,
+        catalog_key: "config",
+    };
+    let replica = StoreReplica::new(state.clone(), decoders);
+    (state, replica)
+}
+
+fn is_routable(state: &EntryState, id: &str) -> bool {
+    let excluded = [];
+    let mut picks = (0..32).filter_map(|_| {
+        state.with_table(|table, rng| table.choose("svc", &excluded, Instant::now(), rng))
+    });
+    picks.any(|pick| &*pick.id == id)
+}
+
+/// A replica whose last read of the store was an outage ago.
+fn replica_after_outage(
+    outage: Duration,
+    tick: OutageTick,
+    records: &[(&str, u64, &str)],
+) -> (Arc<EntryState>, StoreReplica) {
+    let (state, replica) = replica();
+    let now = Instant::now();
+    let last_read_at = now.checked_sub(outage).expect("a time after the start");
+    replica.apply_from_store(StoreTopic::Targets, delta(9, true, records), last_read_at);
+    match tick {
+        OutageTick::Seen => replica.tick(now),
+        OutageTick::Unseen => {}
+    }
+    (state, replica)
+}
+
+fn outages() -> impl Iterator<Item = (Duration, OutageTick)> {
+    [1_700, 3_000].into_iter().flat_map(|millis| {
+        let outage = Duration::from_millis(millis);
+        [(outage, OutageTick::Seen), (outage, OutageTick::Unseen)]
+    })
+}
+
+/// Guards against the removal of live targets by the first read after an outage.
+#[test]
+fn target_that_lapsed_in_an_outage_stays_for_two_seconds() {
+    let topic = StoreTopic::Targets;
+    let live = [("back", 1, "ready 81"), ("dead", 2, "ready 82")];
+    for (outage, tick) in outages() {
+        let (state, replica) = replica_after_outage(outage, tick, &live);
+
+        let lapsed = delta(12, false, &[("back", 10, ""), ("dead", 11, "")]);
+        let before = Instant::now();
+        replica.apply_from_store(topic, lapsed, before);
+        let after = Instant::now();
+
+        let both_stay = || is_routable(&state, "back") && is_routable(&state, "dead");
+        assert!(both_stay(), "{outage:?} {tick:?}: first read");
+        replica.tick(before + RESTORE_TIME - Duration::from_millis(1));
+        assert!(both_stay(), "{outage:?} {tick:?}: within the grace");
+        let written = delta(13, false, &[("back", 12, "ready 81")]);
+        replica.apply_from_store(topic, written, Instant::now());
+        replica.tick(after + RESTORE_TIME);
+        assert!(is_routable(&state, "back"), "{outage:?} {tick:?}: returned");
+        assert!(!is_routable(&state, "dead"), "{outage:?} {tick:?}: gone");
+    }
+}
+
+/// Guards against the loss of live targets by a complete copy that is read after an outage.
+#[test]
+fn target_that_a_whole_copy_lacks_after_an_outage_stays_for_two_seconds() {
+    let topic = StoreTopic::Targets;
+    for (outage, tick) in outages() {
+        let live = [("t", 1, "ready 81")];
+        let (state, replica) = replica_after_outage(outage, tick, &live);
+
+        let is_complete = replica.apply_from_store(topic, delta(12, true, &[]), Instant::now());
+        let after = Instant::now();
+
+        assert!(
+            is_complete && is_routable(&state, "t"),
+            "{outage:?} {tick:?}"
+        );
+        replica.tick(after + RESTORE_TIME);
+        assert!(!is_routable(&state, "t"), "{outage:?} {tick:?}: gone");
+    }
+}
+
+/// Guards against a grace for targets that drain, which leave on purpose.
+#[test]
+fn draining_target_gets_no_grace_after_an_outage() {
+    let topic = StoreTopic::Targets;
+    let known = [("leaving", 1, "draining 81"), ("live", 2, "ready 82")];
+    for (outage, tick) in outages() {
+        let (state, replica) = replica_after_outage(outage, tick, &known);
+
+        let lapsed = [("leaving", 10, ""), ("live", 11, "")];
+        replica.apply_from_store(topic, delta(12, false, &lapsed), Instant::now());
+
+        assert!(!is_routable(&state, "leaving"), "{outage:?} {tick:?}");
+        assert!(is_routable(&state, "live"), "{outage:?} {tick:?}");
+    }
+}
+
+/// Guards against a grace for targets that were removed while the store was sound.
+#[test]
+fn target_that_was_removed_while_the_store_was_sound_gets_no_grace() {
+    let topic = StoreTopic::Targets;
+    let (state, replica) = replica();
+    let now = Instant::now();
+    let known = [("gone", 1, "ready 81"), ("live", 2, "ready 82")];
+    replica.apply_from_store(topic, delta(3, true, &known), now);
+    replica.apply_from_store(topic, delta(4, false, &[("gone", 3, "")]), now);
+    let is_gone_at_once = !is_routable(&state, "gone");
+
+    replica.tick(now + Duration::from_secs(3));
+    let lapsed = [("gone", 5, ""), ("live", 6, "")];
+    replica.apply_from_store(topic, delta(7, false, &lapsed), Instant::now());
+
+    assert!(is_gone_at_once && !is_routable(&state, "gone"));
+    assert!(is_routable(&state, "live"));
+}
