Take a service up again once it accepts a connection

What callers saw: after one connection that a service refused, say while it restarted, its target stayed out until its agent was restarted, and with a single target every call was refused with no-target.

Cause: the agent reported the target as not ready, and only an answered lookup could show otherwise; but entry VMs send none to a target that is not ready.

--- a/src/process/agent/agent_process.rs
+++ b/src/process/agent/agent_process.rs
@@ -173,7 +173,7 @@
         if self.is_leaving.load(Ordering::SeqCst) {
             return AgentReadiness::Leaving;
         }
-        let is_ready = self.serving.get().is_some() && self.is_target_up.load(Ordering::SeqCst);
+        let is_ready = self.serving.get().is_some() && self.is_target_up();
         if is_ready {
             AgentReadiness::Ready
         } else {
@@ -214,6 +214,11 @@
         }
     }
 
+    /// Returns whether the target answered when it was last asked.
+    pub(super) fn is_target_up(&self) -> bool {
+        self.is_target_up.load(Ordering::SeqCst)
+    }
+
     /// Records that the target answers.
     pub(super) fn mark_target_up(&self) {
         if !self.is_target_up.swap(true, Ordering::SeqCst) {
--- a/src/process/agent/target_watch.rs
+++ b/src/process/agent/target_watch.rs
@@ -77,8 +77,9 @@
     let mut ticks = tokio::time::interval(WATCH_PERIOD);
     while !process.stop.is_cancelled() {
         ticks.tick().await;
-        if process.kind == TargetKind::Engine {
-            watch_engine(&process, &mut cache_from).await;
+        match process.kind {
+            TargetKind::Engine => watch_engine(&process, &mut cache_from).await,
+            TargetKind::Service => watch_service(&process).await,
         }
         if let Some(serving) = process.serving.get() {
             cancel_unread(&process, &mut unread_since);
@@ -108,6 +109,13 @@
     }
 }
 
+/// Takes up a service that did not answer: while it counts as down, no call can show otherwise.
+async fn watch_service(process: &AgentProcess) {
+    if !process.is_target_up() && process.service.is_reachable().await {
+        process.mark_target_up();
+    }
+}
+
 /// Cancels runs whose entry VM is gone and whose caller has not resumed them elsewhere.
 fn cancel_unread(process: &AgentProcess, unread_since: &mut HashMap<WorkId, Timestamp>) {
     let Some(serving) = process.serving.get() else {
--- a/src/process/platform/plain_service.rs
+++ b/src/process/platform/plain_service.rs
@@ -4,6 +4,7 @@
 use http_body_util::Full;
 use quick_error::quick_error;
 use serde_json::Value;
+use tokio::net::TcpStream;
 
 use crate::prelude::*;
 
@@ -12,6 +13,9 @@
 /// The maximum size of an answer, in bytes; an agent keeps no longer one for its entry VM.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// The timeout for a connection that only tells whether the service is there.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 quick_error! {
     /// Why a call has no result.
     #[derive(Debug, Clone)]
@@ -86,6 +90,13 @@
         }
     }
 
+    /// Returns whether the service accepts a connection.
+    pub async fn is_reachable(&self) -> bool {
+        let address = self.base_url.trim_start_matches("http://");
+        let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+        matches!(connected, Ok(Ok(_)))
+    }
+
     fn request(&self, call: &ServiceCall<'_>) -> Result<Request<Full<bytes::Bytes>>, HttpFailure> {
         let url = format!("{}/calls/{}", self.base_url, call.call);
         let mut request = json_request(&url, call.body)?;
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -8,5 +8,6 @@
 mod operators;
 mod orders;
 mod requests;
+mod silence;
 mod steps;
 mod versions;
