Limit what all callers' bodies hold together

What callers saw: each body may have 4 MB, and an entry has descriptors for over a thousand callers; 48 bodies at once were all held (201 MB, over the entry's memory of 182 MB).

Cause: the limit was on each body, not on their sum.

Evidence: many_large_requests_are_refused_with_a_retry_time_and_others_are_served, seen to fail before the change: all 48 were served, from bodies that were held at the same time.

Change: bodies draw on the budget that answers draw on. Without room the rest of the body is read and dropped, and the answer is 503 with Retry-After, as nothing was sent; the same is now done before a 413, whose answer a close with unread bytes could lose.

--- a/fleet/src/forward/byte_budget.rs
+++ b/fleet/src/forward/byte_budget.rs
@@ -177,7 +177,7 @@
     }
 
     /// Reads a body to its end.
-    pub async fn read<B>(mut self, body: &mut B) -> Result<Bytes, ReadError>
+    pub async fn read<B>(&mut self, body: &mut B) -> Result<(), ReadError>
     where
         B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
     {
@@ -191,7 +191,7 @@
                 self.push(&data).map_err(ReadError::Cut)?;
             }
         }
-        Ok(self.finish())
+        Ok(())
     }
 
     /// Appends bytes. They are copied, as a short piece may keep a whole read buffer allocated.
--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -89,8 +89,9 @@
 
     /// Reads the rest of the body.
     pub async fn read_body(&mut self, budget: &Arc<ByteBudget>) -> Result<Bytes, ReadError> {
-        let buffer = BodyBuffer::new(budget, MAX_BODY_BYTES);
-        buffer.read(&mut self.body).await
+        let mut buffer = BodyBuffer::new(budget, MAX_BODY_BYTES);
+        buffer.read(&mut self.body).await?;
+        Ok(buffer.finish())
     }
 
     /// Keeps the connection for later requests; the body must have been read completely.
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -1,12 +1,15 @@
 //! Handles a caller's request, from its head to the response.
 
 use http::{HeaderValue, Request, Response};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::{debug, info, warn};
 
 use crate::catalog::{Account, RouteError};
-use crate::forward::{ReadCut, RequestHead, ResponseHead, TargetCall, TargetResponse, call_target};
+use crate::forward::{
+    BodyBuffer, CutScope, ReadCut, ReadError, RequestHead, ResponseHead, TargetCall,
+    TargetResponse, call_target,
+};
 use crate::prelude::*;
 use crate::request::next_step;
 use crate::request::{AttemptOutcome, CallProgress, DeniedReason, NextStep, UnknownReason};
@@ -24,6 +27,10 @@
 /// The `Retry-After` time for a request that targets rejected as they were full.
 const RETRY_REJECTED: Duration = Duration::from_millis(200);
 
+/// The `Retry-After` time while the bodies of all requests together are too large: the caller may
+/// retry at another entry.
+const RETRY_NO_MEMORY: Duration = Duration::from_millis(200);
+
 /// The `Retry-After` time while this entry stops: the caller may retry at another one.
 const RETRY_STOPPING: Duration = Duration::from_millis(50);
 
@@ -73,16 +80,11 @@
         Some(catalog) => catalog.limits.body_bytes,
         None => crate::catalog::CallerLimits::default().body_bytes,
     };
-    let body = match Limited::new(body, body_limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
-            let answer = LocalResponse::Denied(DeniedReason::BodyTooLarge);
-            return local_response(&state, &attempt_id, answer, "body limit");
-        }
-        // The caller disconnected; nobody reads the response.
-        Err(_) => {
-            let answer = LocalResponse::Denied(DeniedReason::BadRequest);
-            return local_response(&state, &attempt_id, answer, "body incomplete");
+    let body = match read_caller_body(&state, body, body_limit).await {
+        Ok(body) => body,
+        Err(err) => {
+            let (answer, why) = refuse_body(&state, &attempt_id, &err);
+            return local_response(&state, &attempt_id, answer, why);
         }
     };
     match admit_call(&state, head, body, received_at) {
@@ -92,6 +94,63 @@
     }
 }
 
+/// Reads the body of a caller's request.
+///
+/// The rest of a body that exceeds a limit is read and dropped, up to the largest one allowed: a
+/// connection that is closed with unread bytes may lose the answer.
+async fn read_caller_body(
+    state: &EntryState,
+    mut body: Incoming,
+    limit: usize,
+) -> Result<Bytes, ReadError> {
+    let mut buffer = BodyBuffer::new(&state.buffers, limit);
+    let err = match buffer.read(&mut body).await {
+        Ok(()) => return Ok(buffer.finish()),
+        Err(err) => err,
+    };
+    drop(buffer);
+    if matches!(err, ReadError::Broken(_)) {
+        return Err(err);
+    }
+    let mut n_dropped = 0;
+    while n_dropped <= limit
+        && let Some(frame) = body.frame().await
+    {
+        let frame = frame.map_err(ReadError::Broken)?;
+        n_dropped += frame.data_ref().map_or(0, Bytes::len);
+    }
+    Err(err)
+}
+
+/// Returns the answer to a request whose body was not read, and why; logs and counts a cut one.
+fn refuse_body(
+    state: &EntryState,
+    attempt_id: &str,
+    err: &ReadError,
+) -> (LocalResponse, &'static str) {
+    let cut = match err {
+        // The caller disconnected; nobody reads the response.
+        ReadError::Broken(_) => {
+            let answer = LocalResponse::Denied(DeniedReason::BadRequest);
+            return (answer, "body incomplete");
+        }
+        ReadError::Cut(cut) => cut,
+    };
+    warn!(state.log, "read cut"; "request" => attempt_id, "bytes" => cut.n_read,
+        "limit" => cut.limit, "scope" => %cut.scope);
+    state.metrics.count_cut("caller");
+    match cut.scope {
+        CutScope::Sum => {
+            let refused = LocalResponse::Refused(NotRunProof::never_sent(), RETRY_NO_MEMORY);
+            (refused, "bodies of all requests too large")
+        }
+        CutScope::Head | CutScope::Body | CutScope::Event => {
+            let answer = LocalResponse::Denied(DeniedReason::BodyTooLarge);
+            (answer, "body limit")
+        }
+    }
+}
+
 /// Resolves a request's route and service, or returns the answer that refuses it, and why.
 fn admit_call(
     state: &Arc<EntryState>,
--- a/fleet/tests/forwarding/endless_target.rs
+++ b/fleet/tests/forwarding/endless_target.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use comfreyhead_fleet::prelude::*;
+use tokio::io::AsyncWriteExt;
 
-use crate::wire::{Entry, Reply, ScriptedTarget, route};
+use crate::wire::{Entry, Reply, ScriptedTarget, read_answer, route};
 
 /// The stated memory of an entry.
 const ENTRY_MEMORY: usize = 182_000_000;
@@ -149,3 +150,49 @@
         assert!(matches!(call.await.unwrap(), 502 | 504));
     }
 }
+fn request_with_body(id: &str, length: usize) -> String {
+    format!(
+        "POST /r/x HTTP/1.1\r\nhost: shop.example\r\nx-id: {id}\r\n\
+         authorization: Token k1\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+// Guards against callers whose bodies together use up the memory, each of which is allowed.
+#[tokio::test]
+async fn many_large_requests_are_refused_with_a_retry_time_and_others_are_served() {
+    let script = vec![Reply::whole("200 OK", "hello"); N_LARGE + 1];
+    let sound = ScriptedTarget::start(script).await;
+    let entry = Entry::with_route(long_route(CallKind::Unsafe), 0.0, &[&sound]).await;
+    let body = vec![b'x'; 4 << 20];
+    let mut open = Vec::new();
+    for n_caller in 0..N_LARGE {
+        let mut caller = entry.connect().await;
+        let head = request_with_body(&format!("r{n_caller}"), body.len());
+        caller.write_all(head.as_bytes()).await.unwrap();
+        // All but the last byte, so that the entry waits for the rest.
+        caller.write_all(&body[1..]).await.unwrap();
+        open.push(caller);
+    }
+    let mut small = request_with_body("small", 5).into_bytes();
+    small.extend_from_slice(b"small");
+    let served = entry.send(&small).await;
+    assert_eq!((served.status, served.body.as_str()), (200, "hello"));
+
+    for caller in &mut open {
+        caller.write_all(&body[..1]).await.unwrap();
+    }
+    let mut n_served = 0;
+    for caller in open {
+        let answer = read_answer(caller).await;
+        match answer.status {
+            200 => n_served += 1,
+            status => {
+                assert_eq!(status, 503, "{}", answer.head);
+                assert!(answer.head.contains("retry-after"), "{}", answer.head);
+            }
+        }
+    }
+    // Those served were held whole at the same time.
+    assert!(n_served * body.len() <= ENTRY_MEMORY / 2, "{n_served}");
+    assert_eq!(sound.requests().len(), n_served + 1);
+}
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -167,6 +167,10 @@
             .unwrap()
             .push(String::from_utf8_lossy(&head).into_owned());
         let head = String::from_utf8_lossy(&head).to_lowercase();
+        let length = head.split_once("content-length: ");
+        let length = length.and_then(|(_, rest)| rest.lines().next()?.parse().ok());
+        let mut body = (&mut stream).take(length.unwrap_or(0));
+        tokio::io::copy(&mut body, &mut tokio::io::sink()).await?;
         let reply = {
             let mut script = script.lock().unwrap();
             if script.is_empty() {
@@ -419,7 +423,8 @@
         tokio::time::sleep(after).await;
     }
 
-    async fn connect(&self) -> TcpStream {
+    /// Opens a connection to the entry.
+    pub async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.address).await.unwrap()
     }
 
@@ -427,32 +432,38 @@
         self.send(request(path, id, key).as_bytes()).await
     }
 
-    async fn send(&self, request: &[u8]) -> Answer {
+    /// Sends the bytes of a request.
+    pub async fn send(&self, request: &[u8]) -> Answer {
         let mut stream = self.connect().await;
         stream.write_all(request).await.unwrap();
-        let mut bytes = Vec::new();
-        let ended = stream.read_to_end(&mut bytes).await.is_ok();
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-        let head = head.to_lowercase();
-        let status = head
-            .split(' ')
-            .nth(1)
-            .and_then(|status| status.parse().ok())
-            .unwrap_or(0);
-        let is_chunked = head.contains("transfer-encoding: chunked");
-        let is_complete = ended && (!is_chunked || body.ends_with("0\r\n\r\n"));
-        let body = if is_chunked {
-            dechunked(body)
-        } else {
-            body.to_owned()
-        };
-        Answer {
-            status,
-            head,
-            body,
-            is_complete,
-        }
+        read_answer(stream).await
+    }
+}
+
+/// Reads an answer until the entry closes the connection.
+pub async fn read_answer(mut stream: TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let ended = stream.read_to_end(&mut bytes).await.is_ok();
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let head = head.to_lowercase();
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok())
+        .unwrap_or(0);
+    let is_chunked = head.contains("transfer-encoding: chunked");
+    let is_complete = ended && (!is_chunked || body.ends_with("0\r\n\r\n"));
+    let body = if is_chunked {
+        dechunked(body)
+    } else {
+        body.to_owned()
+    };
+    Answer {
+        status,
+        head,
+        body,
+        is_complete,
     }
 }
 
