Limit what the events of all streams hold together

What callers saw: nothing until the entry's memory is used up. An event may have 1 MiB; 240 streams in the middle of events of 0.9 MB held 214 MB.

Cause: the limit was on each event, not on the sum of what the parsers buffer and what waits for callers. A short event also kept the parser's whole buffer allocated.

Change: the parser's buffer draws on the budget beyond 16 KiB and each event that waits for its caller beyond 2 KiB; events are copied out, and a large buffer is freed once little is in it. A stream without room ends as one over the limit does: the next target where it can be resumed. The unused StreamRelay::restart is removed.

--- a/fleet/src/forward/event_parser.rs
+++ b/fleet/src/forward/event_parser.rs
@@ -4,8 +4,8 @@
 
 use crate::prelude::*;
 
-/// The most bytes that are buffered while the end of an event has not arrived.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// The most bytes that are allocated while little is buffered.
+const MAX_SPARE_BYTES: usize = 16 << 10;
 
 /// Splits a byte stream into complete events.
 #[derive(Debug, Default)]
@@ -32,7 +32,12 @@
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let end = self.find_end()?;
-        let bytes = self.buffer.split_to(end).freeze();
+        // A copy, as a short event that waits for a slow caller may keep a large buffer allocated.
+        let bytes = Bytes::copy_from_slice(&self.buffer[..end]);
+        self.buffer.advance(end);
+        if self.buffer.len() <= MAX_SPARE_BYTES && MAX_SPARE_BYTES < self.buffer.capacity() {
+            self.buffer = BytesMut::from(&self.buffer[..]);
+        }
         self.scanned = 0;
         let id = event_id(&bytes);
         Some(StreamEvent { id, bytes })
@@ -43,9 +48,9 @@
         self.buffer.has_remaining()
     }
 
-    /// Returns whether the incomplete event exceeds the largest accepted size.
-    pub fn is_oversized(&self) -> bool {
-        MAX_EVENT_BYTES < self.buffer.len()
+    /// Returns the number of bytes that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
     }
 
     fn find_end(&mut self) -> Option<usize> {
--- a/fleet/src/forward/stream_relay.rs
+++ b/fleet/src/forward/stream_relay.rs
@@ -1,13 +1,25 @@
 //! Relay of one event stream that several targets may send in turn.
 
+use crate::prelude::*;
 use crate::request::AttemptOutcome;
 
+use super::byte_budget::{ByteBudget, ByteLease, CutScope, ReadCut, SMALL_READ};
 use super::event_parser::{EventParser, StreamEvent};
 use super::target_call::{BodyChunk, TargetResponse};
 
+/// The limit on one event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// The bytes of each event that may wait for a slow caller without drawing on the budget.
+const SMALL_EVENT: usize = 2 << 10;
+
 /// Reads the events of a target's response and checks that they continue the stream without a gap.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StreamRelay {
+    budget: Arc<ByteBudget>,
+    /// What the parser buffers.
+    lease: ByteLease,
+    cut: Option<ReadCut>,
     parser: EventParser,
     last_id: Option<u64>,
     has_ended: bool,
@@ -24,24 +36,27 @@
 
 impl StreamRelay {
     /// Creates a relay that continues after the last event that the caller has received.
-    pub fn new(last_id: Option<u64>) -> Self {
+    pub fn new(last_id: Option<u64>, budget: &Arc<ByteBudget>) -> Self {
         Self {
+            budget: budget.clone(),
+            lease: ByteLease::new(budget, SMALL_READ),
+            cut: None,
+            parser: EventParser::default(),
             last_id,
-            ..Self::default()
+            has_ended: false,
         }
     }
 
+    /// Returns the limit that the response exceeded, if it did.
+    pub fn cut(&self) -> Option<ReadCut> {
+        self.cut
+    }
+
     /// Returns the id of the last event relayed to the caller, or that it had received before.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
 
-    /// Discards the last target's incomplete event, before another target continues.
-    pub fn restart(&mut self) {
-        self.parser = EventParser::default();
-        self.has_ended = false;
-    }
-
     /// Returns the next complete event of a response, or how the response ended.
     pub async fn next_event(
         &mut self,
@@ -49,14 +64,13 @@
     ) -> Result<StreamEvent, RelayEnd> {
         loop {
             if let Some(event) = self.parser.next_event() {
+                let event = self.lease_event(event)?;
                 return self.accept(event);
             }
             if self.has_ended {
                 return Err(self.response_end());
             }
-            if self.parser.is_oversized() {
-                return Err(RelayEnd::Broken(AttemptOutcome::Unknown));
-            }
+            self.check_buffer().map_err(|cut| self.end_cut(cut))?;
             match response.next_chunk().await {
                 BodyChunk::Data(data) => self.parser.push(&data),
                 BodyChunk::End => self.has_ended = true,
@@ -65,6 +79,38 @@
         }
     }
 
+    /// Draws what the parser buffers from the budget.
+    fn check_buffer(&mut self) -> Result<(), ReadCut> {
+        let n_read = self.parser.buffered();
+        if MAX_EVENT_BYTES < n_read {
+            return Err(ReadCut {
+                n_read,
+                limit: MAX_EVENT_BYTES,
+                scope: CutScope::Event,
+            });
+        }
+        self.lease.cover(n_read)
+    }
+
+    /// Draws what an event holds from the budget, until the caller has received it.
+    fn lease_event(&mut self, event: StreamEvent) -> Result<StreamEvent, RelayEnd> {
+        // Less is buffered now, which also leaves room for the event.
+        let mut lease = ByteLease::new(&self.budget, SMALL_EVENT);
+        let drawn = self
+            .check_buffer()
+            .and_then(|()| lease.cover(event.bytes.len()));
+        drawn.map_err(|cut| self.end_cut(cut))?;
+        Ok(StreamEvent {
+            bytes: lease.attach(event.bytes),
+            ..event
+        })
+    }
+
+    fn end_cut(&mut self, cut: ReadCut) -> RelayEnd {
+        self.cut = Some(cut);
+        RelayEnd::Broken(AttemptOutcome::Unknown)
+    }
+
     /// Checks that an event follows the last one: where targets number events, ids grow by one.
     fn accept(&mut self, event: StreamEvent) -> Result<StreamEvent, RelayEnd> {
         let follows = match (self.last_id, event.id) {
--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -181,6 +181,9 @@
 
     fn end_current(&mut self, outcome: AttemptOutcome) -> AttemptOutcome {
         if let Some(run) = self.current.take() {
+            if let Some(cut) = run.relay.cut() {
+                self.call.record_cut(&run.dispatched.pick, cut);
+            }
             self.call.record(&run.dispatched.pick, Some(outcome));
             self.dispatches.end(run.number, outcome);
         }
@@ -256,9 +259,12 @@
         let answer = read_response(call, dispatched).await?;
         return Err(AttemptError::Failure(answer));
     }
-    let mut relay = StreamRelay::new(last_id);
+    let mut relay = StreamRelay::new(last_id, &call.state.buffers);
     let first = relay.next_event(&mut dispatched.response).await;
     if let Err(RelayEnd::Broken(outcome)) = first {
+        if let Some(cut) = relay.cut() {
+            call.record_cut(&dispatched.pick, cut);
+        }
         call.record(&dispatched.pick, Some(outcome));
         return Err(outcome.into());
     }
--- a/fleet/tests/forwarding/endless_target.rs
+++ b/fleet/tests/forwarding/endless_target.rs
@@ -150,6 +150,43 @@
         assert!(matches!(call.await.unwrap(), 502 | 504));
     }
 }
+/// The number of streams whose incomplete events together exceed the memory of an entry.
+const N_STREAMS: usize = 240;
+
+// Guards against events that together use up the memory, each of which is below its limit.
+#[tokio::test]
+async fn many_large_events_leave_memory_and_an_ordinary_stream_is_served() {
+    let start = format!(
+        "HTTP/1.1 200 OK\r\n{CHUNKED}{}",
+        chunk("id: 1\ndata: a\n\n")
+    );
+    let part = chunk(&format!("data: {}\n", "x".repeat(1 << 16)));
+    let script = vec![Reply::Flood(start, part, 14); N_STREAMS];
+    let flooding = ScriptedTarget::start(script).await;
+    let route = long_route(CallKind::SingleStream);
+    let entry = Arc::new(Entry::with_route(route, 0.0, &[&flooding]).await);
+    let calls: Vec<_> = (0..N_STREAMS)
+        .map(|n_call| {
+            let entry = entry.clone();
+            tokio::spawn(async move { entry.call(&format!("r{n_call}")).await })
+        })
+        .collect();
+    let mut most_held = 0;
+    for _ in 0..150 {
+        most_held = most_held.max(flooding.held());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let events = format!("id: 1\ndata: {}\n\n", "y".repeat(10_000));
+    flooding.then(Reply::stream(&events));
+    let ordinary = entry.call("ordinary").await;
+    assert!(ordinary.is_complete);
+    assert_eq!(ordinary.body, events);
+    assert!(most_held <= ENTRY_MEMORY / 2, "{most_held}");
+    for call in calls {
+        assert!(!call.await.unwrap().is_complete);
+    }
+}
+
 fn request_with_body(id: &str, length: usize) -> String {
     format!(
         "POST /r/x HTTP/1.1\r\nhost: shop.example\r\nx-id: {id}\r\n\
