--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -1,9 +1,11 @@
 //! An entry that serves real TCP connections, and targets that follow a script.
 
+mod caller_connection;
+
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use comfreyhead_fleet::catalog::{Account, Backend};
@@ -16,8 +18,11 @@
 use slog::{Discard, Logger, o};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use tokio::sync::watch;
 
+pub use caller_connection::{hold, kept_request, runtime_apart};
+
 /// The timeout of the route that all tests use.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -33,11 +38,15 @@
     Close,
     /// Sends nothing and waits for the peer to close.
     Silence,
+    /// Writes bytes, and more of them after a time.
+    RawThenLate(String, Duration, String),
     /// Sends nothing for a time, then the bytes.
     Late(Duration, String),
     /// Streams the events after the caller's last one up to `N_EVENTS`, and is silent once: for a
     /// time after the first of them.
     SilentOnce(Duration),
+    /// Writes a start, then a piece so many times, and waits for the peer to close.
+    Flood(String, String, usize),
 }
 
 /// The number of events in a stream with one silence.
@@ -78,6 +87,16 @@
     script: Arc<Mutex<Vec<Reply>>>,
     seen: Arc<Mutex<Vec<String>>>,
     end: Arc<Mutex<Option<ErrorKind>>>,
+    flood: Arc<FloodCount>,
+}
+
+/// The bytes of floods that a target could write.
+#[derive(Debug, Default)]
+struct FloodCount {
+    /// On all connections.
+    written: AtomicUsize,
+    /// On connections that are open.
+    held: AtomicUsize,
 }
 
 impl ScriptedTarget {
@@ -88,17 +107,20 @@
             script: Arc::new(Mutex::new(script)),
             seen: Arc::default(),
             end: Arc::default(),
+            flood: Arc::default(),
         };
-        let (script, seen, end) = (
+        let (script, seen, end, flood) = (
             target.script.clone(),
             target.seen.clone(),
             target.end.clone(),
+            target.flood.clone(),
         );
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (script, seen, end) = (script.clone(), seen.clone(), end.clone());
+                let flood = flood.clone();
                 tokio::spawn(async move {
-                    if let Err(err) = follow(stream, &script, &seen).await {
+                    if let Err(err) = follow(stream, &script, &seen, &flood).await {
                         *end.lock().unwrap() = Some(err.kind());
                     }
                 });
@@ -117,6 +139,16 @@
         self.seen.lock().unwrap().clone()
     }
 
+    /// Returns the bytes of floods that could be written.
+    pub fn written(&self) -> usize {
+        self.flood.written.load(Ordering::Relaxed)
+    }
+
+    /// Returns the bytes of floods that could be written to connections that are open.
+    pub fn held(&self) -> usize {
+        self.flood.held.load(Ordering::Relaxed)
+    }
+
     /// Returns the error that ended a connection last.
     pub fn last_end(&self) -> Option<ErrorKind> {
         *self.end.lock().unwrap()
@@ -127,6 +159,7 @@
     mut stream: TcpStream,
     script: &Mutex<Vec<Reply>>,
     seen: &Mutex<Vec<String>>,
+    flood: &FloodCount,
 ) -> std::io::Result<()> {
     loop {
         let mut head = Vec::new();
@@ -168,6 +201,11 @@
                 stream.read_to_end(&mut rest).await?;
                 return Ok(());
             }
+            Reply::RawThenLate(first, time, second) => {
+                stream.write_all(first.as_bytes()).await?;
+                tokio::time::sleep(time).await;
+                stream.write_all(second.as_bytes()).await?;
+            }
             Reply::Late(time, text) => {
                 tokio::time::sleep(time).await;
                 stream.write_all(text.as_bytes()).await?;
@@ -177,8 +215,38 @@
                 let last_id = last_id.and_then(|(_, rest)| rest.lines().next()?.parse().ok());
                 stream_with_silence(&mut stream, last_id.unwrap_or(0), time).await?;
             }
+            Reply::Flood(start, piece, n_pieces) => {
+                // What this side buffers is no memory of the entry's.
+                socket2::SockRef::from(&stream).set_send_buffer_size(1 << 14)?;
+                stream.write_all(start.as_bytes()).await?;
+                let mut held = 0;
+                let ended = write_flood(&mut stream, &piece, n_pieces, flood, &mut held).await;
+                flood.held.fetch_sub(held, Ordering::Relaxed);
+                return ended;
+            }
+        }
+    }
+}
+
+async fn write_flood(
+    stream: &mut TcpStream,
+    piece: &str,
+    n_pieces: usize,
+    flood: &FloodCount,
+    held: &mut usize,
+) -> std::io::Result<()> {
+    for _ in 0..n_pieces {
+        let mut rest = piece.as_bytes();
+        while !rest.is_empty() {
+            let n_written = stream.write(rest).await?;
+            rest = &rest[n_written..];
+            *held += n_written;
+            flood.written.fetch_add(n_written, Ordering::Relaxed);
+            flood.held.fetch_add(n_written, Ordering::Relaxed);
         }
     }
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).await.map(|_| ())
 }
 
 async fn stream_with_silence(
@@ -272,9 +340,25 @@
 
     /// Starts an entry with a route and so many retries in its budget.
     pub async fn with_route(route: RouteSpec, retries: f64, targets: &[&ScriptedTarget]) -> Self {
-        let entry = Self::with_budget(retries).await;
-        entry.state.catalog.store(Some(Arc::new(catalog(route))));
-        entry.state.confirm(Instant::now());
+        let entry = Self::with_budget(retries, &Handle::current()).await;
+        entry.configure(route, targets);
+        entry
+    }
+
+    /// Starts an entry on another runtime.
+    pub async fn on_runtime(
+        runtime: &Handle,
+        route: RouteSpec,
+        targets: &[&ScriptedTarget],
+    ) -> Self {
+        let entry = Self::with_budget(1_000.0, runtime).await;
+        entry.configure(route, targets);
+        entry
+    }
+
+    fn configure(&self, route: RouteSpec, targets: &[&ScriptedTarget]) {
+        self.state.catalog.store(Some(Arc::new(catalog(route))));
+        self.state.confirm(Instant::now());
         for (n_target, target) in targets.iter().enumerate() {
             let change = RosterChange::Changed(TargetEntry {
                 id: format!("t{n_target}").into(),
@@ -285,9 +369,8 @@
                 draining: false,
                 started_ms: 0,
             });
-            entry.state.table.lock().apply(&change);
+            self.state.table.lock().apply(&change);
         }
-        entry
     }
 
     /// Records a failure of a target, so that it is chosen after the others.
@@ -310,10 +393,10 @@
     }
 
     pub async fn without_configuration() -> Self {
-        Self::with_budget(1_000.0).await
+        Self::with_budget(1_000.0, &Handle::current()).await
     }
 
-    async fn with_budget(retries: f64) -> Self {
+    async fn with_budget(retries: f64, runtime: &Handle) -> Self {
         let budget = BudgetSettings {
             window: Duration::from_millis(1),
             ratio: retries / 10.0,
@@ -327,9 +410,11 @@
         let (_, bounds) = watch::channel(bounds);
         let log = Logger::root(Discard, o!());
         let state = Arc::new(EntryState::new(header_names(), "a".into(), bounds, 1, log));
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let bind = || TcpListener::bind("127.0.0.1:0");
+        let listener = runtime.spawn(async move { bind().await.unwrap() });
+        let listener = listener.await.unwrap();
         let address = listener.local_addr().unwrap();
-        tokio::spawn(serve_callers(
+        runtime.spawn(serve_callers(
             listener,
             state.clone(),
             Arc::new(AtomicUsize::new(0)),
@@ -363,12 +448,19 @@
         tokio::time::sleep(after).await;
     }
 
+    /// Opens a connection to the entry.
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.unwrap()
+    }
+
     async fn exchange(&self, path: &str, id: &str, key: &str) -> Answer {
-        let mut stream = TcpStream::connect(self.address).await.unwrap();
-        stream
-            .write_all(request(path, id, key).as_bytes())
-            .await
-            .unwrap();
+        self.send(request(path, id, key).as_bytes()).await
+    }
+
+    /// Sends the bytes of a request.
+    pub async fn send(&self, request: &[u8]) -> Answer {
+        let mut stream = self.connect().await;
+        stream.write_all(request).await.unwrap();
         let mut bytes = Vec::new();
         let ended = stream.read_to_end(&mut bytes).await.is_ok();
         let text = String::from_utf8_lossy(&bytes).into_owned();
