Take no target connection that has ended or has input

What callers saw: a call that must not run twice ended with 502, as it was written into a connection that its target had closed.

Cause: a kept connection counts as usable until its task has seen the close, which a busy process delays beyond the margin to the target's idle timeout.

Change: a kept connection is taken only if the operating system holds nothing for it: no close, no reset, and no bytes that belong to no request.

Evidence: connection_that_its_target_has_closed_is_not_taken failed before (the connection was taken) and passes now.

--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -12,6 +12,8 @@
 
 use crate::prelude::*;
 
+use super::shared_stream::{SharedStream, StreamInput};
+
 /// The longest time for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -37,6 +39,7 @@
     /// The handle that sends requests.
     pub sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    stream: SharedStream,
 }
 
 impl Drop for PooledConnection {
@@ -58,8 +61,12 @@
         let mut all = self.idle.lock();
         let connections = all.get_mut(&address)?;
         while let Some(idle) = connections.pop() {
-            if now < idle.expires_at && idle.connection.sender.is_ready() {
-                return Some(idle.connection);
+            let connection = idle.connection;
+            // The task of the connection may not have seen yet that the target has closed it, or
+            // has sent bytes that belong to no request.
+            let is_quiet = connection.stream.input() == StreamInput::Nothing;
+            if now < idle.expires_at && connection.sender.is_ready() && is_quiet {
+                return Some(connection);
             }
         }
         None
@@ -116,14 +123,20 @@
             socket2::SockRef::from(&stream)
                 .set_linger(Some(Duration::ZERO))
                 .ok()?;
-            http1::handshake(TokioIo::new(stream)).await.ok()
+            let stream = SharedStream::new(stream);
+            let (sender, driver) = http1::handshake(TokioIo::new(stream.clone())).await.ok()?;
+            Some((sender, driver, stream))
         };
-        let (sender, driver) = tokio::time::timeout(limit, connecting).await.ok()??;
+        let (sender, driver, stream) = tokio::time::timeout(limit, connecting).await.ok()??;
         let task = tokio::spawn(async move {
             // Requests in progress receive the error; for an idle connection it does not matter.
             let _ = driver.await;
         });
         let task = task.abort_handle();
-        Some(PooledConnection { sender, task })
+        Some(PooledConnection {
+            sender,
+            task,
+            stream,
+        })
     }
 }
--- a/fleet/tests/forwarding/connections.rs
+++ b/fleet/tests/forwarding/connections.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use comfreyhead_fleet::catalog::CallerLimits;
+use comfreyhead_fleet::forward::TargetPool;
 use comfreyhead_fleet::prelude::*;
 use tokio::time::{sleep, timeout};
 
@@ -314,3 +315,18 @@
     let answer = caller.response().await;
     assert!(answer.ends_with("late"), "{answer:?}");
 }
+
+// Guards against a request written into a connection that its target has closed already.
+#[tokio::test]
+async fn connection_that_its_target_has_closed_is_not_taken() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = TargetPool::default();
+    let connection = pool.connect(address, Duration::from_secs(1)).await.unwrap();
+    tokio::task::yield_now().await;
+    pool.keep(address, connection, None);
+    drop(listener.accept().unwrap());
+    // The task that serves the connection does not run meanwhile.
+    std::thread::sleep(Duration::from_millis(50));
+    assert!(pool.take_idle(address, Instant::now()).is_none());
+}
