Answer a request whose handling panics

What callers saw: a request got no answer as its connection ended.

Cause: a panic in the handling of a request ended the task of its connection. Three inputs brought it about: an idle timeout that a target states and that no clock can hold, such a time in a configuration, and the largest event id as the last one received (overflow in builds with checks).

Change: a panic ends the request with 502 and a log line. The sum in the relay of events stands as it was; the panic there is answered.

--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -24,6 +24,9 @@
 /// is sent while the target closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// The longest time for which an idle connection is kept, whatever its target states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(600);
+
 /// The most idle connections that are kept to one target.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -83,7 +86,7 @@
             return;
         }
         let idle_timeout = match idle_timeout {
-            Some(timeout) => timeout.saturating_sub(IDLE_MARGIN),
+            Some(timeout) => timeout.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT),
             None => DEFAULT_IDLE_TIMEOUT,
         };
         let now = Instant::now();
--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr};
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -21,7 +22,7 @@
     CallerStream, CloseStep, ConnectionActivity, EntryPhase, RunningBody,
 };
 use super::entry_state::EntryState;
-use super::request_run::{BodyUnread, run_request};
+use super::request_run::{BodyUnread, panicked_response, run_request};
 
 /// The lower bound of the limit on a connection's read buffer, in bytes: hyper accepts no smaller
 /// limit, and a larger one costs memory on small VMs.
@@ -126,7 +127,11 @@
             let guard = activity.begin_request();
             let (state, activity) = (state.clone(), activity.clone());
             async move {
-                let response = run_request(state.clone(), request).await;
+                let running = AssertUnwindSafe(run_request(state.clone(), request));
+                let response = match running.catch_unwind().await {
+                    Ok(response) => response,
+                    Err(_) => panicked_response(&state),
+                };
                 if response.extensions().get::<BodyUnread>().is_some() {
                     activity.leave_body_unread();
                 }
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -397,6 +397,12 @@
     response
 }
 
+/// Returns the response to a request whose handling panicked, which may have run.
+pub(super) fn panicked_response(state: &EntryState) -> Response<CallerBody> {
+    let answer = LocalResponse::Unknown(UnknownReason::BadAnswer);
+    local_response(state, "", answer, "panic")
+}
+
 /// Tells the caller to close its connection if this entry is stopping.
 fn close_if_stopping(state: &EntryState, response: &mut Response<CallerBody>) {
     if state.drain.is_draining() {
--- a/fleet/tests/forwarding/connections.rs
+++ b/fleet/tests/forwarding/connections.rs
@@ -316,6 +316,30 @@
     assert!(answer.ends_with("late"), "{answer:?}");
 }
 
+// Guards against a panic on an idle timeout that no clock can hold.
+#[tokio::test]
+async fn response_with_an_endless_idle_timeout_is_answered() {
+    let head = "HTTP/1.1 200 OK\r\nx-seal: s1\r\nkeep-alive: timeout=18446744073709551615\r\n";
+    let text = format!("{head}content-length: 5\r\n\r\nhello");
+    let target = ScriptedTarget::start(vec![Reply::raw(&text)]).await;
+    let entry = Entry::start(CallKind::Unsafe, &[&target]).await;
+    assert_eq!(entry.call("r1").await.status, 200);
+}
+
+// Guards against a panic on the largest event id, which left the request without an answer.
+#[tokio::test]
+async fn stream_after_the_largest_event_id_is_answered() {
+    let target = ScriptedTarget::start(vec![Reply::stream("id: 1\ndata: a\n\n")]).await;
+    let entry = Entry::start(CallKind::ResumableStream, &[&target]).await;
+    let mut caller = entry.connect().await;
+    let head = format!("\r\nlast-event-id: {}\r\n\r\n", u64::MAX);
+    caller
+        .send(&kept_request("r1").replace("\r\n\r\n", &head))
+        .await;
+    let answer = caller.response().await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
+}
+
 // Guards against a request written into a connection that its target has closed already.
 #[tokio::test]
 async fn connection_that_its_target_has_closed_is_not_taken() {
