Deliver the refusal of a malformed body

What callers saw: a caller that was still sending a malformed body, or a request without a host, got a reset instead of the refusal.

Cause: only the refusals of large and late bodies were followed by a time in which the rest of the input is discarded.

Change: every answer that leaves a body unread is.

Evidence: refusal_of_a_malformed_body_reaches_a_caller_that_is_still_sending failed before (connection reset, broken pipe) and passes now. Three tests of what was suspected beside it passed before, too: requests_sent_at_once_are_ answered_in_turn, caller_that_waits_to_send_its_body_is_told_to_go_on, target_that_resets_new_connections_is_not_tried_without_end.

--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -64,12 +64,8 @@
     let received_at = Instant::now();
     let (parts, body) = request.into_parts();
     let Some(head) = RequestHead::read(parts, &state.names) else {
-        return local_response(
-            &state,
-            "",
-            LocalResponse::Denied(DeniedReason::BadRequest),
-            "no host",
-        );
+        let answer = LocalResponse::Denied(DeniedReason::BadRequest);
+        return leave_body_unread(local_response(&state, "", answer, "no host"));
     };
     let attempt_id = head.attempt_id.clone();
     let body_limit = match &*state.catalog.load() {
@@ -88,10 +84,11 @@
             let response = local_response(&state, &attempt_id, answer, "body limit");
             return leave_body_unread(response);
         }
-        // The caller disconnected; nobody reads the response.
+        // The caller disconnected, or its chunks are malformed.
         Ok(Err(_)) => {
             let answer = LocalResponse::Denied(DeniedReason::BadRequest);
-            return local_response(&state, &attempt_id, answer, "body incomplete");
+            let response = local_response(&state, &attempt_id, answer, "body incomplete");
+            return leave_body_unread(response);
         }
         Err(_) => {
             let answer = LocalResponse::Incomplete(NotRunProof::never_sent());
--- a/fleet/tests/forwarding/connections.rs
+++ b/fleet/tests/forwarding/connections.rs
@@ -1,5 +1,6 @@
 //! Callers' connections that the entry closes, and connections to targets that end.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use comfreyhead_fleet::catalog::CallerLimits;
@@ -248,11 +249,7 @@
     let head =
         kept_request("r1").replace("\r\n\r\n", &format!("\r\ncontent-length: {length}\r\n\r\n"));
     caller.send(&head).await;
-    for _ in 0..20 {
-        caller.send(&"x".repeat(length / 20)).await;
-        sleep(Duration::from_millis(5)).await;
-    }
-    sleep(Duration::from_millis(100)).await;
+    caller.send_slowly(length).await;
     let answer = caller.end().await;
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer:?}");
 }
@@ -266,11 +263,7 @@
     caller
         .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-long: ")
         .await;
-    for _ in 0..20 {
-        caller.send(&"x".repeat(10_000)).await;
-        sleep(Duration::from_millis(5)).await;
-    }
-    sleep(Duration::from_millis(100)).await;
+    caller.send_slowly(200_000).await;
     let answer = caller.end().await;
     assert!(answer.starts_with("HTTP/1.1 431"), "{answer:?}");
 }
@@ -354,3 +347,68 @@
     std::thread::sleep(Duration::from_millis(50));
     assert!(pool.take_idle(address, Instant::now()).is_none());
 }
+
+// Guards against requests that are sent without waiting for answers and get none.
+#[tokio::test]
+async fn requests_sent_at_once_are_answered_in_turn() {
+    let target = target(2).await;
+    let entry = Entry::start(CallKind::Safe, &[&target]).await;
+    let mut caller = entry.connect().await;
+    let last = kept_request("r2").replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
+    caller.send(&(kept_request("r1") + &last)).await;
+    let answers = caller.end().await;
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 2, "{answers:?}");
+}
+
+// Guards against a caller that waits for 100 before it sends its body.
+#[tokio::test]
+async fn caller_that_waits_to_send_its_body_is_told_to_go_on() {
+    let target = target(1).await;
+    let entry = Entry::start(CallKind::Unsafe, &[&target]).await;
+    let mut caller = entry.connect().await;
+    let end = "\r\nexpect: 100-continue\r\ncontent-length: 4\r\nconnection: close\r\n\r\n";
+    caller
+        .send(&kept_request("r1").replace("\r\n\r\n", end))
+        .await;
+    sleep(Duration::from_millis(100)).await;
+    caller.send("body").await;
+    let answer = caller.end().await;
+    assert!(answer.starts_with("HTTP/1.1 100"), "{answer:?}");
+    assert!(answer.contains("HTTP/1.1 200"), "{answer:?}");
+}
+
+// Guards against the refusal of a malformed body that is lost as its connection is reset.
+#[tokio::test]
+async fn refusal_of_a_malformed_body_reaches_a_caller_that_is_still_sending() {
+    let target = target(1).await;
+    let entry = Entry::start(CallKind::Unsafe, &[&target]).await;
+    let mut caller = entry.connect().await;
+    let end = "\r\ntransfer-encoding: chunked\r\n\r\nno chunk\r\n";
+    let request = kept_request("r1").replace("\r\n\r\n", end);
+    caller.send(&request).await;
+    caller.send_slowly(200_000).await;
+    let answer = caller.end().await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer:?}");
+}
+
+// Guards against new connections without end to a target that resets each of them.
+#[tokio::test]
+async fn target_that_resets_new_connections_is_not_tried_without_end() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let n_accepted = Arc::new(AtomicUsize::new(0));
+    let counter = n_accepted.clone();
+    std::thread::spawn(move || {
+        while let Ok((stream, _)) = listener.accept() {
+            counter.fetch_add(1, Ordering::Relaxed);
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+    });
+    let entry = Entry::with_addresses(route(CallKind::Unsafe), &[address]).await;
+    for n_call in 0..20 {
+        let answer = entry.call(&format!("r{n_call}")).await;
+        assert!([502, 503].contains(&answer.status), "{}", answer.status);
+    }
+    let n_accepted = n_accepted.load(Ordering::Relaxed);
+    assert!(n_accepted <= 40, "{n_accepted}");
+}
--- a/fleet/tests/wire/caller_connection.rs
+++ b/fleet/tests/wire/caller_connection.rs
@@ -24,6 +24,15 @@
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
 
+    /// Sends so many bytes in twenty parts, and waits a moment.
+    pub async fn send_slowly(&mut self, n_bytes: usize) {
+        for _ in 0..20 {
+            self.send(&"x".repeat(n_bytes / 20)).await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
     pub async fn call(&mut self, id: &str) -> String {
         self.send(&kept_request(id)).await;
         self.response().await
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -300,14 +300,26 @@
         entry
     }
 
+    /// Starts an entry with targets at these addresses.
+    pub async fn with_addresses(route: RouteSpec, addresses: &[SocketAddr]) -> Self {
+        let entry = Self::with_budget(1_000.0, &Handle::current()).await;
+        entry.configure_addresses(route, addresses);
+        entry
+    }
+
     fn configure(&self, route: RouteSpec, targets: &[&ScriptedTarget]) {
+        let addresses: Vec<_> = targets.iter().map(|target| target.address).collect();
+        self.configure_addresses(route, &addresses);
+    }
+
+    fn configure_addresses(&self, route: RouteSpec, addresses: &[SocketAddr]) {
         self.state.catalog.store(Some(Arc::new(catalog(route))));
         self.state.confirm(Instant::now());
-        for (n_target, target) in targets.iter().enumerate() {
+        for (n_target, &address) in addresses.iter().enumerate() {
             let change = RosterChange::Changed(TargetEntry {
                 id: format!("t{n_target}").into(),
                 service: "svc".into(),
-                address: target.address,
+                address,
                 zone: "a".into(),
                 slots: 4,
                 draining: false,
