Let a shorter idle timeout hold once callers know of it

What callers saw: a connection that was used just after the idle timeout became shorter was closed by the new timeout while they went by the old one.

Cause: an entry takes a configuration up before its callers can know of it.

Change: a shorter timeout holds for uses from ten seconds after the first one under it; a longer one holds at once.

Evidence: connection_used_just_after_its_idle_timeout_is_cut_is_kept failed before (no answer after 6 s at timeouts of 10 s and then 1 s) and passes now.

--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -135,7 +135,7 @@
                 if response.extensions().get::<BodyUnread>().is_some() {
                     activity.leave_body_unread();
                 }
-                activity.set_idle_timeout(caller_limits(&state).idle_timeout);
+                activity.set_idle_timeout(caller_limits(&state).idle_timeout, Instant::now());
                 Ok::<_, Infallible>(response.map(|body| RunningBody::new(body, guard)))
             }
         })
--- a/fleet/src/process/connection_activity.rs
+++ b/fleet/src/process/connection_activity.rs
@@ -18,6 +18,9 @@
 /// The time beyond the idle timeout for which a request that is on its way is awaited.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
+/// The time until callers know of a shorter idle timeout after this process does.
+const NOTICE_TIME: Duration = Duration::from_secs(10);
+
 /// What is in progress on a caller's connection.
 #[derive(Debug)]
 pub(super) struct ConnectionActivity {
@@ -34,8 +37,10 @@
     /// When the first byte of a head was read whose request has not begun.
     head_since: Option<Instant>,
     last_used_at: Instant,
-    /// The idle timeout in force at the last use, on which the caller may rely.
+    /// The idle timeout on which the caller may rely since the last use.
     idle_timeout: Duration,
+    /// When callers know of a shorter timeout that is in force already.
+    known_from: Option<Instant>,
     has_unread_body: bool,
 }
 
@@ -60,6 +65,7 @@
             head_since: None,
             last_used_at: Instant::now(),
             idle_timeout: limits.idle_timeout,
+            known_from: None,
             has_unread_body: false,
         };
         Self {
@@ -77,9 +83,18 @@
         ResponseGuard(self.clone())
     }
 
-    /// Records the idle timeout that a caller learns of by a use at this time.
-    pub(super) fn set_idle_timeout(&self, timeout: Duration) {
-        self.progress.lock().idle_timeout = timeout;
+    /// Records a use under the idle timeout in force; a shorter one than before holds only once
+    /// callers know of it.
+    pub(super) fn set_idle_timeout(&self, timeout: Duration, now: Instant) {
+        let mut progress = self.progress.lock();
+        if timeout < progress.idle_timeout {
+            let known_from = *progress.known_from.get_or_insert(now + NOTICE_TIME);
+            if now < known_from {
+                return;
+            }
+        }
+        progress.idle_timeout = timeout;
+        progress.known_from = None;
     }
 
     /// Records that the rest of a request's body will not be read.
--- a/fleet/tests/forwarding/connections.rs
+++ b/fleet/tests/forwarding/connections.rs
@@ -79,6 +79,21 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
 }
 
+// Guards against a shorter idle timeout that holds at once, before callers can know of it.
+#[tokio::test]
+async fn connection_used_just_after_its_idle_timeout_is_cut_is_kept() {
+    let target = target(3).await;
+    let entry = Entry::start(CallKind::Safe, &[&target]).await;
+    entry.set_limits(route(CallKind::Safe), limits(Duration::from_secs(10)));
+    let mut caller = entry.connect().await;
+    caller.call("r1").await;
+    entry.set_limits(route(CallKind::Safe), limits(Duration::from_secs(1)));
+    caller.call("r2").await;
+    sleep(Duration::from_secs(6)).await;
+    let answer = caller.call("r3").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
+
 // Guards against a response that counts as idle time while its body is still being sent.
 #[tokio::test]
 async fn connection_is_not_idle_during_a_stream() {
