--- a/fleet/src/forward/head_meter.rs
+++ b/fleet/src/forward/head_meter.rs
@@ -9,11 +9,11 @@
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 use crate::prelude::*;
 
 use super::byte_budget::{CutScope, ReadCut};
+use super::shared_stream::SharedStream;
 
 /// The limit on one response head, in bytes: twice what callers may send in theirs by default.
 const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -29,7 +29,7 @@
 /// A connection that fails once more arrives than its meter allows.
 #[derive(Debug)]
 pub struct MeteredStream {
-    stream: TcpStream,
+    stream: SharedStream,
     meter: HeadMeter,
 }
 
@@ -41,7 +41,7 @@
 );
 
 /// Begins HTTP/1.1 on a connection; interim responses without end fail it, as a long head does.
-pub async fn bounded_handshake(stream: TcpStream) -> hyper::Result<BoundedClient> {
+pub async fn bounded_handshake(stream: SharedStream) -> hyper::Result<BoundedClient> {
     let meter = HeadMeter(Arc::new(AtomicUsize::new(MAX_BYTES_TO_HEAD)));
     let stream = MeteredStream {
         stream,
--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -12,6 +12,7 @@
 use crate::prelude::*;
 
 use super::head_meter::{HeadMeter, bounded_handshake};
+use super::shared_stream::{SharedStream, StreamInput};
 
 /// The longest time for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -23,6 +24,9 @@
 /// is sent while the target closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// The longest time for which an idle connection is kept, whatever its target states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(600);
+
 /// The most idle connections that are kept to one target.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -40,6 +44,7 @@
     /// The limit on the head of the next response.
     pub meter: HeadMeter,
     task: AbortHandle,
+    stream: SharedStream,
 }
 
 impl Drop for PooledConnection {
@@ -61,8 +66,12 @@
         let mut all = self.idle.lock();
         let connections = all.get_mut(&address)?;
         while let Some(idle) = connections.pop() {
-            if now < idle.expires_at && idle.connection.sender.is_ready() {
-                return Some(idle.connection);
+            let connection = idle.connection;
+            // The task of the connection may not have seen yet that the target has closed it, or
+            // has sent bytes that belong to no request.
+            let is_quiet = connection.stream.input() == StreamInput::Nothing;
+            if now < idle.expires_at && connection.sender.is_ready() && is_quiet {
+                return Some(connection);
             }
         }
         None
@@ -79,7 +88,7 @@
             return;
         }
         let idle_timeout = match idle_timeout {
-            Some(timeout) => timeout.saturating_sub(IDLE_MARGIN),
+            Some(timeout) => timeout.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT),
             None => DEFAULT_IDLE_TIMEOUT,
         };
         let now = Instant::now();
@@ -119,9 +128,12 @@
             socket2::SockRef::from(&stream)
                 .set_linger(Some(Duration::ZERO))
                 .ok()?;
-            bounded_handshake(stream).await.ok()
+            let stream = SharedStream::new(stream);
+            let client = bounded_handshake(stream.clone()).await.ok()?;
+            Some((client, stream))
         };
-        let (sender, driver, meter) = tokio::time::timeout(limit, connecting).await.ok()??;
+        let (client, stream) = tokio::time::timeout(limit, connecting).await.ok()??;
+        let (sender, driver, meter) = client;
         let task = tokio::spawn(async move {
             // Requests in progress receive the error; for an idle connection it does not matter.
             let _ = driver.await;
@@ -131,6 +143,7 @@
             sender,
             meter,
             task,
+            stream,
         })
     }
 }
--- a/fleet/src/process/request_body.rs
+++ b/fleet/src/process/request_body.rs
@@ -26,7 +26,7 @@
     Cut(ReadCut),
     /// It did not arrive in time.
     Late,
-    /// The caller disconnected.
+    /// The caller disconnected, or its chunks are malformed.
     Broken,
 }
 
@@ -72,10 +72,9 @@
     /// Returns the response to the request; logs and counts it.
     pub(super) fn response(self, state: &EntryState, attempt_id: &str) -> Response<CallerBody> {
         let (answer, why) = match self {
-            // Nobody reads the response.
             Self::Broken => {
                 let answer = LocalResponse::Denied(DeniedReason::BadRequest);
-                return local_response(state, attempt_id, answer, "body incomplete");
+                (answer, "body incomplete")
             }
             Self::Late => {
                 let answer = LocalResponse::Incomplete(NotRunProof::never_sent());
@@ -88,15 +87,19 @@
                 refuse_cut(cut)
             }
         };
-        let mut response = local_response(state, attempt_id, answer, why);
-        let close = HeaderValue::from_static("close");
-        let headers = response.headers_mut();
-        headers.insert(http::header::CONNECTION, close);
-        response.extensions_mut().insert(BodyUnread);
-        response
+        leave_body_unread(local_response(state, attempt_id, answer, why))
     }
 }
 
+/// Marks a response to a request whose body is not read.
+pub(super) fn leave_body_unread(mut response: Response<CallerBody>) -> Response<CallerBody> {
+    let close = HeaderValue::from_static("close");
+    let headers = response.headers_mut();
+    headers.insert(http::header::CONNECTION, close);
+    response.extensions_mut().insert(BodyUnread);
+    response
+}
+
 fn refuse_cut(cut: ReadCut) -> (LocalResponse, &'static str) {
     match cut.scope {
         CutScope::Sum => {
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -13,7 +13,7 @@
 
 use super::caller_body::CallerBody;
 use super::entry_state::EntryState;
-use super::request_body::read_body;
+use super::request_body::{leave_body_unread, read_body};
 use super::running_guard::RunningGuard;
 use super::{plain_run, stream_run};
 
@@ -68,12 +68,8 @@
     let received_at = Instant::now();
     let (parts, body) = request.into_parts();
     let Some(head) = RequestHead::read(parts, &state.names) else {
-        return local_response(
-            &state,
-            "",
-            LocalResponse::Denied(DeniedReason::BadRequest),
-            "no host",
-        );
+        let answer = LocalResponse::Denied(DeniedReason::BadRequest);
+        return leave_body_unread(local_response(&state, "", answer, "no host"));
     };
     let attempt_id = head.attempt_id.clone();
     let body = match read_body(&state, &head, body, received_at).await {
@@ -398,6 +394,12 @@
     response
 }
 
+/// Returns the response to a request whose handling panicked, which may have run.
+pub(super) fn panicked_response(state: &EntryState) -> Response<CallerBody> {
+    let answer = LocalResponse::Unknown(UnknownReason::BadAnswer);
+    local_response(state, "", answer, "panic")
+}
+
 /// Tells the caller to close its connection if this entry is stopping.
 fn close_if_stopping(state: &EntryState, response: &mut Response<CallerBody>) {
     if state.drain.is_draining() {
