Limit the replies of the store and of targets to agents

What was seen: a store that sends a body without end was read until the call timed out (0.7 s), a target's report for 60 ms; pages without end, a page that does not advance and large pages were read for as long as the store sent them. A truncated page without a key was taken for the whole topic, so that all other keys counted as removed.

Cause: replies and the sum of a read's pages had no limit, and only time ended interim responses. A record of 5 bytes takes 56 once decoded.

The error says the limit, is logged in the agents too, and entries count it.

--- a/fleet/src/forward/byte_budget.rs
+++ b/fleet/src/forward/byte_budget.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Creates a budget of so many bytes that no gauge shows.
+    pub fn unmetered(limit: usize) -> Self {
+        let gauge = IntGauge::new("bytes", "Bytes").expect("metric_names_are_valid");
+        Self::new(limit, gauge)
+    }
+
     /// Returns the bytes drawn.
     pub fn drawn(&self) -> usize {
         self.drawn.load(Ordering::Relaxed)
--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use parking_lot::Mutex;
-use slog::{Logger, debug, info};
+use slog::{Logger, debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -213,16 +213,18 @@
             continue;
         };
         let now = Instant::now();
-        if read_at.is_none_or(|at| at + MAX_ENTRIES_AGE <= now)
-            && let Ok(StoreReply::Records(delta)) =
-                store_call(StoreRequest::Newest(StoreTopic::Peers))
-                    .await
-                    .result
-        {
-            read_at = Some(now);
-            let records = peer_records(&delta, &log);
-            entries = records.iter().map(|record| record.address).collect();
-            info!(log, "target slow"; "pace" => report.pace, "entries" => entries.len());
+        if read_at.is_none_or(|at| at + MAX_ENTRIES_AGE <= now) {
+            let answer = store_call(StoreRequest::Newest(StoreTopic::Peers)).await;
+            match answer.result {
+                Ok(StoreReply::Records(delta)) => {
+                    read_at = Some(now);
+                    let records = peer_records(&delta, &log);
+                    entries = records.iter().map(|record| record.address).collect();
+                    info!(log, "target slow"; "pace" => report.pace, "entries" => entries.len());
+                }
+                Ok(_) => {}
+                Err(err) => warn!(log, "store call failed"; "topic" => "peers", "fault" => %err),
+            }
         }
         let bytes = PeerMessage::Pace(config.target_address, report.pace).encode();
         for entry in &entries {
--- a/fleet/src/process/leader_task.rs
+++ b/fleet/src/process/leader_task.rs
@@ -195,13 +195,14 @@
             return;
         }
         state.roster_at = Some(now);
-        if state.engine.is_none()
-            && let Ok(StoreReply::Records(delta)) =
-                (self.store_call)(StoreRequest::Newest(StoreTopic::Operator))
-                    .await
-                    .result
-        {
-            state.engine = self.find_engine(&delta.records);
+        if state.engine.is_none() {
+            let answer = (self.store_call)(StoreRequest::Newest(StoreTopic::Operator)).await;
+            match answer.result {
+                Ok(StoreReply::Records(delta)) => state.engine = self.find_engine(&delta.records),
+                Ok(_) => {}
+                Err(err) => warn!(self.log, "store call failed"; "topic" => "operator",
+                    "fault" => %err),
+            }
         }
         let answer = (self.store_call)(StoreRequest::Newest(StoreTopic::Targets)).await;
         match answer.result {
--- a/fleet/src/process/rank_link.rs
+++ b/fleet/src/process/rank_link.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use parking_lot::Mutex;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 
 use crate::expert::{CountWindow, MapOrder, OrderKind, RankReport, mapping_digest};
 use crate::peers::{RankDetails, RankQuery};
@@ -57,7 +57,7 @@
 
     /// Reads the rank's report; `None` if it cannot be read or the target is not a rank.
     pub(super) async fn report(&self) -> Option<RankReport> {
-        let reply = (self.call)(self.address, TargetRequest::Report).await;
+        let reply = self.read(TargetRequest::Report).await;
         let Ok(TargetReply::Report(Some(mut report))) = reply else {
             return None;
         };
@@ -75,17 +75,24 @@
             RankQuery::State | RankQuery::Report => Vec::new(),
             RankQuery::Counts => self.count_window().await?,
         };
-        let Ok(TargetReply::Listings(held, _)) =
-            (self.call)(self.address, TargetRequest::Listings).await
-        else {
+        let Ok(TargetReply::Listings(held, _)) = self.read(TargetRequest::Listings).await else {
             return None;
         };
         Some((report, RankDetails { held, window }))
     }
 
+    /// Makes a call that reads; logs a reply over a limit, which no later one may make good.
+    async fn read(&self, request: TargetRequest) -> Result<TargetReply, CallError> {
+        let reply = (self.call)(self.address, request).await;
+        if let Err(err @ CallError::TooLong(_)) = reply {
+            warn!(self.log, "read cut"; "target" => %self.address, "fault" => %err);
+        }
+        reply
+    }
+
     /// Reads the expert counts since they were last read.
     async fn count_window(&self) -> Option<Vec<u32>> {
-        let reply = (self.call)(self.address, TargetRequest::Counts).await;
+        let reply = self.read(TargetRequest::Counts).await;
         let Ok(TargetReply::Counts(counts)) = reply else {
             return None;
         };
@@ -155,7 +162,7 @@
         {
             return Some(digest);
         }
-        let reply = (self.call)(self.address, TargetRequest::Listings).await;
+        let reply = self.read(TargetRequest::Listings).await;
         let Ok(TargetReply::Listings(_, Some((listed, experts)))) = reply else {
             return None;
         };
--- a/fleet/src/process/store_access.rs
+++ b/fleet/src/process/store_access.rs
@@ -76,6 +76,9 @@
     /// The call was rejected with an HTTP status.
     #[display("status {_0}")]
     Refused(u16),
+    /// The reply is longer than a limit, in bytes.
+    #[display("longer than {_0} bytes")]
+    TooLong(usize),
     /// The reply could not be decoded.
     #[display("malformed")]
     Malformed,
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -8,7 +8,7 @@
 
 use super::entry_run::EntryConfig;
 use super::entry_state::EntryState;
-use super::store_access::{StoreAnswer, StoreReply, StoreRequest};
+use super::store_access::{CallError, StoreAnswer, StoreReply, StoreRequest};
 use super::store_replica::StoreReplica;
 
 /// The pause after a successful read that does not wait for new records.
@@ -92,7 +92,7 @@
             }
             Ok(StoreReply::Written) => {}
             Err(err) => {
-                warn!(state.log, "store call failed"; "topic" => label, "fault" => %err);
+                record_failure(&state, label, err);
                 tokio::time::sleep(pause.mul_f64(0.75 + 0.5 * state.random_fraction())).await;
                 pause = (pause * 2).min(FAILURE_BACKOFF.1);
             }
@@ -100,6 +100,14 @@
     }
 }
 
+/// Logs a failed call, and counts a reply over a limit.
+fn record_failure(state: &EntryState, topic: &str, err: CallError) {
+    warn!(state.log, "store call failed"; "topic" => topic, "fault" => %err);
+    if matches!(err, CallError::TooLong(_)) {
+        state.metrics.count_cut("store");
+    }
+}
+
 /// How far the end of a waiting read may lag behind the store.
 const MAX_READ_LAG: Duration = Duration::from_millis(50);
 
@@ -176,7 +184,7 @@
         match result {
             Ok(reply) => return (era.unwrap_or_default(), reply),
             Err(err) => {
-                warn!(state.log, "store call failed"; "topic" => "peers", "fault" => %err);
+                record_failure(state, StoreTopic::Peers.label(), err);
                 let pause = FAILURE_BACKOFF.1.mul_f64(0.5 + state.random_fraction());
                 tokio::time::sleep(pause).await;
             }
