Limit what is pulled from a peer

What was seen: a peer that sends records without end was read for the whole timeout of a pull, and again 80 ms later.

Cause: the body had no limit, and records of 3 bytes take 56 once decoded.

Change: a pull reads at most 8 MiB, within a budget of its topic, with heads bounded as those of targets' responses; records are decoded until they hold 8 MiB, departed targets until there are 4,096. The log line has the cause, a cut is counted, and the next pull waits a second after a copy over a limit or one that cannot be read. The heads of requests to the servers for peers, readiness and metrics have at most 8 KiB.

--- a/fleet/src/mirror/mod.rs
+++ b/fleet/src/mirror/mod.rs
@@ -7,5 +7,5 @@
 
 pub use keyed_mirror::KeyedMirror;
 pub use mirror_change::{MirrorChange, ReplacedCopy};
-pub use mirror_delta::{MirrorDelta, MirrorRecord};
+pub use mirror_delta::{MAX_COPY_BYTES, MirrorDelta, MirrorRecord};
 pub use store_era::{StoreEra, StorePosition};
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod open_dispatches;
 mod order_sender;
+mod peer_pull;
 mod peer_tasks;
 mod plain_run;
 mod rank_link;
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -5,13 +5,13 @@
 use std::sync::atomic::Ordering;
 
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Empty};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use slog::{debug, info, warn};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 
-use crate::mirror::{StoreEra, StorePosition};
+use crate::forward::ByteBudget;
+use crate::mirror::{MAX_COPY_BYTES, StoreEra, StorePosition};
 use crate::peers::{PeerCopy, PeerHeartbeat, PeerMessage, RankQuery, StoreTopic};
 use crate::prelude::*;
 use crate::routing::{PeerLoad, ROUND_PERIOD, RankStatus};
@@ -19,14 +19,23 @@
 use super::caller_body::CallerBody;
 use super::entry_run::EntryConfig;
 use super::entry_state::EntryState;
+use super::peer_pull::{PULL_TIMEOUT, PullError, pull};
 use super::store_replica::StoreReplica;
 
 /// The mean time between two heartbeats. With load figures of this age, entries overshoot a limit
 /// by only a few streams, and a change reaches all entries well within its bound.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
 
-/// The timeout of a pull of records from a peer.
-const PULL_TIMEOUT: Duration = Duration::from_millis(600);
+/// The pause after a pull that sent too much or nothing that can be read: the same peer may send it
+/// again.
+const BAD_PULL_PAUSE: Duration = Duration::from_secs(1);
+
+/// The limit on what all pulls of one topic read, in bytes: one copy, which holds no more than it
+/// leaves.
+const MAX_PULLED_BYTES: usize = 2 * MAX_COPY_BYTES;
+
+/// The limit on the head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 8_192;
 
 /// The size of the receive buffer for datagrams, in bytes.
 const MAX_DATAGRAM_LEN: usize = 16_384;
@@ -178,6 +187,7 @@
     // Which targets have departed shows in no copy of the store, so a process that starts after the
     // store came back from an older one asks a peer.
     let mut asked_era = StoreEra::default();
+    let budget = Arc::new(ByteBudget::unmetered(MAX_PULLED_BYTES));
     loop {
         tokio::time::sleep(HEARTBEAT_PERIOD / 3).await;
         let now = Instant::now();
@@ -191,44 +201,52 @@
         if let Some(address) = ahead.or(peer.filter(|_| needs_departures)) {
             let from = replica.next_position(topic).min(end);
             let path = format!("/mirror/{}/{}/{}", topic.label(), from.era, from.offset);
-            match tokio::time::timeout(PULL_TIMEOUT, pull(address, &path)).await {
-                Ok(Some(bytes)) if let Ok(copy) = postcard::from_bytes::<PeerCopy>(&bytes) => {
+            match pull_copy(address, &path, &budget).await {
+                Ok(copy) => {
                     asked_era = copy.delta.era;
                     replica.apply_from_peer(topic, copy);
                 }
-                _ => warn!(state.log, "pull failed"; "topic" => topic.label(),
-                    "peer" => %address),
+                Err(err) => record_failure(&state, topic.label(), address, &err).await,
             }
         } else if let Some(address) = newer.filter(|_| topic == StoreTopic::Operator) {
-            match tokio::time::timeout(PULL_TIMEOUT, pull(address, CATALOG_PATH)).await {
-                Ok(Some(bytes)) => replica.apply_peer_catalog(bytes.to_vec()),
-                _ => warn!(state.log, "pull failed"; "topic" => "catalog", "peer" => %address),
+            match pull(address, CATALOG_PATH, &budget).await {
+                Ok(bytes) => replica.apply_peer_catalog(bytes.to_vec()),
+                Err(err) => record_failure(&state, "catalog", address, &err).await,
             }
         }
     }
 }
 
-/// The path of the configuration in force, which may be newer than the store's.
-const CATALOG_PATH: &str = "/catalog";
+async fn pull_copy(
+    address: SocketAddr,
+    path: &str,
+    budget: &Arc<ByteBudget>,
+) -> Result<PeerCopy, PullError> {
+    let bytes = pull(address, path, budget).await?;
+    postcard::from_bytes(&bytes).map_err(|_| PullError::Malformed)
+}
 
-/// Pulls the bytes at a path; `None` if the pull fails.
-async fn pull(address: SocketAddr, path: &str) -> Option<Bytes> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-        .await
-        .ok()?;
-    let driver = tokio::spawn(connection);
-    let request = Request::get(path)
-        .header(http::header::HOST, address.to_string())
-        .body(Empty::<Bytes>::new())
-        .ok()?;
-    let response = sender.send_request(request).await.ok()?;
-    let is_found = response.status().is_success();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    driver.abort();
-    is_found.then_some(body)
+/// Logs a failed pull, counts one over a limit, and pauses after what the peer may repeat.
+async fn record_failure(
+    state: &EntryState,
+    topic: &'static str,
+    peer: SocketAddr,
+    err: &PullError,
+) {
+    warn!(state.log, "pull failed"; "topic" => topic, "peer" => %peer, "fault" => %err);
+    match err {
+        PullError::Unreachable | PullError::Silent | PullError::Refused(_) => {}
+        PullError::Malformed => tokio::time::sleep(BAD_PULL_PAUSE).await,
+        PullError::Cut(_) => {
+            state.metrics.count_cut("peer");
+            tokio::time::sleep(BAD_PULL_PAUSE).await;
+        }
+    }
 }
 
+/// The path of the configuration in force, which may be newer than the store's.
+const CATALOG_PATH: &str = "/catalog";
+
 /// Answers the pulls of peers.
 pub(super) async fn serve_pulls(listener: TcpListener, replica: Arc<StoreReplica>) {
     loop {
@@ -244,6 +262,7 @@
         tokio::spawn(async move {
             let serving = hyper::server::conn::http1::Builder::new()
                 .keep_alive(false)
+                .max_buf_size(MAX_HEAD_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             // An error concerns this connection only; the peer sees it.
             let _ = tokio::time::timeout(PULL_TIMEOUT * 4, serving).await;
--- a/fleet/src/process/ready_server.rs
+++ b/fleet/src/process/ready_server.rs
@@ -13,6 +13,9 @@
 use super::caller_body::CallerBody;
 use super::entry_state::EntryState;
 
+/// The limit on the head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 8_192;
+
 /// Serves the readiness check: 200 if this entry accepts new connections, else 503.
 pub async fn serve_ready(listener: TcpListener, path: Arc<str>, state: Arc<EntryState>) {
     serve(listener, path, move || match state.is_ready() {
@@ -57,6 +60,7 @@
         tokio::spawn(async move {
             // An error concerns this connection only; the client sees it.
             let _ = http1::Builder::new()
+                .max_buf_size(MAX_HEAD_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
--- a/fleet/src/roster/mod.rs
+++ b/fleet/src/roster/mod.rs
@@ -6,4 +6,4 @@
 
 pub use departed_target::DepartedTarget;
 pub use target_entry::TargetEntry;
-pub use target_roster::{RosterChange, TargetRoster};
+pub use target_roster::{MAX_DEPARTED, RosterChange, TargetRoster};
--- a/fleet/src/roster/target_roster.rs
+++ b/fleet/src/roster/target_roster.rs
@@ -16,7 +16,7 @@
 const DEPARTED_MEMORY: Duration = Duration::from_secs(60);
 
 /// The most departed targets that are remembered; the oldest are forgotten first.
-const MAX_DEPARTED: usize = 4_096;
+pub const MAX_DEPARTED: usize = 4_096;
 
 /// The live targets, from their records in the store.
 #[derive(Debug, Default)]
