Limit the senders of heartbeats that an entry keeps

What was seen: nothing yet. Each address that sent a heartbeat was kept for good, and each sender's load for 1.5 s.

Change: at most 1,024 senders, about twice the entries of the largest deployment in docs/CAPACITY.md. A new one takes the place of one that has been silent for 5 s and has no record in the store; those with a record stay.

--- a/fleet/src/peers/peer_table.rs
+++ b/fleet/src/peers/peer_table.rs
@@ -5,6 +5,7 @@
 
 use crate::mirror::{StoreEra, StorePosition};
 use crate::prelude::*;
+use crate::routing::MAX_SENDERS;
 
 use super::message::{PeerHeartbeat, StoreTopic, TopicPosition};
 
@@ -41,6 +42,8 @@
 pub struct PeerRow {
     /// The data centre, where it is known.
     pub zone: Option<Arc<str>>,
+    /// Whether the store has a record of it.
+    pub is_registered: bool,
     /// The last heartbeat and the time of its arrival.
     pub last_heartbeat: Option<(Instant, PeerHeartbeat)>,
 }
@@ -49,16 +52,25 @@
     /// Adds a peer that is registered in the store.
     pub fn add(&mut self, address: SocketAddr, zone: &str) {
         let row = self.rows.entry(address).or_default();
+        row.is_registered = true;
         row.zone.get_or_insert_with(|| zone.into());
     }
 
-    /// Records a heartbeat, and adds its sender where it is not known.
+    /// Records a heartbeat, and adds its sender where it is not known and there is room: a sender
+    /// that fell silent and has no record in the store leaves for it.
     pub fn record_heartbeat(
         &mut self,
         address: SocketAddr,
         heartbeat: PeerHeartbeat,
         now: Instant,
     ) {
+        if !self.rows.contains_key(&address) && MAX_SENDERS <= self.rows.len() {
+            let silent = self.rows.iter().find(|(_, row)| row.may_leave(now));
+            let Some(silent) = silent.map(|(address, _)| *address) else {
+                return;
+            };
+            self.rows.remove(&silent);
+        }
         let row = self.rows.entry(address).or_default();
         if row.zone.as_deref() != Some(&heartbeat.zone) {
             row.zone = Some(heartbeat.zone.as_str().into());
@@ -163,6 +175,10 @@
 }
 
 impl PeerRow {
+    fn may_leave(&self, now: Instant) -> bool {
+        !self.is_registered && !self.sent_within(now, SILENCE_TIMEOUT)
+    }
+
     fn sent_within(&self, now: Instant, age: Duration) -> bool {
         self.last_heartbeat
             .as_ref()
--- a/fleet/src/routing/load_view.rs
+++ b/fleet/src/routing/load_view.rs
@@ -9,6 +9,10 @@
 /// The age after which a peer's last report no longer counts.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
+/// The most senders of datagrams that are kept: about twice the entries of the largest deployment
+/// planned for.
+pub const MAX_SENDERS: usize = 1_024;
+
 /// The load that the other entries report.
 #[derive(Debug, Default)]
 pub struct LoadView {
@@ -32,11 +36,13 @@
 }
 
 impl LoadView {
-    /// Replaces a peer's report.
+    /// Replaces a peer's report; ignored where too many other ones are recent.
     pub fn update(&mut self, peer: u64, load: PeerLoad, now: Instant) {
-        self.peers.insert(peer, (now, load));
         self.peers
             .retain(|_, (received_at, _)| now < *received_at + MAX_REPORT_AGE);
+        if self.peers.len() < MAX_SENDERS || self.peers.contains_key(&peer) {
+            self.peers.insert(peer, (now, load));
+        }
     }
 
     /// Returns the number of requests that the other entries run at a target.
--- a/fleet/src/routing/mod.rs
+++ b/fleet/src/routing/mod.rs
@@ -10,7 +10,7 @@
 
 pub use group_health::{GROUP_RECOVERY_TIME, GroupHealth, GroupState};
 pub use group_limit::{AdmitDecision, GroupLimit, GroupLoad};
-pub use load_view::{LoadView, PeerLoad, name_hash};
+pub use load_view::{LoadView, MAX_SENDERS, PeerLoad, name_hash};
 pub use rank_watch::{ROUND_PERIOD, RankStatus, RankWatch};
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use routing_table::{RoutingTable, TargetPick};
