--- a/fleet/src/process/peer_pull.rs
+++ b/fleet/src/process/peer_pull.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::forward::{BodyBuffer, ByteBudget, ReadCut, ReadError, bounded_handshake};
+use crate::forward::{BodyBuffer, ByteBudget, ReadCut, ReadError, SharedStream, bounded_handshake};
 use crate::mirror::MAX_COPY_BYTES;
 use crate::prelude::*;
 
@@ -63,7 +63,7 @@
     let stream = TcpStream::connect(address)
         .await
         .map_err(|_| PullError::Unreachable)?;
-    let (mut sender, connection, meter) = bounded_handshake(stream)
+    let (mut sender, connection, meter) = bounded_handshake(SharedStream::new(stream))
         .await
         .map_err(|_| PullError::Unreachable)?;
     let _driver = Driver(tokio::spawn(connection).abort_handle());
