Wait for a target whose agent is only late with its report

What callers saw: an agent that stood still for one and a half to two seconds lost the lease of its last report (2.4 s) before the next one came, and for up to 1.3 s each request for its target was refused with no-target, long before its deadline; orders as well.

Cause: a missing report was treated as a missing target although nothing better was at hand.

Change: a target whose last ready report expired less than 2.6 s ago, and which nothing else rules out, is silent. It still receives nothing new, so that a leaving target gets none; but a request or an order that finds no other target chooses again every 100 ms instead of being refused. After that it is refused as before, and it has provably not run.

Evidence: agents_that_fall_silent_refuse_no_request failed before (503, not-run, no-target for a completion) and passes now for a completion, a lookup and an order. request_for_an_agent_that_stays_silent_is_refused passed before and after. All tests of the package pass.

--- a/src/process/entry/known_agents.rs
+++ b/src/process/entry/known_agents.rs
@@ -168,12 +168,14 @@
         self.membership.status(target, now)
     }
 
+    /// Returns whether a target was ready and its next report is only late.
+    pub(super) fn is_silent(&self, now: Timestamp, target: &TargetName) -> bool {
+        self.is_ready(target) && self.membership.is_silent(target, now)
+    }
+
     /// Returns whether a target may take new work.
     pub(super) fn eligibility(&self, now: Timestamp, target: &TargetName) -> TargetEligibility {
-        let is_ready = self
-            .agents
-            .get(target)
-            .is_some_and(|agent| agent.readiness != AgentReadiness::NotReady);
+        let is_ready = self.is_ready(target);
         match self.status(now, target).state {
             TargetState::Leaving => TargetEligibility::Leaving,
             TargetState::Eligible if is_ready => TargetEligibility::Eligible,
@@ -183,6 +185,11 @@
         }
     }
 
+    fn is_ready(&self, target: &TargetName) -> bool {
+        let agent = self.agents.get(target);
+        agent.is_some_and(|agent| agent.readiness != AgentReadiness::NotReady)
+    }
+
     /// Returns the agent of a target.
     pub(super) fn get(&self, target: &TargetName) -> Option<&KnownAgent> {
         self.agents.get(target)
--- a/src/process/entry/order_driver.rs
+++ b/src/process/entry/order_driver.rs
@@ -22,9 +22,13 @@
 
 use super::dispatch::{MAX_REPLY_BYTES, post_json};
 use super::entry_process::EntryProcess;
+use super::request_run::SILENT_TARGET_DELAY;
 
 /// How long after the deadline an agent's reply is still awaited.
 const REPLY_GRACE: Duration = Duration::from_millis(500);
+/// The time before the deadline at which an order waits no longer for a silent agent, so that its
+/// caller still learns that it did not run.
+const MIN_DISPATCH_TIME: Duration = Duration::from_millis(500);
 /// The maximum sleep before the state machine gets a tick.
 const MAX_SLEEP: Duration = Duration::from_secs(5);
 
@@ -40,6 +44,13 @@
         /// The channel for the reply.
         reply: oneshot::Sender<OrderReply>,
     },
+    /// An order found no agent, but one is only silent: choose again.
+    Dispatch {
+        /// The try of the order.
+        try_id: TryId,
+        /// The order.
+        order: OrderRequest,
+    },
     /// An event for the state machine: a result from an agent or the log service, or a tick.
     Event(EntryEvent),
 }
@@ -104,6 +115,7 @@
                     request: *request,
                 }
             }
+            EntryInput::Dispatch { try_id, order } => return self.dispatch(try_id, order),
             EntryInput::Event(event) => event,
         };
         for action in self.orders.on_event(Timestamp::now(), event) {
@@ -131,6 +143,14 @@
     fn dispatch(&mut self, try_id: TryId, order: OrderRequest) {
         let attempt = order.attempt;
         let Some((agent, url)) = self.choose_agent(try_id, &order) else {
+            if self.has_silent_agent(try_id, &order) {
+                let inputs = self.process.orders.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(SILENT_TARGET_DELAY).await;
+                    let _ = inputs.send(EntryInput::Dispatch { try_id, order });
+                });
+                return;
+            }
             info!(self.process.log, "no agent for order"; "key" => %order.key, "reason" => "no-agent");
             self.spawn_event(async move { EntryEvent::NoAgent { attempt } });
             return;
@@ -193,6 +213,21 @@
         Some((chosen, format!("http://{address}{ORDER_PATH}")))
     }
 
+    /// Returns whether an agent that was not tried is only late with its report.
+    fn has_silent_agent(&self, try_id: TryId, order: &OrderRequest) -> bool {
+        let Some(pending) = self.pending.get(&try_id) else {
+            return false;
+        };
+        let now = Timestamp::now();
+        let index = self.process.index.load();
+        let known = self.process.agents.lock();
+        let agents = index.service_agents(&order.service);
+        now + MIN_DISPATCH_TIME < order.deadline
+            && agents.iter().any(|(target, agent)| {
+                !pending.tried.contains(agent) && known.is_silent(now, target)
+            })
+    }
+
     fn spawn_event(&self, event: impl Future<Output = EntryEvent> + Send + 'static) {
         let inputs = self.process.orders.clone();
         tokio::spawn(async move {
--- a/src/process/entry/request_run.rs
+++ b/src/process/entry/request_run.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use serde_json::Value;
-use slog::info;
+use slog::{debug, info};
 use tokio::sync::mpsc;
 
 use crate::connection::{WorkKind, WorkRequest, WorkResume};
@@ -27,6 +27,8 @@
 /// How long before the deadline work that has sent no event is withdrawn, so that the agent can
 /// still prove that it did not run.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
+/// The delay before a target is chosen again while one is silent.
+pub(super) const SILENT_TARGET_DELAY: Duration = Duration::from_millis(100);
 /// How long a stream can be resumed after its caller disconnected, before it is cancelled.
 const RESUME_GRACE: Duration = Duration::from_secs(10);
 /// How long cancellations may take after the caller disconnected.
@@ -218,6 +220,9 @@
                 TrackerAction::Resume { work, from, .. } => self.resume(work, from),
                 TrackerAction::Withdraw { work, .. } => self.withdraw(work),
                 TrackerAction::Cancel { work, .. } => self.cancel(work),
+                TrackerAction::WaitForTarget => {
+                    self.send_later(SILENT_TARGET_DELAY, TrackerEvent::RetryDue);
+                }
                 TrackerAction::RetryLater { delay } => {
                     self.process.metrics.retries.inc();
                     self.send_later(delay, TrackerEvent::RetryDue);
@@ -257,6 +262,10 @@
                     None => TrackerEvent::RouteRefused(no_target()),
                 }
             }
+            Err(refusal) if self.has_silent_target(&refusal, tried) => {
+                debug!(self.process.log, "target silent"; "request" => %request);
+                TrackerEvent::TargetSilent
+            }
             Err(refusal) => {
                 info!(self.process.log, "not routed"; "request" => %request,
                     "account" => %account, "reason" => %refusal.reason);
@@ -266,6 +275,20 @@
         }
     }
 
+    /// Returns whether a target is missing only because the reports of one are late.
+    fn has_silent_target(&self, refusal: &RouteRefusal, tried: &[TargetName]) -> bool {
+        let lacks_target = matches!(
+            refusal.reason,
+            RefusalReason::NoTarget | RefusalReason::AllTried
+        );
+        let now = Timestamp::now();
+        let index = self.process.index.load();
+        let agents = self.process.agents.lock();
+        let mut targets = index.targets_of(&self.request.role);
+        lacks_target
+            && targets.any(|target| !tried.contains(target) && agents.is_silent(now, target))
+    }
+
     fn dispatch(
         &mut self,
         work: WorkId,
--- a/src/process/entry/version_index.rs
+++ b/src/process/entry/version_index.rs
@@ -35,6 +35,14 @@
         self.version.content.accounts.get_key_value(name)
     }
 
+    /// Returns the targets of a model or service.
+    pub(super) fn targets_of(&self, role: &TargetRole) -> impl Iterator<Item = &TargetName> {
+        let targets = self.version.content.targets.iter();
+        targets
+            .filter(move |(_, config)| config.serves == *role)
+            .map(|(target, _)| target)
+    }
+
     /// Returns the targets of a plain service with their agents.
     pub(super) fn service_agents(&self, service: &ServiceName) -> Vec<(TargetName, AgentName)> {
         let role = TargetRole::Service(service.clone());
--- a/src/process/membership/table.rs
+++ b/src/process/membership/table.rs
@@ -16,6 +16,8 @@
 /// It covers two heartbeats, and is below the 3 s after which a leaving target must receive no
 /// new work.
 pub const REPORT_LEASE: Duration = Duration::from_millis(2_400);
+/// How long after its last ready report a target counts as silent and not as gone.
+const MAX_SILENCE: Duration = Duration::from_secs(5);
 /// Consecutive failed dispatches after which a target is down until its next report.
 const DOWN_FAILURES: u32 = 2;
 
@@ -95,6 +97,16 @@
         }
     }
 
+    /// Returns whether the last report of a target expired so recently that the next may only be
+    /// late, and nothing else rules the target out.
+    pub fn is_silent(&self, target: &TargetName, now: Timestamp) -> bool {
+        self.targets.get(target).is_some_and(|signals| {
+            let is_recent = |at| now.since(at) < MAX_SILENCE;
+            signals.status(now).reason == StateReason::ReportExpired
+                && signals.ready_at.is_some_and(is_recent)
+        })
+    }
+
     /// Returns every target with its state at `now`.
     pub fn statuses(&self, now: Timestamp) -> impl Iterator<Item = (&TargetName, TargetStatus)> {
         self.targets
--- a/src/request/request_tracker.rs
+++ b/src/request/request_tracker.rs
@@ -80,7 +80,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum TrackerPhase {
     Routing,
-    /// The delay before a retry has not elapsed yet.
+    /// The delay before a retry or another choice of a target has not elapsed yet.
     Waiting,
     InFlight,
     /// A second target is being chosen while the first attempt is still running.
@@ -200,6 +200,7 @@
                 incarnation,
             } => self.on_routed(target, incarnation, actions),
             TrackerEvent::RouteRefused(refusal) => self.on_route_refused(&refusal, actions),
+            TrackerEvent::TargetSilent => self.on_target_silent(actions),
             TrackerEvent::Refused {
                 attempt,
                 reason,
@@ -276,6 +277,19 @@
         }
     }
 
+    fn on_target_silent(&mut self, actions: &mut TrackerActions) {
+        match self.phase {
+            TrackerPhase::RoutingHedge if 0 < self.n_in_flight() => {
+                self.phase = TrackerPhase::InFlight;
+            }
+            TrackerPhase::Routing | TrackerPhase::RoutingHedge => {
+                self.phase = TrackerPhase::Waiting;
+                actions.push(TrackerAction::WaitForTarget);
+            }
+            _ => {}
+        }
+    }
+
     fn on_received(
         &mut self,
         event: WorkEvent,
--- a/src/request/tracker_event.rs
+++ b/src/request/tracker_event.rs
@@ -22,6 +22,8 @@
     },
     /// No target was chosen.
     RouteRefused(RouteRefusal),
+    /// No target was chosen, but one is only silent.
+    TargetSilent,
     /// The agent refused an attempt: it has not started and never will.
     Refused {
         /// The attempt.
@@ -104,6 +106,8 @@
         /// The target.
         target: TargetName,
     },
+    /// Send `RetryDue` once the silent target may be heard again.
+    WaitForTarget,
     /// Send `RetryDue` after the delay.
     RetryLater {
         /// The delay.
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -711,6 +711,9 @@
                     let message = AgentMessage::Cancel(self.cancel_of(work));
                     self.send_to_agent(&target, work, message);
                 }
+                TrackerAction::WaitForTarget => {
+                    self.event_after(100, request, TrackerEvent::RetryDue);
+                }
                 TrackerAction::RetryLater { delay } => {
                     let delay_ms = delay.as_millis() as u64;
                     self.event_after(delay_ms, request, TrackerEvent::RetryDue);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -72,6 +72,21 @@
     assert_eq!(status.reason, StateReason::LeavingReport);
 }
 
+#[test]
+fn a_target_is_silent_only_while_its_next_report_may_be_late() {
+    let ready = report(1, AgentReadiness::Ready, at(0));
+    let leaving = report(1, AgentReadiness::Leaving, at(0));
+    let table = table_after([ready.clone()]);
+    let left = table_after([ready, leaving]);
+    let never_heard = table_after([]);
+
+    let silent = [2_399, 2_400, 4_999, 5_000].map(|now| table.is_silent(&target(), at(now)));
+
+    assert_eq!(silent, [false, true, true, false]);
+    assert!(!left.is_silent(&target(), at(3_000)));
+    assert!(!never_heard.is_silent(&target(), at(3_000)));
+}
+
 #[test]
 fn a_lost_leaving_signal_costs_less_than_the_limit_on_a_partitioned_side() {
     let leaves_at = at(10_000);
--- a/tests/whole_path/silence.rs
+++ b/tests/whole_path/silence.rs
@@ -4,13 +4,15 @@
 use comfreyhead_standins::{ServiceOptions, ServiceStandIn, expected_tokens};
 use futures::future::join_all;
 use serde_json::json;
+use uuid::Uuid;
 
-use crate::caller::{StreamedText, post, read_stream};
-use crate::fleet::{Fleet, FleetShape};
+use crate::caller::{Answer, StreamedText, post, read_stream};
+use crate::fleet::{DaemonProcess, Fleet, FleetShape};
 use crate::requests::{bearer, completion};
 
 /// How long a process falls silent.
 const SILENCE: Duration = Duration::from_millis(1_500);
+const COMPLETIONS: &str = "/v1/completions";
 const STOCK: &str = "/v1/services/ledger/stock";
 
 #[tokio::test(flavor = "multi_thread")]
@@ -49,6 +51,46 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_that_fall_silent_refuse_no_request() {
+    let fleet = Fleet::start(FleetShape {
+        entries: 1,
+        engines: 1,
+        services: 1,
+    })
+    .await;
+    let entry = fleet.callers()[0];
+    let calls = [COMPLETIONS, STOCK, "/v1/services/ledger/ship"];
+
+    fleet.agents.iter().for_each(DaemonProcess::freeze);
+    wait_until_unheard(&fleet).await;
+    let answers = calls.map(|path| tokio::spawn(whole_answer(entry, path)));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.agents.iter().for_each(DaemonProcess::thaw);
+
+    for (answer, path) in join_all(answers).await.into_iter().zip(calls) {
+        let answer = answer.expect("a task").expect("an answer");
+        assert_eq!(answer.outcome, "answered", "{path}: {answer:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_for_an_agent_that_stays_silent_is_refused() {
+    let fleet = one_engine().await;
+    let entry = fleet.callers()[0];
+
+    fleet.agents[0].freeze();
+    wait_until_unheard(&fleet).await;
+    let answer = whole_answer(entry, COMPLETIONS).await;
+
+    let answer = answer.expect("an answer");
+    let code = &answer.body["error"]["code"];
+    assert_eq!(
+        (answer.outcome.as_str(), code),
+        ("not-run", &json!("no_target"))
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn service_that_refused_a_connection_serves_again() {
     let mut fleet = Fleet::start(FleetShape {
@@ -98,6 +140,17 @@
     assert_eq!(answer.body["call"], json!("stock"), "{answer:?}");
 }
 
+/// Waits until no target is eligible and routing has taken that up.
+async fn wait_until_unheard(fleet: &Fleet) {
+    fleet
+        .wait_for(0, "/targets", |targets| {
+            let mut targets = targets.as_array().expect("a list").iter();
+            targets.all(|target| target["state"] != "eligible")
+        })
+        .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+}
+
 async fn one_engine() -> Fleet {
     Fleet::start(FleetShape {
         entries: 1,
@@ -107,11 +160,22 @@
     .await
 }
 
+async fn whole_answer(entry: std::net::SocketAddr, path: &str) -> Option<Answer> {
+    let mut body = completion("kit history 1", 3);
+    body["stream"] = json!(false);
+    let (bearer, key) = (bearer(), Uuid::now_v7().to_string());
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", key.as_str()),
+    ];
+    post(entry, path, &headers, body.to_string()).await
+}
+
 async fn stream(entry: std::net::SocketAddr, idx: usize, n_tokens: u64) -> StreamedText {
     let body = completion(&format!("kit history {idx}"), n_tokens);
     let bearer = bearer();
     let headers = [("authorization", bearer.as_str())];
-    let streamed = read_stream(entry, "/v1/completions", &headers, &body, usize::MAX).await;
+    let streamed = read_stream(entry, COMPLETIONS, &headers, &body, usize::MAX).await;
     streamed.expect("a stream")
 }
 
