Test that a silent log ends no order

The log answers each call after 1.5 s for as long as four orders begin. All four are answered and run once. The test passed when it was written; it guards the time that orders give the log.

--- a/tests/whole_path/silence.rs
+++ b/tests/whole_path/silence.rs
@@ -13,6 +13,7 @@
 /// How long a process falls silent.
 const SILENCE: Duration = Duration::from_millis(1_500);
 const COMPLETIONS: &str = "/v1/completions";
+const SHIP: &str = "/v1/services/ledger/ship";
 const STOCK: &str = "/v1/services/ledger/stock";
 
 #[tokio::test(flavor = "multi_thread")]
@@ -60,7 +61,7 @@
     })
     .await;
     let entry = fleet.callers()[0];
-    let calls = [COMPLETIONS, STOCK, "/v1/services/ledger/ship"];
+    let calls = [COMPLETIONS, STOCK, SHIP];
 
     fleet.agents.iter().for_each(DaemonProcess::freeze);
     wait_until_unheard(&fleet).await;
@@ -74,6 +75,30 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_log_ends_no_order() {
+    let fleet = Fleet::start(FleetShape {
+        entries: 1,
+        engines: 0,
+        services: 2,
+    })
+    .await;
+    let entry = fleet.callers()[0];
+
+    fleet.log.set_delay(SILENCE);
+    let orders: Vec<_> = (0..4)
+        .map(|_| tokio::spawn(whole_answer(entry, SHIP)))
+        .collect();
+    tokio::time::sleep(SILENCE).await;
+    fleet.log.set_delay(Duration::ZERO);
+
+    for answer in join_all(orders).await {
+        let answer = answer.expect("a task").expect("an answer");
+        assert_eq!(answer.outcome, "answered", "{answer:?}");
+    }
+    assert_eq!(fleet.ran().len(), 4);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_for_an_agent_that_stays_silent_is_refused() {
     let fleet = one_engine().await;
