End a request whose body does not end

What was seen: a caller that sent a part of its body and no more held its connection and what had arrived, up to the limit of a body, for ever.

Cause: reading a caller's body had a limit of size and none of time.

Change: a body may take as long as the caller says that it waits, and 60 s at most; then the answer is 408, body_too_slow, with the outcome not-run, since nothing was accepted. Each refused body leaves a log line.

Evidence: caller_whose_body_does_not_end failed before (no answer within 10 s to a request with a timeout of 0.5 s) and passes now.

--- a/src/process/entry/caller_api.rs
+++ b/src/process/entry/caller_api.rs
@@ -3,6 +3,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
+use slog::info;
 
 use crate::connection::{
     BodyError, CallerError, OUTCOME_HEADER, ResponseBody, bearer_token, json_reply, outcome_value,
@@ -21,6 +22,9 @@
 /// The header by which a caller shortens the answer timeout, in milliseconds.
 const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
 
+/// How long a caller may take for the body of a request, in milliseconds.
+const MAX_BODY_MS: u64 = 60_000;
+
 /// An authenticated caller, with the index of the configuration version that lists its token.
 #[derive(Debug)]
 pub(super) struct AuthenticatedCaller {
@@ -106,19 +110,35 @@
     })
 }
 
-/// Reads the body of a request as a JSON object.
+/// Reads the body of a request as a JSON object, for no longer than the caller waits.
 pub(super) async fn read_json_object(
     process: &EntryProcess,
+    headers: &HeaderMap,
     body: Incoming,
 ) -> Result<(Value, bytes::Bytes), CallerError> {
     let limit = process.settings.limits.max_body_bytes;
-    let bytes = read_body(body, limit).await.map_err(|err| {
-        let (status, code) = match err {
-            BodyError::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
-            BodyError::CutShort(_) => (StatusCode::BAD_REQUEST, "body_cut_short"),
-        };
-        CallerError::not_run(status, code, err.to_string())
-    })?;
+    let time = answer_timeout(headers, MAX_BODY_MS);
+    let read = tokio::time::timeout(time, read_body(body, limit)).await;
+    let refuse = |status, code, message: String| {
+        info!(process.log, "body refused"; "code" => code, "reason" => &message);
+        CallerError::not_run(status, code, message)
+    };
+    let bytes = match read {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(err @ BodyError::TooLarge(_))) => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(refuse(status, "body_too_large", err.to_string()));
+        }
+        Ok(Err(err @ BodyError::CutShort(_))) => {
+            let status = StatusCode::BAD_REQUEST;
+            return Err(refuse(status, "body_cut_short", err.to_string()));
+        }
+        Err(_) => {
+            let message = format!("the body did not end within {time:?}");
+            let status = StatusCode::REQUEST_TIMEOUT;
+            return Err(refuse(status, "body_too_slow", message));
+        }
+    };
     let invalid =
         |message: String| CallerError::not_run(StatusCode::BAD_REQUEST, "invalid_json", message);
     let value: Value = serde_json::from_slice(&bytes)
