--- a/src/process/entry/request_run.rs
+++ b/src/process/entry/request_run.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use serde_json::Value;
-use slog::info;
+use slog::{debug, info};
 use tokio::sync::mpsc;
 
 use crate::connection::{WorkKind, WorkRequest, WorkResume};
@@ -19,14 +19,16 @@
 use crate::version::config::TargetRole;
 
 use super::answer_resume::ResumeToken;
-use super::dispatch::{AttemptLocation, cancel_work, resume_work, send_work};
+use super::dispatch::{AttemptLocation, cancel_work, resume_work, send_work, withdraw_work};
 use super::entry_process::EntryProcess;
 
 /// The maximum number of answer parts buffered for a slow caller.
 pub(super) const MAX_BUFFERED_PARTS: usize = 256;
-/// How long before the deadline work that has sent no event is cancelled, so that the agent can
+/// How long before the deadline work that has sent no event is withdrawn, so that the agent can
 /// still prove that it did not run.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
+/// The delay before a target is chosen again while one is silent.
+pub(super) const SILENT_TARGET_DELAY: Duration = Duration::from_millis(100);
 /// How long a stream can be resumed after its caller disconnected, before it is cancelled.
 const RESUME_GRACE: Duration = Duration::from_secs(10);
 /// How long cancellations may take after the caller disconnected.
@@ -216,7 +218,11 @@
                     self.dispatch(work, target, incarnation, from);
                 }
                 TrackerAction::Resume { work, from, .. } => self.resume(work, from),
+                TrackerAction::Withdraw { work, .. } => self.withdraw(work),
                 TrackerAction::Cancel { work, .. } => self.cancel(work),
+                TrackerAction::WaitForTarget => {
+                    self.send_later(SILENT_TARGET_DELAY, TrackerEvent::RetryDue);
+                }
                 TrackerAction::RetryLater { delay } => {
                     self.process.metrics.retries.inc();
                     self.send_later(delay, TrackerEvent::RetryDue);
@@ -256,6 +262,10 @@
                     None => TrackerEvent::RouteRefused(no_target()),
                 }
             }
+            Err(refusal) if self.has_silent_target(&refusal, tried) => {
+                debug!(self.process.log, "target silent"; "request" => %request);
+                TrackerEvent::TargetSilent
+            }
             Err(refusal) => {
                 info!(self.process.log, "not routed"; "request" => %request,
                     "account" => %account, "reason" => %refusal.reason);
@@ -265,6 +275,20 @@
         }
     }
 
+    /// Returns whether a target is missing only because the reports of one are late.
+    fn has_silent_target(&self, refusal: &RouteRefusal, tried: &[TargetName]) -> bool {
+        let lacks_target = matches!(
+            refusal.reason,
+            RefusalReason::NoTarget | RefusalReason::AllTried
+        );
+        let now = Timestamp::now();
+        let index = self.process.index.load();
+        let agents = self.process.agents.lock();
+        let mut targets = index.targets_of(&self.request.role);
+        lacks_target
+            && targets.any(|target| !tried.contains(target) && agents.is_silent(now, target))
+    }
+
     fn dispatch(
         &mut self,
         work: WorkId,
@@ -351,18 +375,34 @@
         tokio::spawn(resume_work(process, location, resume, self.events.clone()));
     }
 
+    fn withdraw(&self, work: WorkId) {
+        if let Some((location, cancel)) = self.cancellation(work) {
+            let process = Arc::clone(&self.process);
+            tokio::spawn(withdraw_work(
+                process,
+                location,
+                cancel,
+                self.events.clone(),
+            ));
+        }
+    }
+
     fn cancel(&self, work: WorkId) {
-        let Some(location) = self.locations.get(&work.attempt).cloned() else {
-            return;
-        };
+        if let Some((location, cancel)) = self.cancellation(work) {
+            let process = Arc::clone(&self.process);
+            tokio::spawn(cancel_work(process, location, cancel, self.events.clone()));
+        }
+    }
+
+    fn cancellation(&self, work: WorkId) -> Option<(AttemptLocation, WorkCancel)> {
+        let location = self.locations.get(&work.attempt)?.clone();
         let cancel = WorkCancel {
             work,
             incarnation: location.incarnation,
             entry: self.process.name.clone(),
             accepted_at: self.request.accepted_at,
         };
-        let process = Arc::clone(&self.process);
-        tokio::spawn(cancel_work(process, location, cancel, self.events.clone()));
+        Some((location, cancel))
     }
 
     async fn deliver(&mut self, event: WorkEvent) {
--- a/src/request/request_tracker.rs
+++ b/src/request/request_tracker.rs
@@ -80,7 +80,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum TrackerPhase {
     Routing,
-    /// The delay before a retry has not elapsed yet.
+    /// The delay before a retry or another choice of a target has not elapsed yet.
     Waiting,
     InFlight,
     /// A second target is being chosen while the first attempt is still running.
@@ -200,6 +200,7 @@
                 incarnation,
             } => self.on_routed(target, incarnation, actions),
             TrackerEvent::RouteRefused(refusal) => self.on_route_refused(&refusal, actions),
+            TrackerEvent::TargetSilent => self.on_target_silent(actions),
             TrackerEvent::Refused {
                 attempt,
                 reason,
@@ -276,6 +277,19 @@
         }
     }
 
+    fn on_target_silent(&mut self, actions: &mut TrackerActions) {
+        match self.phase {
+            TrackerPhase::RoutingHedge if 0 < self.n_in_flight() => {
+                self.phase = TrackerPhase::InFlight;
+            }
+            TrackerPhase::Routing | TrackerPhase::RoutingHedge => {
+                self.phase = TrackerPhase::Waiting;
+                actions.push(TrackerAction::WaitForTarget);
+            }
+            _ => {}
+        }
+    }
+
     fn on_received(
         &mut self,
         event: WorkEvent,
@@ -377,7 +391,13 @@
     fn on_deadline_near(&mut self, actions: &mut TrackerActions) {
         let is_unanswered = self.assembler.resume_point().index == 0;
         if self.phase == TrackerPhase::InFlight && is_unanswered {
-            self.cancel_all(actions);
+            for attempt in self.in_flight() {
+                let TrackedAttempt { target, .. } = &self.attempts[attempt as usize - 1];
+                actions.push(TrackerAction::Withdraw {
+                    work: self.work(attempt),
+                    target: target.clone(),
+                });
+            }
         }
     }
 
@@ -521,13 +541,15 @@
     }
 
     fn cancel_all(&self, actions: &mut TrackerActions) {
-        for attempt in 1..=self.attempts.len() as u32 {
-            if self.is_in_flight(attempt) {
-                actions.push(self.cancel(attempt));
-            }
+        for attempt in self.in_flight() {
+            actions.push(self.cancel(attempt));
         }
     }
 
+    fn in_flight(&self) -> impl Iterator<Item = u32> {
+        (1..=self.attempts.len() as u32).filter(|&attempt| self.is_in_flight(attempt))
+    }
+
     fn cancel(&self, attempt: u32) -> TrackerAction {
         TrackerAction::Cancel {
             work: self.work(attempt),
--- a/src/request/tracker_event.rs
+++ b/src/request/tracker_event.rs
@@ -22,6 +22,8 @@
     },
     /// No target was chosen.
     RouteRefused(RouteRefusal),
+    /// No target was chosen, but one is only silent.
+    TargetSilent,
     /// The agent refused an attempt: it has not started and never will.
     Refused {
         /// The attempt.
@@ -54,7 +56,7 @@
     RetryDue,
     /// The hedging delay of a lookup has elapsed: it is slow enough for a second attempt.
     HedgeDue,
-    /// The deadline is so near that only a cancellation can still prove that nothing ran.
+    /// The deadline is so near that only a withdrawal can still prove that nothing ran.
     DeadlineNear,
     /// The deadline has passed.
     DeadlinePassed,
@@ -90,6 +92,13 @@
         /// The point to resume from.
         from: ResumePoint,
     },
+    /// Cancel an attempt if it has not started.
+    Withdraw {
+        /// The attempt.
+        work: WorkId,
+        /// The target.
+        target: TargetName,
+    },
     /// Cancel an attempt.
     Cancel {
         /// The attempt.
@@ -97,6 +106,8 @@
         /// The target.
         target: TargetName,
     },
+    /// Send `RetryDue` once the silent target may be heard again.
+    WaitForTarget,
     /// Send `RetryDue` after the delay.
     RetryLater {
         /// The delay.
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -262,6 +262,23 @@
     assert_eq!(end.outcome, RequestOutcome::NotRun);
 }
 
+#[test]
+fn running_work_is_not_cancelled_before_its_deadline() {
+    let mut tracker = new_tracker(WorkRepetition::Repeatable);
+    step(&mut tracker, routed(0));
+    let events = answer_events(1, ResumePoint::default(), &["late"]);
+
+    let near = step(&mut tracker, TrackerEvent::DeadlineNear);
+    step(&mut tracker, TrackerEvent::Received(events[0].clone()));
+    let end = last_end(&mut tracker, TrackerEvent::Received(events[1].clone()));
+
+    assert!(
+        matches!(near[0], TrackerAction::Withdraw { .. }),
+        "{near:?}"
+    );
+    assert_eq!(end.outcome, RequestOutcome::Answered);
+}
+
 #[test]
 fn every_request_ends_in_one_correct_outcome_under_faults() {
     let mut runner = fixed_runner(200);
@@ -514,6 +531,7 @@
 #[derive(Clone, Debug)]
 enum AgentMessage {
     Offer(WorkOffer, ResumePoint),
+    Withdraw(WorkCancel),
     Cancel(WorkCancel),
     Resume(WorkCancel, ResumePoint),
 }
@@ -685,10 +703,17 @@
                     let message = AgentMessage::Resume(self.cancel_of(work), from);
                     self.send_to_agent(&target, work, message);
                 }
+                TrackerAction::Withdraw { work, target } => {
+                    let message = AgentMessage::Withdraw(self.cancel_of(work));
+                    self.send_to_agent(&target, work, message);
+                }
                 TrackerAction::Cancel { work, target } => {
                     let message = AgentMessage::Cancel(self.cancel_of(work));
                     self.send_to_agent(&target, work, message);
                 }
+                TrackerAction::WaitForTarget => {
+                    self.event_after(100, request, TrackerEvent::RetryDue);
+                }
                 TrackerAction::RetryLater { delay } => {
                     let delay_ms = delay.as_millis() as u64;
                     self.event_after(delay_ms, request, TrackerEvent::RetryDue);
@@ -771,6 +796,7 @@
     fn receive_at_agent(&mut self, agent: usize, message: AgentMessage) {
         match message {
             AgentMessage::Offer(offer, from) => self.offer(agent, offer, from),
+            AgentMessage::Withdraw(cancel) => self.withdraw(agent, &cancel),
             AgentMessage::Cancel(cancel) => self.cancel(agent, &cancel),
             AgentMessage::Resume(cancel, from) => self.resume(agent, &cancel, &from),
         }
@@ -800,6 +826,17 @@
         self.act_at_agent(agent, &actions);
     }
 
+    fn withdraw(&mut self, agent: usize, cancel: &WorkCancel) {
+        let fake = &mut self.agents[agent];
+        let answer = fake.admission.cancel(self.now, cancel);
+        if answer == CancelAnswer::NeverStarted {
+            fake.buffers.remove(&cancel.work);
+            let attempt = cancel.work.attempt;
+            let event = TrackerEvent::CancelAnswered { attempt, answer };
+            self.send_to_entry(cancel.work, event);
+        }
+    }
+
     fn cancel(&mut self, agent: usize, cancel: &WorkCancel) {
         let fake = &mut self.agents[agent];
         let answer = fake.admission.cancel(self.now, cancel);
