--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -1,10 +1,10 @@
 //! Forwarding over real TCP connections, with an entry, callers, and scripted targets that send
 //! faulty responses.
 
-#[path = "forwarding/endless_target.rs"]
-mod endless_target;
 #[path = "forwarding/connections.rs"]
 mod connections;
+#[path = "forwarding/endless_target.rs"]
+mod endless_target;
 #[path = "forwarding/silent_target.rs"]
 mod silent_target;
 mod wire;
