--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -1,22 +1,19 @@
 //! Handles a caller's request, from its head to the response.
 
 use http::{HeaderValue, Request, Response};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::{debug, info, warn};
 
 use crate::catalog::{Account, RouteError};
-use crate::forward::{
-    BodyBuffer, CutScope, ReadCut, ReadError, RequestHead, ResponseHead, TargetCall,
-    TargetResponse, call_target,
-};
+use crate::forward::{ReadCut, RequestHead, ResponseHead, TargetCall, TargetResponse, call_target};
 use crate::prelude::*;
-use crate::request::next_step;
 use crate::request::{AttemptOutcome, CallProgress, DeniedReason, NextStep, UnknownReason};
+use crate::request::{next_step, stop_step};
 use crate::routing::{GROUP_RECOVERY_TIME, TargetPick};
 
 use super::caller_body::CallerBody;
 use super::entry_state::EntryState;
+use super::request_body::read_body;
 use super::running_guard::RunningGuard;
 use super::{plain_run, stream_run};
 
@@ -27,13 +24,16 @@
 /// The `Retry-After` time for a request that targets rejected as they were full.
 const RETRY_REJECTED: Duration = Duration::from_millis(200);
 
-/// The `Retry-After` time while the bodies of all requests together are too large: the caller may
-/// retry at another entry.
-const RETRY_NO_MEMORY: Duration = Duration::from_millis(200);
-
 /// The `Retry-After` time while this entry stops: the caller may retry at another one.
 const RETRY_STOPPING: Duration = Duration::from_millis(50);
 
+/// The time before the deadline at which a stated failure is passed on, as a fraction of the
+/// request's time.
+const FAILURE_MARGIN_FRACTION: f64 = 0.05;
+
+/// The shortest time before the deadline at which a stated failure is passed on.
+const MIN_FAILURE_MARGIN: Duration = Duration::from_millis(50);
+
 /// A request that a route admits, with all that its attempts need.
 pub(super) struct CallContext {
     pub(super) state: Arc<EntryState>,
@@ -76,16 +76,9 @@
         );
     };
     let attempt_id = head.attempt_id.clone();
-    let body_limit = match &*state.catalog.load() {
-        Some(catalog) => catalog.limits.body_bytes,
-        None => crate::catalog::CallerLimits::default().body_bytes,
-    };
-    let body = match read_caller_body(&state, body, body_limit).await {
+    let body = match read_body(&state, &head, body, received_at).await {
         Ok(body) => body,
-        Err(err) => {
-            let (answer, why) = refuse_body(&state, &attempt_id, &err);
-            return local_response(&state, &attempt_id, answer, why);
-        }
+        Err(refusal) => return refusal.response(&state, &attempt_id),
     };
     match admit_call(&state, head, body, received_at) {
         Ok(call) if call.route.kind.is_stream() => stream_run::run(call).await,
@@ -94,63 +87,6 @@
     }
 }
 
-/// Reads the body of a caller's request.
-///
-/// The rest of a body that exceeds a limit is read and dropped, up to the largest one allowed: a
-/// connection that is closed with unread bytes may lose the answer.
-async fn read_caller_body(
-    state: &EntryState,
-    mut body: Incoming,
-    limit: usize,
-) -> Result<Bytes, ReadError> {
-    let mut buffer = BodyBuffer::new(&state.buffers, limit);
-    let err = match buffer.read(&mut body).await {
-        Ok(()) => return Ok(buffer.finish()),
-        Err(err) => err,
-    };
-    drop(buffer);
-    if matches!(err, ReadError::Broken(_)) {
-        return Err(err);
-    }
-    let mut n_dropped = 0;
-    while n_dropped <= limit
-        && let Some(frame) = body.frame().await
-    {
-        let frame = frame.map_err(ReadError::Broken)?;
-        n_dropped += frame.data_ref().map_or(0, Bytes::len);
-    }
-    Err(err)
-}
-
-/// Returns the answer to a request whose body was not read, and why; logs and counts a cut one.
-fn refuse_body(
-    state: &EntryState,
-    attempt_id: &str,
-    err: &ReadError,
-) -> (LocalResponse, &'static str) {
-    let cut = match err {
-        // The caller disconnected; nobody reads the response.
-        ReadError::Broken(_) => {
-            let answer = LocalResponse::Denied(DeniedReason::BadRequest);
-            return (answer, "body incomplete");
-        }
-        ReadError::Cut(cut) => cut,
-    };
-    warn!(state.log, "read cut"; "request" => attempt_id, "bytes" => cut.n_read,
-        "limit" => cut.limit, "scope" => %cut.scope);
-    state.metrics.count_cut("caller");
-    match cut.scope {
-        CutScope::Sum => {
-            let refused = LocalResponse::Refused(NotRunProof::never_sent(), RETRY_NO_MEMORY);
-            (refused, "bodies of all requests too large")
-        }
-        CutScope::Head | CutScope::Body | CutScope::Event => {
-            let answer = LocalResponse::Denied(DeniedReason::BodyTooLarge);
-            (answer, "body limit")
-        }
-    }
-}
-
 /// Resolves a request's route and service, or returns the answer that refuses it, and why.
 fn admit_call(
     state: &Arc<EntryState>,
@@ -288,6 +224,7 @@
         };
         match outcome {
             None => health.record_success(now),
+            Some(AttemptOutcome::Silent) => health.record_silence(now),
             Some(AttemptOutcome::NotSent) => health.record_unreachable(now),
             Some(_) => health.record_failure(now),
         }
@@ -314,21 +251,55 @@
         }
     }
 
-    /// Decides what to do after a failed dispatch.
-    pub(super) fn next_step(&self, progress: &CallProgress, outcome: AttemptOutcome) -> NextStep {
+    /// Decides what to do after a dispatch that failed or is silent.
+    pub(super) fn next_step(
+        &self,
+        progress: &CallProgress,
+        outcome: AttemptOutcome,
+        excluded: &[Arc<str>],
+    ) -> NextStep {
         let now = Instant::now();
         let table = self.state.table.lock();
-        let may_serve =
-            table.has_target(&self.service) && !table.is_group_broken(&self.service, now);
+        let has_target = table.has_target(&self.service, excluded);
+        let is_broken = table.is_group_broken(&self.service, now);
         drop(table);
-        let budget = || may_serve && self.state.draw_retry(&self.service, now);
-        let step = next_step(&self.route, progress, outcome, self.time_left(), budget);
+        let budget = || !is_broken && self.state.draw_retry(&self.service, now);
+        let step = match has_target {
+            true => next_step(&self.route, progress, outcome, self.time_left(), budget),
+            false => stop_step(progress, outcome),
+        };
         info!(self.state.log, "after a failed dispatch"; "request" => &*self.head.attempt_id,
             "sends" => progress.sends, "runs" => progress.possible_runs,
             "connects" => progress.failed_connects, "step" => ?step);
         step
     }
 
+    /// Returns whether the targets of the service are ranks of a group, which stall together.
+    pub(super) fn is_to_group(&self) -> bool {
+        let catalog = self.state.catalog.load();
+        let services = catalog.as_ref().map(|catalog| &catalog.services);
+        let spec = services.and_then(|services| services.get(&self.service));
+        spec.is_some_and(|spec| spec.engine.is_some())
+    }
+
+    /// Waits until the request has to get an answer: at its deadline, or before this process exits.
+    pub(super) async fn answer_due(&self) {
+        tokio::select! {
+            () = tokio::time::sleep_until(self.deadline) => {}
+            () = self.state.drain.answers_due(self.state.grace()) => {}
+        }
+    }
+
+    /// Returns when a failure that a target stated is passed on though other targets may still
+    /// answer: early enough to reach the caller before its deadline.
+    pub(super) fn failure_due(&self) -> Instant {
+        let time = self.deadline.saturating_duration_since(self.received_at);
+        let margin = time
+            .mul_f64(FAILURE_MARGIN_FRACTION)
+            .max(MIN_FAILURE_MARGIN);
+        self.received_at + time.saturating_sub(margin)
+    }
+
     /// Returns the response to a request that no target answered.
     pub(super) fn give_up(&self, step: NextStep) -> Response<CallerBody> {
         let answer = match step {
--- a/fleet/tests/forwarding/endless_target.rs
+++ b/fleet/tests/forwarding/endless_target.rs
@@ -5,7 +5,7 @@
 use comfreyhead_fleet::prelude::*;
 use tokio::io::AsyncWriteExt;
 
-use crate::wire::{Entry, Reply, ScriptedTarget, route};
+use crate::wire::{Entry, Reply, ScriptedTarget, read_answer, route};
 
 /// The stated memory of an entry.
 const ENTRY_MEMORY: usize = 182_000_000;
@@ -150,6 +150,43 @@
         assert!(matches!(call.await.unwrap(), 502 | 504));
     }
 }
+/// The number of streams whose incomplete events together exceed the memory of an entry.
+const N_STREAMS: usize = 240;
+
+// Guards against events that together use up the memory, each of which is below its limit.
+#[tokio::test]
+async fn many_large_events_leave_memory_and_an_ordinary_stream_is_served() {
+    let start = format!(
+        "HTTP/1.1 200 OK\r\n{CHUNKED}{}",
+        chunk("id: 1\ndata: a\n\n")
+    );
+    let part = chunk(&format!("data: {}\n", "x".repeat(1 << 16)));
+    let script = vec![Reply::Flood(start, part, 14); N_STREAMS];
+    let flooding = ScriptedTarget::start(script).await;
+    let route = long_route(CallKind::SingleStream);
+    let entry = Arc::new(Entry::with_route(route, 0.0, &[&flooding]).await);
+    let calls: Vec<_> = (0..N_STREAMS)
+        .map(|n_call| {
+            let entry = entry.clone();
+            tokio::spawn(async move { entry.call(&format!("r{n_call}")).await })
+        })
+        .collect();
+    let mut most_held = 0;
+    for _ in 0..150 {
+        most_held = most_held.max(flooding.held());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let events = format!("id: 1\ndata: {}\n\n", "y".repeat(10_000));
+    flooding.then(Reply::stream(&events));
+    let ordinary = entry.call("ordinary").await;
+    assert!(ordinary.is_complete);
+    assert_eq!(ordinary.body, events);
+    assert!(most_held <= ENTRY_MEMORY / 2, "{most_held}");
+    for call in calls {
+        assert!(!call.await.unwrap().is_complete);
+    }
+}
+
 fn request_with_body(id: &str, length: usize) -> String {
     format!(
         "POST /r/x HTTP/1.1\r\nhost: shop.example\r\nx-id: {id}\r\n\
@@ -160,27 +197,39 @@
 // Guards against callers whose bodies together use up the memory, each of which is allowed.
 #[tokio::test]
 async fn many_large_requests_are_refused_with_a_retry_time_and_others_are_served() {
-    let sound = target(Reply::whole("200 OK", "hello")).await;
+    let script = vec![Reply::whole("200 OK", "hello"); N_LARGE + 1];
+    let sound = ScriptedTarget::start(script).await;
     let entry = Entry::with_route(long_route(CallKind::Unsafe), 0.0, &[&sound]).await;
     let body = vec![b'x'; 4 << 20];
     let mut open = Vec::new();
     for n_caller in 0..N_LARGE {
-        let mut caller = entry.connect().await;
+        let mut caller = entry.open().await;
         let head = request_with_body(&format!("r{n_caller}"), body.len());
         caller.write_all(head.as_bytes()).await.unwrap();
         // All but the last byte, so that the entry waits for the rest.
         caller.write_all(&body[1..]).await.unwrap();
         open.push(caller);
     }
-    let mut large = request_with_body("large", body.len()).into_bytes();
-    large.extend_from_slice(&body);
-    let refused = entry.send(&large).await;
-    assert_eq!(refused.status, 503, "{}", refused.head);
-    assert!(refused.head.contains("retry-after"), "{}", refused.head);
-    assert!(sound.requests().is_empty());
-
     let mut small = request_with_body("small", 5).into_bytes();
     small.extend_from_slice(b"small");
     let served = entry.send(&small).await;
     assert_eq!((served.status, served.body.as_str()), (200, "hello"));
+
+    for caller in &mut open {
+        caller.write_all(&body[..1]).await.unwrap();
+    }
+    let mut n_served = 0;
+    for caller in open {
+        let answer = read_answer(caller).await;
+        match answer.status {
+            200 => n_served += 1,
+            status => {
+                assert_eq!(status, 503, "{}", answer.head);
+                assert!(answer.head.contains("retry-after"), "{}", answer.head);
+            }
+        }
+    }
+    // Those served were held whole at the same time.
+    assert!(n_served * body.len() <= ENTRY_MEMORY / 2, "{n_served}");
+    assert_eq!(sound.requests().len(), n_served + 1);
 }
