--- a/fleet/tests/forwarding/connections.rs
+++ b/fleet/tests/forwarding/connections.rs
@@ -46,8 +46,8 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
         callers.push(caller);
     }
-    sleep(Duration::from_millis(2_600)).await;
-    hold(&runtime, Duration::from_millis(1_800));
+    sleep(Duration::from_millis(2_300)).await;
+    hold(&runtime, Duration::from_millis(2_300));
     sleep(Duration::from_millis(100)).await;
 
     // Act
@@ -133,9 +133,9 @@
     }
 
     // Act: the accept time ends while the runtime is busy and requests lie in the sockets.
-    entry.refuse_after(Duration::from_millis(300));
+    entry.refuse_after(Duration::from_millis(700));
     sleep(Duration::from_millis(50)).await;
-    hold(&runtime, Duration::from_millis(500));
+    hold(&runtime, Duration::from_millis(1_000));
     sleep(Duration::from_millis(100)).await;
     for (n_caller, caller) in callers.iter_mut().enumerate() {
         caller.send(&kept_request(&format!("b{n_caller}"))).await;
@@ -155,9 +155,9 @@
     let runtime = runtime_apart();
     let target = target(1).await;
     let entry = Entry::on_runtime(&runtime, route(CallKind::Safe), &[&target]).await;
-    entry.refuse_after(Duration::from_millis(300));
+    entry.refuse_after(Duration::from_millis(700));
     sleep(Duration::from_millis(50)).await;
-    hold(&runtime, Duration::from_millis(500));
+    hold(&runtime, Duration::from_millis(1_000));
     sleep(Duration::from_millis(100)).await;
     let mut callers = Vec::new();
     for n_caller in 0..N_CONNECTIONS {
