End a stream with a marker, so that a failed task cuts it

What callers saw: where the task that forwards a stream failed, the stream ended like a complete one. A trial with an event id of 2^64 - 1 brought it about in a debug build: the sum with one overflowed.

Cause: the end of the channel to the caller stood for the end of the stream.

Change: the stream is complete only with its end marker; a channel that ends without one aborts the response. Ids are compared without an overflow.

--- a/fleet/src/forward/stream_relay.rs
+++ b/fleet/src/forward/stream_relay.rs
@@ -114,7 +114,7 @@
     /// Checks that an event follows the last one: where targets number events, ids grow by one.
     fn accept(&mut self, event: StreamEvent) -> Result<StreamEvent, RelayEnd> {
         let follows = match (self.last_id, event.id) {
-            (Some(last), Some(id)) => id == last + 1,
+            (Some(last), Some(id)) => last.checked_add(1) == Some(id),
             _ => true,
         };
         if !follows {
--- a/fleet/src/process/caller_body.rs
+++ b/fleet/src/process/caller_body.rs
@@ -16,8 +16,18 @@
 pub enum CallerBody {
     /// A complete body.
     Whole(Full<Bytes>),
-    /// Events as they arrive. An error aborts the response, so that it does not look complete.
-    Events(mpsc::Receiver<Result<Bytes, io::Error>>),
+    /// Events as they arrive, up to the end marker. Without one the response is aborted, so that it
+    /// does not look complete.
+    Events(mpsc::Receiver<StreamPart>),
+}
+
+/// A part of a stream to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamPart {
+    /// A complete event.
+    Event(Bytes),
+    /// The stream is complete.
+    End,
 }
 
 impl CallerBody {
@@ -39,9 +49,11 @@
             Self::Whole(body) => Pin::new(body)
                 .poll_frame(context)
                 .map_err(|err: Infallible| match err {}),
-            Self::Events(events) => events
-                .poll_recv(context)
-                .map(|event| event.map(|bytes| bytes.map(Frame::data))),
+            Self::Events(events) => events.poll_recv(context).map(|part| match part {
+                Some(StreamPart::Event(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(StreamPart::End) => None,
+                None => Some(Err(io::ErrorKind::ConnectionAborted.into())),
+            }),
         }
     }
 
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -32,7 +32,7 @@
 mod topic_copy;
 
 pub use agent_run::{AgentConfig, run_agent};
-pub use caller_body::CallerBody;
+pub use caller_body::{CallerBody, StreamPart};
 pub use caller_server::serve_callers;
 pub use drain::DrainState;
 pub use entry_run::{EntryConfig, run_entry};
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -1,7 +1,5 @@
 //! Calls answered by a stream of events.
 
-use std::io;
-
 use http::Response;
 use slog::{debug, info};
 use tokio::sync::mpsc;
@@ -11,7 +9,7 @@
 use crate::request::{NextStep, UnknownReason};
 use crate::routing::{AdmitDecision, GROUP_RECOVERY_TIME};
 
-use super::caller_body::CallerBody;
+use super::caller_body::{CallerBody, StreamPart};
 use super::request_run::CallContext;
 use super::stream_source::{SourceEnd, StreamSource};
 
@@ -106,7 +104,7 @@
     call: Arc<CallContext>,
     mut source: StreamSource,
     first: Result<StreamEvent, SourceEnd>,
-    sender: mpsc::Sender<Result<Bytes, io::Error>>,
+    sender: mpsc::Sender<StreamPart>,
 ) {
     let ended = tokio::select! {
         ended = forward_events(&mut source, first, &sender) => ended,
@@ -118,14 +116,10 @@
         "possible_runs" => source.possible_runs(),
         "left_ms" => call.time_left().as_millis() as u64,
         "after_ms" => call.received_at.elapsed().as_millis() as u64);
-    // Ends the runs at once, also where the caller does not read.
     drop(source);
-    let is_cut = matches!(ended, StreamEnd::Broken(_) | StreamEnd::Deadline);
-    if is_cut {
-        // Fails only if the caller has disconnected, and then nobody needs the error.
-        let _ = sender
-            .send(Err(io::Error::from(io::ErrorKind::ConnectionAborted)))
-            .await;
+    if matches!(ended, StreamEnd::Complete) {
+        // Fails only if the caller has disconnected, and then nobody needs the end.
+        let _ = sender.send(StreamPart::End).await;
     }
 }
 
@@ -141,13 +135,13 @@
 async fn forward_events(
     source: &mut StreamSource,
     first: Result<StreamEvent, SourceEnd>,
-    sender: &mpsc::Sender<Result<Bytes, io::Error>>,
+    sender: &mpsc::Sender<StreamPart>,
 ) -> StreamEnd {
     let mut next = first;
     loop {
         match next {
             Ok(event) => {
-                if sender.send(Ok(event.bytes)).await.is_err() {
+                if sender.send(StreamPart::Event(event.bytes)).await.is_err() {
                     return StreamEnd::CallerLeft;
                 }
             }
