End the wait for a body when its answer is due

What callers saw: a caller that stops in the middle of its body got no answer and kept its connection for good, as a running request is never idle. Since bodies draw on a common budget, a few such callers would also have kept large bodies and answers of others out.

Cause: the wait for a body had no limit of time.

Change: a body has the time that its request has: the caller's or the route's, whichever is shorter; without a route the idle timeout. After it, nothing was sent, so the answer is 503 with Retry-After.

Result: 503 and nothing buffered afterwards.

--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use slog::{debug, info, warn};
 
-use crate::catalog::{Account, RouteError};
+use crate::catalog::{Account, CallerLimits, RouteError};
 use crate::forward::{
     BodyBuffer, CutScope, ReadCut, ReadError, RequestHead, ResponseHead, TargetCall,
     TargetResponse, call_target,
@@ -76,16 +76,18 @@
         );
     };
     let attempt_id = head.attempt_id.clone();
-    let body_limit = match &*state.catalog.load() {
-        Some(catalog) => catalog.limits.body_bytes,
-        None => crate::catalog::CallerLimits::default().body_bytes,
-    };
-    let body = match read_caller_body(&state, body, body_limit).await {
-        Ok(body) => body,
-        Err(err) => {
+    let (body_limit, body_time) = body_limits(&state, &head);
+    let reading = read_caller_body(&state, body, body_limit);
+    let body = match tokio::time::timeout(body_time, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(err)) => {
             let (answer, why) = refuse_body(&state, &attempt_id, &err);
             return local_response(&state, &attempt_id, answer, why);
         }
+        Err(_) => {
+            let answer = LocalResponse::Refused(NotRunProof::never_sent(), RETRY_NO_MEMORY);
+            return local_response(&state, &attempt_id, answer, "body too slow");
+        }
     };
     match admit_call(&state, head, body, received_at) {
         Ok(call) if call.route.kind.is_stream() => stream_run::run(call).await,
@@ -94,6 +96,24 @@
     }
 }
 
+/// Returns the largest body of a request, and the longest time for it to arrive: the time within
+/// which the request would have to be answered.
+fn body_limits(state: &EntryState, head: &RequestHead) -> (usize, Duration) {
+    let catalog = state.catalog.load();
+    let limits = catalog
+        .as_ref()
+        .map_or_else(CallerLimits::default, |catalog| catalog.limits);
+    let route = catalog
+        .as_ref()
+        .and_then(|catalog| catalog.find_route(&head.host, head.uri.path()));
+    let time = route.map_or(limits.idle_timeout, |route| {
+        head.caller_timeout
+            .unwrap_or(route.timeout)
+            .min(route.timeout)
+    });
+    (limits.body_bytes, time)
+}
+
 /// Reads the body of a caller's request.
 ///
 /// The rest of a body that exceeds a limit is read and dropped, up to the largest one allowed: a
--- a/fleet/tests/forwarding/endless_target.rs
+++ b/fleet/tests/forwarding/endless_target.rs
@@ -5,7 +5,7 @@
 use comfreyhead_fleet::prelude::*;
 use tokio::io::AsyncWriteExt;
 
-use crate::wire::{Entry, Reply, ScriptedTarget, read_answer, route};
+use crate::wire::{Entry, ROUTE_TIMEOUT, Reply, ScriptedTarget, read_answer, route};
 
 /// The stated memory of an entry.
 const ENTRY_MEMORY: usize = 182_000_000;
@@ -233,3 +233,20 @@
     assert!(n_served * body.len() <= ENTRY_MEMORY / 2, "{n_served}");
     assert_eq!(sound.requests().len(), n_served + 1);
 }
+
+// Guards against callers that stop in the middle of a body and hold what others need.
+#[tokio::test]
+async fn stalled_body_is_given_up_once_its_route_would_have_timed_out() {
+    let sound = target(Reply::whole("200 OK", "hello")).await;
+    let entry = Entry::start(CallKind::Unsafe, &[&sound]).await;
+    let mut caller = entry.connect().await;
+    let head = request_with_body("stalled", 2 << 20);
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(&vec![b'x'; 1 << 20]).await.unwrap();
+    let answer = tokio::time::timeout(ROUTE_TIMEOUT * 4, read_answer(caller)).await;
+    let answer = answer.expect("the_entry_answers");
+    assert_eq!(answer.status, 503, "{}", answer.head);
+    assert!(answer.head.contains("retry-after"), "{}", answer.head);
+    assert_eq!(entry.buffered(), 0);
+    assert!(sound.requests().is_empty());
+}
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -1,5 +1,7 @@
 //! An entry that serves real TCP connections, and targets that follow a script.
 
+mod flood;
+
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -18,6 +20,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use flood::{FloodCount, write_flood};
+
 /// The timeout of the route that all tests use.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -83,15 +87,6 @@
     flood: Arc<FloodCount>,
 }
 
-/// The bytes of floods that a target could write.
-#[derive(Debug, Default)]
-struct FloodCount {
-    /// On all connections.
-    written: AtomicUsize,
-    /// On connections that are open.
-    held: AtomicUsize,
-}
-
 impl ScriptedTarget {
     pub async fn start(script: Vec<Reply>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -220,27 +215,6 @@
     }
 }
 
-async fn write_flood(
-    stream: &mut TcpStream,
-    piece: &str,
-    n_pieces: usize,
-    flood: &FloodCount,
-    held: &mut usize,
-) -> std::io::Result<()> {
-    for _ in 0..n_pieces {
-        let mut rest = piece.as_bytes();
-        while !rest.is_empty() {
-            let n_written = stream.write(rest).await?;
-            rest = &rest[n_written..];
-            *held += n_written;
-            flood.written.fetch_add(n_written, Ordering::Relaxed);
-            flood.held.fetch_add(n_written, Ordering::Relaxed);
-        }
-    }
-    let mut rest = Vec::new();
-    stream.read_to_end(&mut rest).await.map(|_| ())
-}
-
 async fn stream_with_silence(
     stream: &mut TcpStream,
     last_id: u64,
@@ -423,6 +397,11 @@
         tokio::time::sleep(after).await;
     }
 
+    /// Returns the bytes that large bodies and events hold.
+    pub fn buffered(&self) -> usize {
+        self.state.buffers.drawn()
+    }
+
     /// Opens a connection to the entry.
     pub async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.address).await.unwrap()
