Limit the datagrams that an agent answers at once

What was seen: nothing yet. Each datagram began a task that calls the target and holds the decoded datagram, an order for up to 1.5 s.

Cause: nothing limited the number of those tasks.

Change: at most 32 queries and 16 orders at the same time, apart, so that neither keeps the other out. What is over is dropped and logged, as a lost datagram is sent again by its sender.

--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -6,6 +6,7 @@
 use slog::{Logger, debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Semaphore;
 
 use crate::expert::MapOrder;
 use crate::peers::{PeerMessage, RankState, RelayedOrder, StoreTopic};
@@ -24,6 +25,13 @@
 /// The size of the receive buffer for datagrams, in bytes.
 const MAX_DATAGRAM_LEN: usize = 60_000;
 
+/// The most queries that are answered at the same time.
+const MAX_QUERIES: usize = 32;
+
+/// The most orders that are carried out at the same time; a decoded one may hold many times the
+/// length of its datagram.
+const MAX_ORDERS: usize = 16;
+
 /// How often the pace of the local target is checked, and reported while the target is slow.
 const PACE_REPORT_PERIOD: Duration = Duration::from_millis(700);
 
@@ -107,6 +115,8 @@
     ));
     let mut stop = signal(SignalKind::terminate())?;
     let mut buffer = vec![0; MAX_DATAGRAM_LEN];
+    let queries = Arc::new(Semaphore::new(MAX_QUERIES));
+    let orders = Arc::new(Semaphore::new(MAX_ORDERS));
     loop {
         let received = tokio::select! {
             received = socket.recv_from(&mut buffer) => received,
@@ -116,26 +126,23 @@
             tokio::time::sleep(READ_RETRY_DELAY).await;
             continue;
         };
+        let (keeper, socket) = (keeper.clone(), socket.clone());
         match PeerMessage::decode(&buffer[..len]) {
-            Some(PeerMessage::Ask(query)) => {
-                let (keeper, socket) = (keeper.clone(), socket.clone());
-                tokio::spawn(async move {
-                    reply(&socket, from, keeper.state(query).await).await;
-                });
-            }
-            Some(PeerMessage::MayArm(query)) => {
-                let (keeper, socket) = (keeper.clone(), socket.clone());
-                tokio::spawn(async move {
-                    reply(&socket, from, keeper.may_arm(query).await).await;
-                });
-            }
+            Some(PeerMessage::Ask(query)) => spawn_within(&queries, &log, from, async move {
+                reply(&socket, from, keeper.state(query).await).await;
+            }),
+            Some(PeerMessage::MayArm(query)) => spawn_within(&queries, &log, from, async move {
+                reply(&socket, from, keeper.may_arm(query).await).await;
+            }),
             Some(PeerMessage::Order(order)) => {
-                tokio::spawn(execute_order(keeper.clone(), socket.clone(), from, order));
+                let execution = execute_order(keeper, socket, from, order);
+                spawn_within(&orders, &log, from, execution);
             }
             Some(PeerMessage::Relayed(relayed)) => {
                 forward_order(&socket, &relayed).await;
                 let RelayedOrder { leader, order, .. } = relayed;
-                tokio::spawn(execute_order(keeper.clone(), socket.clone(), leader, order));
+                let execution = execute_order(keeper, socket, leader, order);
+                spawn_within(&orders, &log, from, execution);
             }
             Some(PeerMessage::State(state)) => {
                 table.lock().record_state(from, *state, Instant::now());
@@ -149,6 +156,24 @@
     Ok(())
 }
 
+/// Spawns the answer to a datagram; drops the datagram while too many are answered, as a lost one
+/// is sent again.
+fn spawn_within(
+    limit: &Arc<Semaphore>,
+    log: &Logger,
+    from: SocketAddr,
+    answer: impl Future<Output = ()> + Send + 'static,
+) {
+    let Ok(permit) = limit.clone().try_acquire_owned() else {
+        warn!(log, "datagram dropped"; "from" => %from, "reason" => "too many at once");
+        return;
+    };
+    tokio::spawn(async move {
+        answer.await;
+        drop(permit);
+    });
+}
+
 /// Forwards a relayed order to its receivers.
 async fn forward_order(socket: &UdpSocket, relayed: &RelayedOrder) {
     if relayed.receivers.is_empty() {
