Free the buffer of a large event once it is passed on

What was seen: nothing until the entry's memory is used up. A stream that had sent one large event kept its buffer for as long as it went on.

Cause: the rest of the buffer reuses its allocation, and the part before it counts neither as buffered nor as capacity.

Evidence: parser_memory.rs, seen to fail before the change: 200 streams after one event of 1 MiB each kept 206 MB.

Change: after a large event, or when little is buffered, the rest is copied into a new buffer.

Result: the test passes; its limit is a quarter of an entry's memory.

--- a/fleet/src/forward/event_parser.rs
+++ b/fleet/src/forward/event_parser.rs
@@ -35,7 +35,10 @@
         // A copy, as a short event that waits for a slow caller may keep a large buffer allocated.
         let bytes = Bytes::copy_from_slice(&self.buffer[..end]);
         self.buffer.advance(end);
-        if self.buffer.len() <= MAX_SPARE_BYTES && MAX_SPARE_BYTES < self.buffer.capacity() {
+        // What precedes the rest stays allocated, and is no part of the capacity.
+        let has_spare = MAX_SPARE_BYTES < self.buffer.capacity();
+        let has_little = self.buffer.len() <= MAX_SPARE_BYTES;
+        if MAX_SPARE_BYTES < end || (has_spare && has_little) {
             self.buffer = BytesMut::from(&self.buffer[..]);
         }
         self.scanned = 0;
