--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -1,6 +1,7 @@
 //! An entry that serves real TCP connections, and targets that follow a script.
 
 mod caller_connection;
+mod flood;
 mod silence;
 
 use std::io::ErrorKind;
@@ -23,6 +24,7 @@
 use tokio::sync::watch;
 
 pub use caller_connection::{hold, kept_request, runtime_apart};
+use flood::{FloodCount, write_flood};
 pub use silence::stream_route;
 
 /// The timeout of the route that all tests use.
@@ -92,15 +94,6 @@
     flood: Arc<FloodCount>,
 }
 
-/// The bytes of floods that a target could write.
-#[derive(Debug, Default)]
-struct FloodCount {
-    /// On all connections.
-    written: AtomicUsize,
-    /// On connections that are open.
-    held: AtomicUsize,
-}
-
 impl ScriptedTarget {
     pub async fn start(script: Vec<Reply>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -234,27 +227,6 @@
     }
 }
 
-async fn write_flood(
-    stream: &mut TcpStream,
-    piece: &str,
-    n_pieces: usize,
-    flood: &FloodCount,
-    held: &mut usize,
-) -> std::io::Result<()> {
-    for _ in 0..n_pieces {
-        let mut rest = piece.as_bytes();
-        while !rest.is_empty() {
-            let n_written = stream.write(rest).await?;
-            rest = &rest[n_written..];
-            *held += n_written;
-            flood.written.fetch_add(n_written, Ordering::Relaxed);
-            flood.held.fetch_add(n_written, Ordering::Relaxed);
-        }
-    }
-    let mut rest = Vec::new();
-    stream.read_to_end(&mut rest).await.map(|_| ())
-}
-
 async fn stream_with_silence(
     stream: &mut TcpStream,
     last_id: u64,
@@ -279,7 +251,7 @@
     format!("id: {id}\ndata: {id}\n\n")
 }
 
-/// An entry that serves callers on a local port, with one route and one account.
+/// An entry that serves callers, with one route and one account.
 pub struct Entry {
     state: Arc<EntryState>,
     address: SocketAddr,
@@ -451,6 +423,11 @@
         tokio::time::sleep(after).await;
     }
 
+    /// Returns the bytes that large bodies and events hold.
+    pub fn buffered(&self) -> usize {
+        self.state.buffers.drawn()
+    }
+
     /// Opens a connection to the entry.
     pub async fn open(&self) -> TcpStream {
         TcpStream::connect(self.address).await.unwrap()
