Connect again to an engine that is only silent

What callers saw: while an engine took no connection for one and a half seconds, a request for it ended after that time with 503 and the outcome unknown, and the requests that ran there became suspects of a crash.

Cause: a connection that was not made in 1.5 s was treated like one that was refused. The agent then tried to resume an answer which the engine had never begun, took the engine's 404 for a restart, and reported a crash; so did the watch of the engine, after one such connection.

Change: a refused connection is told apart from one that is not made. Only the first is a crash at once; of the second it takes two in a row in the watch. A request that found no connection is sent again, three times in all, instead of being resumed. Both still prove that nothing was sent. A lookup without a connection is broken off as before, without a report of a crash.

--- a/src/bin/comfrey/client.rs
+++ b/src/bin/comfrey/client.rs
@@ -88,7 +88,9 @@
                 .map_err(|err| Error::Invalid(err.to_string()))?;
             match self.client.json(request, RESPONSE_LIMIT).await {
                 Ok(response) => return Ok(response),
-                Err(err @ HttpFailure::NotSent(_)) => failure = Some(entry_error(*entry, &err)),
+                Err(err @ (HttpFailure::NotSent(_) | HttpFailure::NotListening(_))) => {
+                    failure = Some(entry_error(*entry, &err));
+                }
                 Err(err) => return Err(entry_error(*entry, &err)),
             }
         }
--- a/src/process/agent/lookup_run.rs
+++ b/src/process/agent/lookup_run.rs
@@ -40,11 +40,11 @@
                 message: body.to_string(),
             });
         }
-        Err(CallFailure::NotSent(_)) => {
+        Err(CallFailure::NotListening(_)) => {
             process.mark_target_crashed();
             run.lose(LossReason::Crashed);
         }
-        Err(CallFailure::Unknown(reason)) => {
+        Err(CallFailure::NotSent(reason) | CallFailure::Unknown(reason)) => {
             info!(process.log, "target's answer lost"; "work" => %run.work, "reason" => reason);
             run.lose(LossReason::BrokenOff);
         }
--- a/src/process/agent/model_run.rs
+++ b/src/process/agent/model_run.rs
@@ -12,6 +12,8 @@
 use super::work_run::WorkRun;
 use super::work_table::StartedWork;
 
+/// The maximum number of connections that are tried to start one answer.
+const MAX_STARTS: u32 = 3;
 /// The maximum number of resumes of one answer after its stream broke.
 const MAX_RESUMES: u32 = 3;
 /// The delay before each resume.
@@ -55,7 +57,7 @@
     let mut prefix = SkippedPrefix::new(start.request.from);
     let end = tokio::select! {
         () = run.cancel.cancelled() => StreamEnd::Broken,
-        stream = process.engine.start(&call) => match stream {
+        stream = start_stream(process, &call) => match stream {
             Ok(stream) => {
                 process.mark_target_up();
                 forward_events(stream, run, &mut prefix).await
@@ -71,6 +73,24 @@
     clear_suspicion(process, start);
 }
 
+/// Starts the request at the engine, which has nothing to resume while no connection was made.
+async fn start_stream(
+    process: &AgentProcess,
+    call: &EngineCall<'_>,
+) -> Result<impl Stream<Item = EngineEvent> + Send + use<>, HttpFailure> {
+    let mut n_starts = 1;
+    loop {
+        match process.engine.start(call).await {
+            Err(HttpFailure::NotSent(reason)) if n_starts < MAX_STARTS => {
+                info!(process.log, "no connection to target"; "request" => %call.request,
+                    "reason" => reason);
+                n_starts += 1;
+            }
+            result => return result,
+        }
+    }
+}
+
 async fn resume_model(
     process: &Arc<AgentProcess>,
     start: &StartedWork,
--- a/src/process/agent/order_driver.rs
+++ b/src/process/agent/order_driver.rs
@@ -253,7 +253,9 @@
             attempt,
             answer: bounded(status, &body),
         },
-        Err(CallFailure::NotSent(_)) => HolderEvent::TargetUnreached { attempt },
+        Err(CallFailure::NotSent(_) | CallFailure::NotListening(_)) => {
+            HolderEvent::TargetUnreached { attempt }
+        }
         Err(CallFailure::Unknown(_)) => HolderEvent::TargetLost { attempt },
     }
 }
--- a/src/process/agent/target_watch.rs
+++ b/src/process/agent/target_watch.rs
@@ -14,6 +14,8 @@
 
 /// The interval between two polls of the target.
 const WATCH_PERIOD: Duration = Duration::from_millis(250);
+/// Consecutive connections that were not made after which an engine counts as crashed.
+const MAX_UNREACHED: u32 = 2;
 /// The maximum time between two tokens of an answer that admission aims for.
 const STEP_TIME_GOAL: Duration = Duration::from_millis(38);
 /// The time after which a run without a reader is cancelled.
@@ -73,12 +75,16 @@
 /// Watches the target until the agent stops.
 pub(super) async fn watch_target(process: Arc<AgentProcess>) {
     let mut cache_from = 0;
+    let mut n_unreached = 0;
     let mut unread_since = HashMap::new();
     let mut ticks = tokio::time::interval(WATCH_PERIOD);
     while !process.stop.is_cancelled() {
         ticks.tick().await;
         match process.kind {
-            TargetKind::Engine => watch_engine(&process, &mut cache_from).await,
+            TargetKind::Engine => {
+                watch_engine(&process, &mut n_unreached).await;
+                watch_cache(&process, &mut cache_from).await;
+            }
             TargetKind::Service => watch_service(&process).await,
         }
         if let Some(serving) = process.serving.get() {
@@ -89,8 +95,13 @@
     }
 }
 
-async fn watch_engine(process: &AgentProcess, cache_from: &mut u64) {
-    match process.engine.load().await {
+async fn watch_engine(process: &AgentProcess, n_unreached: &mut u32) {
+    let load = process.engine.load().await;
+    *n_unreached = match load {
+        Err(HttpFailure::NotSent(_)) => *n_unreached + 1,
+        _ => 0,
+    };
+    match load {
         Ok(load) => {
             process.mark_target_up();
             let step_time = Duration::from_secs_f64((load.step_ms / 1_000.0).max(0.0));
@@ -100,9 +111,13 @@
             }
             *process.watch.load.lock() = load;
         }
-        Err(HttpFailure::NotSent(_)) => process.mark_target_crashed(),
+        Err(HttpFailure::NotListening(_)) => process.mark_target_crashed(),
+        Err(_) if MAX_UNREACHED <= *n_unreached => process.mark_target_crashed(),
         Err(_) => {}
     }
+}
+
+async fn watch_cache(process: &AgentProcess, cache_from: &mut u64) {
     if let Ok(page) = process.engine.cache_events(*cache_from).await {
         process.watch.add_events(&page);
         *cache_from = page.next;
--- a/src/process/entry/dispatch.rs
+++ b/src/process/entry/dispatch.rs
@@ -65,7 +65,7 @@
             record_signal(&process, &location, sent_at, DispatchSignal::Accepted);
             forward_lines(&process, &location, response, &events).await
         }
-        Err(HttpFailure::NotSent(reason)) => {
+        Err(HttpFailure::NotSent(reason) | HttpFailure::NotListening(reason)) => {
             debug!(process.log, "agent unreachable"; "work" => %location.work, "reason" => reason);
             record_signal(&process, &location, sent_at, DispatchSignal::Unreachable);
             finish_attempt(&process, &location, DispatchResult::Unreachable);
--- a/src/process/entry/order_driver.rs
+++ b/src/process/entry/order_driver.rs
@@ -186,9 +186,11 @@
             match answer {
                 Ok(reply) => EntryEvent::AgentReplied { attempt, reply },
                 // An agent responds with a conflict only if it has not examined the order.
-                Err(HttpFailure::NotSent(_) | HttpFailure::Status(StatusCode::CONFLICT, _)) => {
-                    EntryEvent::AgentUnreached { attempt }
-                }
+                Err(
+                    HttpFailure::NotSent(_)
+                    | HttpFailure::NotListening(_)
+                    | HttpFailure::Status(StatusCode::CONFLICT, _),
+                ) => EntryEvent::AgentUnreached { attempt },
                 Err(_) => EntryEvent::AgentLost { attempt },
             }
         });
--- a/src/process/platform/http_client.rs
+++ b/src/process/platform/http_client.rs
@@ -1,5 +1,7 @@
 //! An HTTP client for JSON bodies, with timeouts.
 
+use std::io::ErrorKind;
+
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, Response, StatusCode};
@@ -36,6 +38,10 @@
         NotSent(reason: String) {
             display("not sent: {}", reason)
         }
+        /// The server's machine refused the connection, so nothing listens there.
+        NotListening(reason: String) {
+            display("not sent: {}", reason)
+        }
         /// The connection was lost or the timeout passed; the server may have processed the request.
         Lost(reason: String) {
             display("answer lost: {}", reason)
@@ -107,7 +113,7 @@
     /// `timeout` applies to the head, and again to the body of a response outside 2xx.
     ///
     /// # Errors
-    /// `NotSent` if no connection was established, `Lost` if it broke or the timeout passed,
+    /// `NotListening` or `NotSent` if no connection was established, `Lost` if it broke or the timeout passed,
     /// `Status` for a response outside 2xx.
     pub async fn send(
         &self,
@@ -117,6 +123,9 @@
         let result = tokio::time::timeout(timeout, self.inner.request(request)).await;
         let response = match result {
             Err(_) => return Err(HttpFailure::Lost(format!("no answer within {timeout:?}"))),
+            Ok(Err(err)) if err.is_connect() && is_refused(&err) => {
+                return Err(HttpFailure::NotListening(describe(&err)));
+            }
             Ok(Err(err)) if err.is_connect() => return Err(HttpFailure::NotSent(describe(&err))),
             Ok(Err(err)) => return Err(HttpFailure::Lost(describe(&err))),
             Ok(Ok(response)) => response,
@@ -211,6 +220,18 @@
     connector
 }
 
+fn is_refused(err: &hyper_util::client::legacy::Error) -> bool {
+    let mut source = std::error::Error::source(err);
+    while let Some(err) = source {
+        let io_err = err.downcast_ref::<std::io::Error>();
+        if io_err.is_some_and(|err| err.kind() == ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        source = err.source();
+    }
+    false
+}
+
 fn describe(err: &hyper_util::client::legacy::Error) -> String {
     match std::error::Error::source(err) {
         Some(source) => format!("{err}: {source}"),
--- a/src/process/platform/log_service.rs
+++ b/src/process/platform/log_service.rs
@@ -103,7 +103,9 @@
             .await;
         match result {
             Ok(AppendResponse { first_offset }) => Ok(first_offset),
-            Err(err @ HttpFailure::NotSent(_)) => Err(AppendFailure::Unreachable(err.to_string())),
+            Err(err @ (HttpFailure::NotSent(_) | HttpFailure::NotListening(_))) => {
+                Err(AppendFailure::Unreachable(err.to_string()))
+            }
             Err(HttpFailure::Status(status, _)) if is_rejection(status) => Err(
                 AppendFailure::NotWritten(format!("the log service answered {status}")),
             ),
--- a/src/process/platform/plain_service.rs
+++ b/src/process/platform/plain_service.rs
@@ -24,6 +24,10 @@
         NotSent(reason: String) {
             display("{}", reason)
         }
+        /// The service has not received the call, and nothing listens at its address.
+        NotListening(reason: String) {
+            display("{}", reason)
+        }
         /// The service rejected the call with a 4xx status.
         Refused(status: u16, body: Value) {
             display("the service answered {}: {}", status, body)
@@ -81,6 +85,7 @@
         match self.client.json(request, limit).await {
             Ok(body) => Ok(body),
             Err(HttpFailure::NotSent(reason)) => Err(CallFailure::NotSent(reason)),
+            Err(HttpFailure::NotListening(reason)) => Err(CallFailure::NotListening(reason)),
             Err(HttpFailure::Status(status, body)) if status.is_client_error() => {
                 let text = || Value::String(String::from_utf8_lossy(&body).into_owned());
                 let body = serde_json::from_slice(&body).unwrap_or_else(|_| text());
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// Sets whether new connections are accepted, or wait at the system.
+    pub fn set_accepting(&self, accepting: bool) {
+        self.shared.control.set_accepting(accepting);
+    }
+
     /// Drops all open connections; running requests continue and their streams can be resumed.
     pub fn drop_connections(&self) {
         self.shared.control.drop_connections();
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -43,6 +43,7 @@
 #[derive(Debug)]
 pub(crate) struct ServerControl {
     away: AtomicBool,
+    accepting: watch::Sender<bool>,
     /// Each change ends the connections opened before it.
     generation: watch::Sender<u64>,
 }
@@ -51,6 +52,7 @@
     fn default() -> Self {
         Self {
             away: AtomicBool::new(false),
+            accepting: watch::Sender::new(true),
             generation: watch::Sender::new(0),
         }
     }
@@ -62,6 +64,11 @@
         self.generation.send_modify(|generation| *generation += 1);
     }
 
+    /// Sets whether new connections are accepted, or wait at the system.
+    pub(crate) fn set_accepting(&self, accepting: bool) {
+        self.accepting.send_replace(accepting);
+    }
+
     /// Sets whether new connections are dropped immediately.
     pub(crate) fn set_away(&self, away: bool) {
         self.away.store(away, Ordering::SeqCst);
@@ -115,7 +122,11 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = ResponseResult> + Send + 'static,
 {
+    let mut accepting = control.accepting.subscribe();
     loop {
+        if accepting.wait_for(|accepting| *accepting).await.is_err() {
+            return;
+        }
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
--- a/tests/whole_path/silence.rs
+++ b/tests/whole_path/silence.rs
@@ -1,9 +1,12 @@
 //! Tests that a sound process may fall silent for a while without ending or refusing a request.
 
+use std::net::SocketAddr;
+
 use comfreyhead::prelude::*;
 use comfreyhead_standins::{ServiceOptions, ServiceStandIn, expected_tokens};
 use futures::future::join_all;
 use serde_json::json;
+use tokio::net::TcpStream;
 use uuid::Uuid;
 
 use crate::caller::{Answer, StreamedText, post, read_stream};
@@ -75,6 +78,23 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_that_accepts_no_connection_for_a_while_ends_no_request() {
+    let fleet = one_engine().await;
+    let engine = &fleet.engines[0];
+
+    engine.set_accepting(false);
+    let fillers = fill_backlog(engine.address()).await;
+    engine.drop_connections();
+    let answer = tokio::spawn(whole_answer(fleet.callers()[0], COMPLETIONS));
+    tokio::time::sleep(SILENCE - Duration::from_millis(100)).await;
+    engine.set_accepting(true);
+    drop(fillers);
+
+    let answer = answer.await.expect("a task").expect("an answer");
+    assert_eq!(answer.outcome, "answered", "{answer:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_log_ends_no_order() {
     let fleet = Fleet::start(FleetShape {
@@ -165,6 +185,16 @@
     assert_eq!(answer.body["call"], json!("stock"), "{answer:?}");
 }
 
+/// Opens connections until the system takes no more for a server that accepts none.
+async fn fill_backlog(address: SocketAddr) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let time = Duration::from_millis(200);
+    while let Ok(stream) = tokio::time::timeout(time, TcpStream::connect(address)).await {
+        streams.push(stream.expect("a connection"));
+    }
+    streams
+}
+
 /// Waits until no target is eligible and routing has taken that up.
 async fn wait_until_unheard(fleet: &Fleet) {
     fleet
@@ -185,7 +215,7 @@
     .await
 }
 
-async fn whole_answer(entry: std::net::SocketAddr, path: &str) -> Option<Answer> {
+async fn whole_answer(entry: SocketAddr, path: &str) -> Option<Answer> {
     let mut body = completion("kit history 1", 3);
     body["stream"] = json!(false);
     let (bearer, key) = (bearer(), Uuid::now_v7().to_string());
@@ -196,7 +226,7 @@
     post(entry, path, &headers, body.to_string()).await
 }
 
-async fn stream(entry: std::net::SocketAddr, idx: usize, n_tokens: u64) -> StreamedText {
+async fn stream(entry: SocketAddr, idx: usize, n_tokens: u64) -> StreamedText {
     let body = completion(&format!("kit history {idx}"), n_tokens);
     let bearer = bearer();
     let headers = [("authorization", bearer.as_str())];
