Tell another body of a closed key the same before and after its not-run

What callers saw: a caller that sent another body under the key of an order settled as not run was told "not-run", closed, and at its next ask, through a process that lagged behind the settlement, "body-mismatch"; or the other way round. A closed key always gets the same outcome.

Cause: the body was not compared with a claim that was settled as not run, although it was while the claim was open.

Change: another body gets "body-mismatch" whatever the claim's outcome.

--- a/src/process/orders/fold.rs
+++ b/src/process/orders/fold.rs
@@ -336,13 +336,9 @@
             Self::Voided => Some(OrderReply::voided()),
             Self::Claimed(open) if open.claim.digest != tried => Some(OrderReply::mismatch()),
             Self::Claimed(_) => None,
-            Self::Settled { digest, settlement } => {
-                let not_run = settlement.outcome == RequestOutcome::NotRun;
-                if *digest == tried || not_run {
-                    return Some(OrderReply::settled(settlement));
-                }
-                Some(OrderReply::mismatch())
-            }
+            // Also after a not-run, as readers that lag behind it tell the mismatch.
+            Self::Settled { digest, .. } if *digest != tried => Some(OrderReply::mismatch()),
+            Self::Settled { settlement, .. } => Some(OrderReply::settled(settlement)),
         }
     }
 }
