Tell an order's outcome once the log has acknowledged it

What callers saw: an order was told as answered, failed or not run, key closed. If the agent lost its power before the settlement was in the log, the same key gave unknown, claim-open, and could be settled by an operator as not run.

Cause: the holder replied when the target had answered, and queued the settlement after that. A claim read back after the deadline was told as not run in the same way.

Change: a reply that closes the key follows the acknowledgement of the append, or the read of the settlement if that answer is lost. At the deadline the caller gets unknown, claim-open, and the outcome when it asks again. A settlement that a caller waits for may go one append ahead of the spacing; the lasting rate of one append in 60 ms is the same.

--- a/examples/measure/orders.rs
+++ b/examples/measure/orders.rs
@@ -54,7 +54,8 @@
 /// Runs all cases and prints a line for each.
 pub(crate) fn run(args: &OrdersArgs) {
     if !args.json {
-        println!("added = time from an order's arrival at the agent to its start\n");
+        println!("p50, p95 = time from an order's arrival at the agent to its start");
+        println!("told50, told95 = time from its arrival to the reply\n");
         println!("{}", OrderLine::HEADINGS);
     }
     for case in all_cases() {
@@ -123,19 +124,21 @@
     log_kb_per_s: f64,
     added_p50_ms: f64,
     added_p95_ms: f64,
+    told_p50_ms: f64,
+    told_p95_ms: f64,
     not_started: u64,
 }
 
 impl OrderLine {
     const HEADINGS: &str = "services answer_ms       delay orders/s  share% appends/s rec/append \
-                            log_kB/s p50_ms p95_ms not_started";
+                            log_kB/s p50_ms p95_ms told50 told95 not_started";
 }
 
 impl std::fmt::Display for OrderLine {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(
             f,
-            "{:8} {:9} {:>11} {:8} {:7.2} {:9.1} {:10.1} {:8.1} {:6.1} {:6.1} {:11}",
+            "{:8} {:9} {:>11} {:8} {:7.2} {:9.1} {:10.1} {:8.1} {:6.1} {:6.1} {:6.1} {:6.1} {:11}",
             self.services,
             self.answer_ms,
             self.delay,
@@ -146,6 +149,8 @@
             self.log_kb_per_s,
             self.added_p50_ms,
             self.added_p95_ms,
+            self.told_p50_ms,
+            self.told_p95_ms,
             self.not_started,
         )
     }
@@ -188,6 +193,7 @@
 
 struct ModelResult {
     added: Histogram<u64>,
+    told: Histogram<u64>,
     n_appends: u64,
     n_records: u64,
     n_bytes: u64,
@@ -224,6 +230,8 @@
         log_kb_per_s: result.n_bytes as f64 / seconds / 1_000.0,
         added_p50_ms: result.added.value_at_quantile(0.50) as f64 / 1_000.0,
         added_p95_ms: result.added.value_at_quantile(0.95) as f64 / 1_000.0,
+        told_p50_ms: result.told.value_at_quantile(0.50) as f64 / 1_000.0,
+        told_p95_ms: result.told.value_at_quantile(0.95) as f64 / 1_000.0,
         not_started: result.n_orders - result.n_started,
     }
 }
@@ -264,6 +272,7 @@
             arrived: BTreeMap::new(),
             result: ModelResult {
                 added: Histogram::new(3).expect("a valid precision"),
+                told: Histogram::new(3).expect("a valid precision"),
                 n_appends: 0,
                 n_records: 0,
                 n_bytes: 0,
@@ -352,7 +361,7 @@
                     self.schedule(self.now + half, ModelEvent::LogRequest(agent, action));
                 }
                 HolderAction::Run { attempt, .. } => self.start(agent, attempt),
-                HolderAction::Reply { .. } => {}
+                HolderAction::Reply { attempt, .. } => self.tell(attempt),
             }
         }
         let wake = self.agents[agent].next_wake();
@@ -374,6 +383,14 @@
         self.schedule(done, ModelEvent::TargetDone(agent, attempt));
     }
 
+    fn tell(&mut self, attempt: AttemptId) {
+        let arrived = self.arrived[&attempt];
+        if Self::is_counted(arrived) {
+            let told = self.now.since(arrived).as_micros() as u64;
+            self.result.told.record(told).expect("within the range");
+        }
+    }
+
     fn log_request(&mut self, agent: usize, action: LogAction) {
         match &action {
             LogAction::Append { .. } => {
--- a/src/process/orders/append_queue.rs
+++ b/src/process/orders/append_queue.rs
@@ -15,10 +15,14 @@
 #[derive(Clone, Debug)]
 pub struct AppendQueue {
     limits: AppendLimits,
-    waiting: VecDeque<OrderRecord>,
+    waiting: VecDeque<WaitingRecord>,
+    n_awaited: usize,
     /// When the oldest waiting record was queued, or the last batch was sent if that is later.
     oldest: Timestamp,
+    /// When the last batch was sent that did not go ahead of the spacing.
     last_sent: Timestamp,
+    /// Until when all batches sent use up the average rate.
+    paced_until: Timestamp,
     not_before: Timestamp,
     in_flight: SmallVec<[SentBatch; 4]>,
 }
@@ -34,6 +38,19 @@
     pub batch_delay: BatchDelay,
 }
 
+#[derive(Clone, Debug)]
+struct WaitingRecord {
+    record: OrderRecord,
+    urgency: AppendUrgency,
+}
+
+/// Whether a record may go ahead of the spacing of appends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AppendUrgency {
+    Spaced,
+    Awaited,
+}
+
 /// A batch whose append is in flight.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SentBatch {
@@ -51,8 +68,10 @@
         Self {
             limits,
             waiting: VecDeque::new(),
+            n_awaited: 0,
             oldest: Timestamp::default(),
             last_sent: Timestamp::default(),
+            paced_until: Timestamp::default(),
             not_before: Timestamp::default(),
             in_flight: SmallVec::new(),
         }
@@ -60,10 +79,20 @@
 
     /// Queues a record.
     pub fn push(&mut self, now: Timestamp, record: OrderRecord) {
+        self.push_with(now, record, AppendUrgency::Spaced);
+    }
+
+    /// Queues a record whose acknowledgement a caller waits for.
+    pub fn push_awaited(&mut self, now: Timestamp, record: OrderRecord) {
+        self.n_awaited += 1;
+        self.push_with(now, record, AppendUrgency::Awaited);
+    }
+
+    fn push_with(&mut self, now: Timestamp, record: OrderRecord, urgency: AppendUrgency) {
         if self.waiting.is_empty() {
             self.oldest = now;
         }
-        self.waiting.push_back(record);
+        self.waiting.push_back(WaitingRecord { record, urgency });
     }
 
     /// Returns whether no record is queued and no append is in flight.
@@ -80,10 +109,20 @@
         if self.limits.max_batch <= self.waiting.len() {
             return Some(self.oldest.max(self.not_before));
         }
-        let due = self.limits.batch_delay.due(self.oldest, self.last_sent);
+        let spaced = self.spaced_due();
+        let due = if self.n_awaited == 0 {
+            spaced
+        } else {
+            let delay = self.limits.batch_delay;
+            spaced.min(delay.awaited_due(self.oldest, self.paced_until))
+        };
         Some(due.max(self.not_before))
     }
 
+    fn spaced_due(&self) -> Timestamp {
+        self.limits.batch_delay.due(self.oldest, self.last_sent)
+    }
+
     /// Removes the next batch from the queue and marks it as in flight.
     pub fn send(&mut self, now: Timestamp, batch: BatchId) -> Vec<OrderRecord> {
         assert!(
@@ -91,9 +130,15 @@
             "a shard has at most max_in_flight appends in flight"
         );
         let n_taken = self.limits.max_batch.min(self.waiting.len());
-        let records: Vec<_> = self.waiting.drain(..n_taken).collect();
+        let taken: Vec<_> = self.waiting.drain(..n_taken).collect();
+        self.n_awaited -= n_awaited(&taken);
+        let records: Vec<_> = taken.into_iter().map(|waiting| waiting.record).collect();
+        // A batch that goes ahead of the spacing must not delay the claims after it.
+        if self.spaced_due() <= now {
+            self.last_sent = now;
+        }
+        self.paced_until = self.limits.batch_delay.pace(self.paced_until, now);
         self.oldest = now;
-        self.last_sent = now;
         self.in_flight.push(SentBatch {
             batch,
             records: records.clone(),
@@ -116,7 +161,15 @@
     /// Removes the queued records of an attempt; returns whether there were any.
     pub fn remove_queued(&mut self, attempt: AttemptId) -> bool {
         let n_before = self.waiting.len();
-        self.waiting.retain(|record| record.attempt != attempt);
+        self.waiting
+            .retain(|waiting| waiting.record.attempt != attempt);
+        self.n_awaited = n_awaited(&self.waiting);
         self.waiting.len() < n_before
     }
 }
+
+fn n_awaited<'a>(records: impl IntoIterator<Item = &'a WaitingRecord>) -> usize {
+    let records = records.into_iter();
+    let awaited = records.filter(|waiting| waiting.urgency == AppendUrgency::Awaited);
+    awaited.count()
+}
--- a/src/process/orders/batch_delay.rs
+++ b/src/process/orders/batch_delay.rs
@@ -21,4 +21,25 @@
             Self::Spaced(interval) => oldest.max(last_sent + interval),
         }
     }
+
+    /// Returns when a batch may be sent that holds a record whose acknowledgement a caller waits
+    /// for. Spaced appends may go up to one interval ahead of their average rate for it.
+    pub fn awaited_due(self, oldest: Timestamp, paced_until: Timestamp) -> Timestamp {
+        match self {
+            Self::Fixed(delay) => oldest + delay,
+            Self::Spaced(interval) => oldest.max(paced_until - interval),
+        }
+    }
+
+    /// Returns until when all appends use up the average rate, given that this was `paced_until`
+    /// before an append at `now`.
+    pub fn pace(self, paced_until: Timestamp, now: Timestamp) -> Timestamp {
+        match self {
+            Self::Fixed(_) => now,
+            Self::Spaced(interval) => {
+                let paced = paced_until.max(now) + interval;
+                paced.min(now + interval * 2)
+            }
+        }
+    }
 }
--- a/src/process/orders/entry.rs
+++ b/src/process/orders/entry.rs
@@ -272,7 +272,8 @@
 
     fn on_log(&mut self, now: Timestamp, event: LogEvent, actions: &mut EntryActions) {
         match self.log.on_event(now, event) {
-            None => {}
+            // A void counts once it is read back as the first record of its key.
+            None | Some(LogUpdate::RecordsAppended(_)) => {}
             Some(LogUpdate::KeysChanged { shard, keys }) => {
                 for (try_id, key) in self.tries_in(shard, keys.as_deref()) {
                     let state = self.log.state_of(&key);
--- a/src/process/orders/holder.rs
+++ b/src/process/orders/holder.rs
@@ -13,7 +13,7 @@
 use super::record::{
     AttemptId, OrderChange, OrderClaim, OrderRecord, OrderSettlement, SettlementAuthor,
 };
-use super::reply::{KeyHistory, OrderReply, ReplyReason};
+use super::reply::{KeyHistory, KeyUse, OrderReply, ReplyReason};
 use super::settings::OrderSettings;
 use super::shard::OrderShard;
 
@@ -150,6 +150,8 @@
     Running,
     /// The order was sent to the target, and the deadline passed: the caller has its reply.
     RunningLate,
+    /// The order ended and its settlement is being appended; the caller waits for that.
+    Settling,
     /// Another attempt holds the claim.
     Following,
     /// The caller has its reply and the order never starts, but a claim may still appear.
@@ -291,6 +293,11 @@
                     self.evaluate(now, attempt, actions);
                 }
             }
+            Some(LogUpdate::RecordsAppended(records)) => {
+                for record in records {
+                    self.on_record_appended(record, actions);
+                }
+            }
             Some(LogUpdate::RecordsFailed { records, fault }) => {
                 for record in records {
                     self.on_record_failed(now, record, fault, actions);
@@ -324,6 +331,14 @@
             (_, KeyState::NotCovered) => {}
             (HeldPhase::Waiting, KeyState::Free) => self.claim(now, attempt),
             (_, KeyState::Free) => {}
+            (HeldPhase::Settling, KeyState::Settled { settlement, .. }) => {
+                // An operator's finding gives way to the settlement on its way.
+                if settlement.by == self.author() {
+                    self.log.remove_queued(&held.request.key, attempt);
+                    self.reply_settled(attempt, &settlement, actions);
+                }
+            }
+            (HeldPhase::Settling, _) => {}
             (HeldPhase::Claiming, KeyState::Claimed(claim)) if self.is_own(attempt, &claim) => {
                 self.start(now, attempt, &claim, actions);
             }
@@ -376,8 +391,9 @@
         };
         if held.request.deadline <= now {
             self.held.remove(&attempt);
-            let settlement = self.settle_not_run(now, claim);
-            let reply = OrderReply::settled(&settlement);
+            self.settle_not_run(now, claim);
+            let reason = ReplyReason::ClaimUnresolved;
+            let reply = OrderReply::unknown(reason, self.settings.retry_after);
             actions.push(HolderAction::Reply { attempt, reply });
             return;
         }
@@ -393,16 +409,15 @@
 
     /// Settles an own claim as not run: its order was not started and never will be, because the
     /// attempt is no longer held.
-    fn settle_not_run(&mut self, now: Timestamp, claim: &OpenClaim) -> OrderSettlement {
+    fn settle_not_run(&mut self, now: Timestamp, claim: &OpenClaim) {
         assert!(
             self.started.get(&claim.key) != Some(&claim.attempt),
             "a started order is never settled as not started"
         );
         let settlement = self.settlement(RequestOutcome::NotRun, None);
-        let change = OrderChange::Settle(settlement.clone());
+        let change = OrderChange::Settle(settlement);
         let record = OrderRecord::new(claim.key.clone(), claim.attempt, change);
         self.log.push(now, record);
-        settlement
     }
 
     /// Replies to an attempt whose key is decided by another record; while that record is an open
@@ -424,10 +439,14 @@
         OrderSettlement {
             outcome,
             answer,
-            by: SettlementAuthor::Agent {
-                agent: self.identity.agent.clone(),
-                incarnation: self.identity.incarnation,
-            },
+            by: self.author(),
+        }
+    }
+
+    fn author(&self) -> SettlementAuthor {
+        SettlementAuthor::Agent {
+            agent: self.identity.agent.clone(),
+            incarnation: self.identity.incarnation,
         }
     }
 
@@ -438,20 +457,55 @@
         settlement: OrderSettlement,
         actions: &mut HolderActions,
     ) {
-        let is_running = |held: &HeldOrder| held.phase.is_running();
-        if !self.held.get(&attempt).is_some_and(is_running) {
+        let Some(held) = self.held.get_mut(&attempt) else {
             return;
+        };
+        let reply = OrderReply::settled(&settlement);
+        let change = OrderChange::Settle(settlement);
+        let record = OrderRecord::new(held.request.key.clone(), attempt, change);
+        match held.phase {
+            HeldPhase::Running if reply.key_use == KeyUse::Closed => {
+                // An outcome that closes the key must survive a loss of this process.
+                held.phase = HeldPhase::Settling;
+                self.log.push_awaited(now, record);
+            }
+            HeldPhase::Running => {
+                self.held.remove(&attempt);
+                self.log.push(now, record);
+                actions.push(HolderAction::Reply { attempt, reply });
+            }
+            HeldPhase::RunningLate => {
+                self.held.remove(&attempt);
+                self.log.push(now, record);
+            }
+            _ => {}
         }
-        let Some(held) = self.held.remove(&attempt) else {
+    }
+
+    fn on_record_appended(&mut self, record: OrderRecord, actions: &mut HolderActions) {
+        let OrderChange::Settle(settlement) = record.change else {
             return;
         };
-        if held.phase == HeldPhase::Running {
-            let reply = OrderReply::settled(&settlement);
-            actions.push(HolderAction::Reply { attempt, reply });
+        if self.is_settling(record.attempt) {
+            self.reply_settled(record.attempt, &settlement, actions);
         }
-        let change = OrderChange::Settle(settlement);
-        let record = OrderRecord::new(held.request.key, attempt, change);
-        self.log.push(now, record);
+    }
+
+    fn is_settling(&self, attempt: AttemptId) -> bool {
+        let held = self.held.get(&attempt);
+        held.is_some_and(|held| held.phase == HeldPhase::Settling)
+    }
+
+    /// Replies with a settlement that is in the stream.
+    fn reply_settled(
+        &mut self,
+        attempt: AttemptId,
+        settlement: &OrderSettlement,
+        actions: &mut HolderActions,
+    ) {
+        self.held.remove(&attempt);
+        let reply = OrderReply::settled(settlement);
+        actions.push(HolderAction::Reply { attempt, reply });
     }
 
     fn on_record_failed(
@@ -463,7 +517,11 @@
     ) {
         if !matches!(record.change, OrderChange::Claim(_)) {
             // A duplicate settlement has no effect.
-            self.log.push(now, record);
+            if self.is_settling(record.attempt) {
+                self.log.push_awaited(now, record);
+            } else {
+                self.log.push(now, record);
+            }
             return;
         }
         let attempt = record.attempt;
@@ -571,6 +629,13 @@
                 let reply = OrderReply::unknown(ReplyReason::StillRunning, retry_after);
                 actions.push(HolderAction::Reply { attempt, reply });
             }
+            HeldPhase::Settling => {
+                // The settlement stays queued, and a later ask gets it from the stream.
+                self.held.remove(&attempt);
+                let retry_after = self.settings.retry_after;
+                let reply = OrderReply::unknown(ReplyReason::ClaimOpen, retry_after);
+                actions.push(HolderAction::Reply { attempt, reply });
+            }
             HeldPhase::RunningLate | HeldPhase::Abandoned | HeldPhase::Refused => {}
         }
     }
@@ -604,8 +669,4 @@
     fn is_live(self) -> bool {
         !matches!(self, Self::Abandoned | Self::Refused)
     }
-
-    fn is_running(self) -> bool {
-        matches!(self, Self::Running | Self::RunningLate)
-    }
 }
--- a/src/process/orders/order_log.rs
+++ b/src/process/orders/order_log.rs
@@ -54,6 +54,8 @@
         /// The keys, or `None` for all keys of the shard.
         keys: Option<Vec<OrderKey>>,
     },
+    /// An append was acknowledged: its records are in the stream.
+    RecordsAppended(Vec<OrderRecord>),
     /// An append failed: its records were not written, or it is unknown whether they were.
     RecordsFailed {
         /// The records.
@@ -139,15 +141,23 @@
 
     /// Queues a record for an append to its shard.
     pub fn push(&mut self, now: Timestamp, record: OrderRecord) {
+        self.queue_of(&record.key).push(now, record);
+    }
+
+    /// Queues a record whose acknowledgement a caller waits for.
+    pub fn push_awaited(&mut self, now: Timestamp, record: OrderRecord) {
+        self.queue_of(&record.key).push_awaited(now, record);
+    }
+
+    fn queue_of(&mut self, key: &OrderKey) -> &mut AppendQueue {
         let limits = AppendLimits {
             max_batch: self.settings.max_batch,
             max_in_flight: self.settings.max_in_flight,
             batch_delay: self.settings.batch_delay,
         };
         self.queues
-            .entry(record.key.shard())
+            .entry(key.shard())
             .or_insert_with(|| AppendQueue::new(limits))
-            .push(now, record);
     }
 
     /// Removes the queued records of an attempt; returns whether there were any.
@@ -166,9 +176,9 @@
         match event {
             LogEvent::Appended { batch, .. } => {
                 let shard = self.batches.remove(&batch)?;
-                self.queues.get_mut(&shard)?.finish(batch)?;
+                let sent = self.queues.get_mut(&shard)?.finish(batch)?;
                 self.status = LogStatus::Up;
-                None
+                Some(LogUpdate::RecordsAppended(sent.records))
             }
             LogEvent::AppendFailed { batch, fault } => self.on_append_failed(now, batch, fault),
             LogEvent::ReadDone { read, page } => {
--- a/src/process/orders/reply.rs
+++ b/src/process/orders/reply.rs
@@ -162,7 +162,8 @@
     TargetLost,
     /// The target was still running at the deadline.
     StillRunning,
-    /// Another attempt holds the claim and was not settled before the deadline.
+    /// The claim was not settled before the deadline: another attempt holds it, or the log has not
+    /// acknowledged the outcome yet.
     ClaimOpen,
     /// The claim was not read back before the deadline.
     ClaimUnresolved,
--- a/tests/orders_random.rs
+++ b/tests/orders_random.rs
@@ -2,6 +2,8 @@
 //!
 //! Each case is a schedule of deliveries, losses, pauses, crashes and outages. The state machines
 //! assert at-most-once execution themselves; the simulated target checks it independently.
+//! What is told about a closed key must be what the stream alone gives at that time, and what every
+//! later ask gives, also where all agents have lost their power in between.
 //! `COMFREYHEAD_CASES` sets the number of cases per profile for a longer run.
 
 use std::cell::RefCell;
@@ -12,7 +14,7 @@
     AppendFault, AttemptId, BodyDigest, EntryAction, EntryEvent, EntryOrders, HolderAction,
     HolderEvent, HolderIdentity, KeyHistory, KeyUse, LogAction, LogEntry, LogEvent, LogPage,
     OrderAnswer, OrderHolder, OrderKey, OrderReply, OrderRequest, OrderSettings, OrderShard,
-    ReplyReason, TryId, TryRequest,
+    OrderWindow, ReplyReason, ShardFold, TryId, TryRequest,
 };
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -24,6 +26,9 @@
 const N_AGENTS: usize = 2;
 const N_ENTRIES: usize = 2;
 const CASES_PER_PROFILE: u32 = 2_500;
+/// The totals of asks that gave again what was told.
+const CONFIRMED: &str = "confirmed";
+const CONFIRMED_AFTER_LOSS: &str = "confirmed after a loss of power";
 const START: Timestamp = Timestamp::from_millis(1_700_000_000_000);
 
 #[derive(Clone, Debug)]
@@ -42,6 +47,14 @@
     LogUp,
 }
 
+/// How a schedule ends before all faults end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ScheduleEnd {
+    Orderly,
+    /// All agents lose their power, with the appends that were on their way.
+    PowerLost,
+}
+
 /// The weight added to each kind of fault, and the longest advance of the clock.
 #[derive(Clone, Copy)]
 struct FaultProfile {
@@ -144,6 +157,8 @@
     keys: Vec<OrderKey>,
     ran_by: BTreeMap<OrderKey, AttemptId>,
     never_runs: BTreeSet<OrderKey>,
+    /// What callers were told about closed keys, by the body that they sent.
+    told: BTreeMap<(OrderKey, u8), OrderReply>,
     outcomes: BTreeMap<String, u64>,
 }
 
@@ -182,6 +197,7 @@
             keys: Vec::new(),
             ran_by: BTreeMap::new(),
             never_runs: BTreeSet::new(),
+            told: BTreeMap::new(),
             outcomes: BTreeMap::new(),
         }
     }
@@ -284,6 +300,16 @@
         } else {
             KeyHistory::Repeat
         };
+        self.submit_order(entry, key, body, history);
+    }
+
+    fn submit_order(
+        &mut self,
+        entry: usize,
+        key: OrderKey,
+        body: u8,
+        history: KeyHistory,
+    ) -> TryId {
         let try_id = TryId(self.callers.len() as u64 + 1);
         let request = TryRequest {
             key: key.clone(),
@@ -304,6 +330,7 @@
         };
         self.callers.insert(try_id, caller);
         self.entry_event(entry, EntryEvent::Submitted { try_id, request });
+        try_id
     }
 
     /// Creates a key; the clocks of callers differ from the log service's by up to ten seconds.
@@ -344,8 +371,9 @@
                 HolderAction::Log(action) => log_message(sender, action),
                 HolderAction::Run { attempt, .. } => Message::Run(sender, attempt, Report::Awaited),
                 HolderAction::Reply { attempt, reply } => {
-                    let key = self.dispatched[&attempt].order.key.clone();
-                    self.check_reply(&key, &reply);
+                    let order = &self.dispatched[&attempt].order;
+                    let (key, digest) = (order.key.clone(), order.digest);
+                    self.check_reply(&key, digest, &reply);
                     Message::Reply(attempt, reply)
                 }
             };
@@ -400,12 +428,35 @@
         caller.reply = Some(reply.clone());
         let name = format!("{}/{}", reply.outcome, reply.reason);
         *self.outcomes.entry(name).or_default() += 1;
-        let key = caller.key.clone();
-        self.check_reply(&key, reply);
+        let (key, body) = (caller.key.clone(), caller.body);
+        self.check_reply(&key, digest_of(body), reply);
+        if reply.key_use == KeyUse::Closed {
+            let told = self.told.entry((key, body));
+            let before = told.or_insert_with(|| reply.clone());
+            assert_eq!(before, reply, "a closed key always gets the same outcome");
+        }
+    }
+
+    /// Returns what the stream alone tells about a key.
+    fn stored_reply(&self, key: &OrderKey, digest: BodyDigest) -> Option<OrderReply> {
+        let mut fold = ShardFold::starting_at(OrderWindow::default(), LogOffset(1));
+        for entry in self.log.streams.get(&key.shard()).into_iter().flatten() {
+            fold.apply(entry.offset, entry.at, &entry.value);
+        }
+        fold.state_of(key)
+            .reply_to(digest, OrderSettings::default().retry_after)
     }
 
     /// Checks a reply against the runs so far and records the keys that must never run later.
-    fn check_reply(&mut self, key: &OrderKey, reply: &OrderReply) {
+    fn check_reply(&mut self, key: &OrderKey, digest: BodyDigest, reply: &OrderReply) {
+        if reply.key_use == KeyUse::Closed {
+            let stored = self.stored_reply(key, digest);
+            let stored = stored.expect("a closed key is decided in the stream");
+            assert!(
+                stored.reason == ReplyReason::KeyExpired || stored == *reply,
+                "told {reply:?} with {stored:?} in the stream"
+            );
+        }
         let ran_by = self.ran_by.get(key);
         match reply.outcome {
             RequestOutcome::NotRun if reply.key_use == KeyUse::Closed => {
@@ -600,6 +651,38 @@
         }
     }
 
+    /// Takes the power of all agents; what was on its way from them to the log is lost.
+    fn lose_power(&mut self) {
+        for agent in 0..N_AGENTS {
+            self.crash_agent(agent);
+        }
+        let is_lost = |message: &Message| matches!(message, Message::Append(Sender::Agent(..), ..));
+        self.messages.retain(|message| !is_lost(message));
+    }
+
+    /// Asks again about every closed key, through agents that know only the stream; returns how many
+    /// asks gave the outcome that was told.
+    fn confirm_told(&mut self) -> u64 {
+        self.lose_power();
+        let told = self.told.clone();
+        let asks: Vec<_> = told
+            .keys()
+            .map(|(key, body)| self.submit_order(0, key.clone(), *body, KeyHistory::Repeat))
+            .collect();
+        self.drain();
+        let mut n_confirmed = 0;
+        for (before, ask) in told.values().zip(asks) {
+            let reply = self.callers[&ask].reply.as_ref().expect("a reply");
+            let is_expired = reply.reason == ReplyReason::KeyExpired;
+            assert!(
+                is_expired || before == reply,
+                "told {before:?}, then {reply:?}"
+            );
+            n_confirmed += u64::from(!is_expired);
+        }
+        n_confirmed
+    }
+
     /// Ends all faults and lets everything come to its end.
     fn drain(&mut self) {
         self.log.is_down = false;
@@ -682,17 +765,15 @@
     let mut runner = TestRunner::new_with_rng(config, rng);
     let totals = RefCell::new(BTreeMap::new());
     let result = runner.run(&vec(any_step(profile), 40..160), |steps| {
-        let mut simulation = Simulation::new();
-        for step in &steps {
-            simulation.step(step);
-        }
-        simulation.drain();
-        simulation.check_end();
+        let orderly = run_schedule(&steps, ScheduleEnd::Orderly);
+        let lost = run_schedule(&steps, ScheduleEnd::PowerLost);
         let mut totals = totals.borrow_mut();
-        for (outcome, n) in &simulation.outcomes {
+        for (outcome, n) in &orderly.outcomes {
             *totals.entry(outcome.clone()).or_default() += n;
         }
-        *totals.entry("runs".to_owned()).or_default() += simulation.ran_by.len() as u64;
+        *totals.entry("runs".to_owned()).or_default() += orderly.n_runs;
+        *totals.entry(CONFIRMED.to_owned()).or_default() += orderly.n_confirmed;
+        *totals.entry(CONFIRMED_AFTER_LOSS.to_owned()).or_default() += lost.n_confirmed;
         Ok(())
     });
     if let Err(err) = result {
@@ -700,9 +781,35 @@
     }
     let totals = totals.into_inner();
     println!("seed {seed}, {} cases: {totals:#?}", n_cases());
+    assert!(0 < totals[CONFIRMED] && 0 < totals[CONFIRMED_AFTER_LOSS]);
     totals
 }
 
+/// How the tries of one case ended.
+struct CaseResult {
+    outcomes: BTreeMap<String, u64>,
+    n_runs: u64,
+    n_confirmed: u64,
+}
+
+fn run_schedule(steps: &[SimulationStep], end: ScheduleEnd) -> CaseResult {
+    let mut simulation = Simulation::new();
+    for step in steps {
+        simulation.step(step);
+    }
+    match end {
+        ScheduleEnd::Orderly => {}
+        ScheduleEnd::PowerLost => simulation.lose_power(),
+    }
+    simulation.drain();
+    simulation.check_end();
+    CaseResult {
+        outcomes: simulation.outcomes.clone(),
+        n_runs: simulation.ran_by.len() as u64,
+        n_confirmed: simulation.confirm_told(),
+    }
+}
+
 fn n_of(totals: &BTreeMap<String, u64>, outcome: RequestOutcome, reason: ReplyReason) -> u64 {
     let n = totals.get(&format!("{outcome}/{reason}"));
     n.copied().unwrap_or(0)
