Give the grace after an outage also where a peer read the store first

What callers saw: after an outage of the store of little over 1.6 s an entry that takes the store's records from a peer removed live targets whose records had lapsed.

Cause: such an entry learned of the outage only if a tick fell between the age of 1.6 s and the first heartbeat of a peer that had read the store again.

Evidence: target_that_lapsed_in_an_outage_stays_if_a_peer_read_the_store_first failed before (1.7 s, no tick) and passes now. The tests of outages without a tick now let the time pass, as their arrangement had shown the outage by itself.

Change: the latest known read of the store is kept; a later one that is 1.6 s or more after it ends an outage, seen or not.

--- a/fleet/src/process/replica_tables.rs
+++ b/fleet/src/process/replica_tables.rs
@@ -14,6 +14,8 @@
     pub(super) roster: TargetRoster,
     pub(super) peers: PeerTable,
     pub(super) store_lost: bool,
+    /// The latest time at which this entry or any peer is known to have read the store.
+    pub(super) store_known_at: Option<Instant>,
     pub(super) store_regained_at: Option<Instant>,
     /// When this entry first learned of the present era; `None` in a store's first era.
     pub(super) era_seen_at: Option<Instant>,
--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -475,15 +475,22 @@
             return;
         };
         let is_lost = known_at + STORE_LOST_AGE <= now;
-        if is_lost == inner.store_lost {
-            return;
+        // Detects an outage that ended between two updates.
+        let was_lost = inner.store_lost
+            || inner
+                .store_known_at
+                .is_some_and(|before| before + STORE_LOST_AGE <= known_at);
+        inner.store_known_at = inner.store_known_at.max(Some(known_at));
+        match (inner.store_lost, is_lost) {
+            (false, true) => {
+                warn!(log, "store lost"; "age_ms" => (now - known_at).as_millis() as u64);
+            }
+            (_, false) if was_lost => {
+                inner.store_regained_at = Some(now);
+                info!(log, "store regained");
+            }
+            _ => {}
         }
         inner.store_lost = is_lost;
-        if is_lost {
-            warn!(log, "store lost"; "age_ms" => (now - known_at).as_millis() as u64);
-        } else {
-            inner.store_regained_at = Some(now);
-            info!(log, "store regained");
-        }
     }
 }
--- a/fleet/tests/store_outage.rs
+++ b/fleet/tests/store_outage.rs
@@ -7,8 +7,8 @@
 
 use comfreyhead_fleet::catalog::RouteCatalog;
 use comfreyhead_fleet::forward::HeaderNames;
-use comfreyhead_fleet::mirror::{MirrorDelta, MirrorRecord, StoreEra};
-use comfreyhead_fleet::peers::StoreTopic;
+use comfreyhead_fleet::mirror::{MirrorDelta, MirrorRecord, StoreEra, StorePosition};
+use comfreyhead_fleet::peers::{PeerCopy, PeerHeartbeat, StoreTopic, TopicPosition};
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::process::{Decoders, EntryState, ProcessBounds, StoreReplica};
 use comfreyhead_fleet::routing::BudgetSettings;
@@ -19,6 +19,9 @@
 /// The time in which live targets write their records again.
 const RESTORE_TIME: Duration = Duration::from_secs(2);
 
+/// An age of the last read at which the store does not count as lost yet.
+const SOUND_AGE: Duration = Duration::from_millis(1_400);
+
 /// Whether the state that depends on time is updated while the store is away.
 #[derive(Clone, Copy, Debug)]
 enum OutageTick {
@@ -91,6 +94,26 @@
     (state, replica)
 }
 
+/// The heartbeat of a peer that has just read the store.
+fn reader_heartbeat(changed_end: StorePosition) -> PeerHeartbeat {
+    let position = TopicPosition {
+        changed_end,
+        age_ms: 10,
+    };
+    PeerHeartbeat {
+        sender: 2,
+        zone: "a".to_owned(),
+        draining: false,
+        for_zone: false,
+        version: None,
+        operator: position,
+        targets: position,
+        running: Vec::new(),
+        demand: Vec::new(),
+        results: Vec::new(),
+    }
+}
+
 fn is_routable(state: &EntryState, id: &str) -> bool {
     let excluded = [];
     let mut picks = (0..32).filter_map(|_| {
@@ -106,11 +129,14 @@
     records: &[(&str, u64, &str)],
 ) -> (Arc<EntryState>, StoreReplica) {
     let (state, replica) = replica();
-    let now = Instant::now();
-    let last_read_at = now.checked_sub(outage).expect("a time after the start");
+    let age = outage.min(SOUND_AGE);
+    let last_read_at = Instant::now()
+        .checked_sub(age)
+        .expect("a time after the start");
     replica.apply_from_store(StoreTopic::Targets, delta(9, true, records), last_read_at);
+    std::thread::sleep(outage - age);
     match tick {
-        OutageTick::Seen => replica.tick(now),
+        OutageTick::Seen => replica.tick(Instant::now()),
         OutageTick::Unseen => {}
     }
     (state, replica)
@@ -202,3 +228,58 @@
     assert!(is_gone_at_once && !is_routable(&state, "gone"));
     assert!(is_routable(&state, "live"));
 }
+
+/// Guards against the removal of live targets by the copy of a peer that read the store first.
+#[test]
+fn target_that_lapsed_in_an_outage_stays_if_a_peer_read_the_store_first() {
+    let topic = StoreTopic::Targets;
+    for (outage, tick) in outages() {
+        let live = [("t", 1, "ready 81")];
+        let (state, replica) = replica_after_outage(outage, tick, &live);
+        let changed_end = StorePosition {
+            era: StoreEra(0),
+            offset: 11,
+        };
+        let reader = ([127, 0, 0, 2], 1).into();
+        let heartbeat = reader_heartbeat(changed_end);
+        replica.with_peers(|peers| peers.record_heartbeat(reader, heartbeat, Instant::now()));
+
+        let lapsed = PeerCopy {
+            delta: delta(11, false, &[("t", 10, "")]),
+            changed_end,
+            departed: Vec::new(),
+        };
+        replica.apply_from_peer(topic, lapsed);
+        let after = Instant::now();
+
+        assert!(is_routable(&state, "t"), "{outage:?} {tick:?}");
+        replica.tick(after + RESTORE_TIME);
+        assert!(!is_routable(&state, "t"), "{outage:?} {tick:?}: gone");
+    }
+}
+
+/// Guards against a grace for a removal that a peer read from a sound store.
+#[test]
+fn target_that_a_peer_saw_removed_from_a_sound_store_leaves_at_once() {
+    let topic = StoreTopic::Targets;
+    let (state, replica) = replica();
+    let known = [("gone", 1, "ready 81"), ("live", 2, "ready 82")];
+    replica.apply_from_store(topic, delta(3, true, &known), Instant::now());
+    let changed_end = StorePosition {
+        era: StoreEra(0),
+        offset: 4,
+    };
+    let reader = ([127, 0, 0, 2], 1).into();
+    let heartbeat = reader_heartbeat(changed_end);
+    replica.with_peers(|peers| peers.record_heartbeat(reader, heartbeat, Instant::now()));
+
+    let removed = PeerCopy {
+        delta: delta(4, false, &[("gone", 3, "")]),
+        changed_end,
+        departed: Vec::new(),
+    };
+    replica.apply_from_peer(topic, removed);
+
+    assert!(!is_routable(&state, "gone"));
+    assert!(is_routable(&state, "live"));
+}
