--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -1,5 +1,6 @@
 //! An entry that serves real TCP connections, and targets that follow a script.
 
+mod answer;
 mod caller_connection;
 mod flood;
 mod silence;
@@ -23,6 +24,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 
+pub use answer::{Answer, read_answer};
 pub use caller_connection::{hold, kept_request, runtime_apart};
 use flood::{FloodCount, write_flood};
 pub use silence::stream_route;
@@ -257,14 +259,6 @@
     address: SocketAddr,
 }
 
-/// What a caller received.
-pub struct Answer {
-    pub status: u16,
-    pub head: String,
-    pub body: String,
-    pub is_complete: bool,
-}
-
 fn header_names() -> HeaderNames {
     HeaderNames {
         attempt_id: HeaderName::from_static("x-id"),
@@ -445,33 +439,6 @@
     }
 }
 
-/// Reads an answer until the entry closes the connection.
-pub async fn read_answer(mut stream: TcpStream) -> Answer {
-    let mut bytes = Vec::new();
-    let ended = stream.read_to_end(&mut bytes).await.is_ok();
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-    let head = head.to_lowercase();
-    let status = head
-        .split(' ')
-        .nth(1)
-        .and_then(|status| status.parse().ok())
-        .unwrap_or(0);
-    let is_chunked = head.contains("transfer-encoding: chunked");
-    let is_complete = ended && (!is_chunked || body.ends_with("0\r\n\r\n"));
-    let body = if is_chunked {
-        dechunked(body)
-    } else {
-        body.to_owned()
-    };
-    Answer {
-        status,
-        head,
-        body,
-        is_complete,
-    }
-}
-
 fn budget(retries: f64) -> BudgetSettings {
     BudgetSettings {
         window: Duration::from_millis(1),
@@ -486,16 +453,3 @@
          authorization: Token {key}\r\nconnection: close\r\n\r\n"
     )
 }
-
-fn dechunked(mut body: &str) -> String {
-    let mut text = String::new();
-    while let Some((length, rest)) = body.split_once("\r\n") {
-        let length = usize::from_str_radix(length, 16).unwrap_or(0);
-        if length == 0 || rest.len() < length {
-            break;
-        }
-        text.push_str(&rest[..length]);
-        body = rest[length..].trim_start_matches("\r\n");
-    }
-    text
-}
