Give tests that run a whole process an address of their own

What was seen: endless_pull_is_cut_and_not_repeated_at_once failed twice in 64 runs, as no pull arrived.

Cause: the test asked for a free port, released it and gave it to the entry; another process took it meanwhile. With the entry's result shown, 27 of 192 runs, eight at a time, ended with "Address already in use".

Change: this test and many_queries.rs use a loopback address made from the process id, and check that the process still runs.

--- a/fleet/tests/endless_peer.rs
+++ b/fleet/tests/endless_peer.rs
@@ -45,6 +45,12 @@
     }
 }
 
+/// Returns an address that no other process binds: a port that was free a moment ago may be taken.
+fn own_address() -> SocketAddr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 101 + high, middle, low], 7_340))
+}
+
 fn entry_config(peer_address: SocketAddr) -> EntryConfig {
     let local: SocketAddr = "127.0.0.1:0".parse().unwrap();
     let name = HeaderName::from_static;
@@ -106,9 +112,7 @@
 #[tokio::test]
 async fn endless_pull_is_cut_and_not_repeated_at_once() {
     // Arrange
-    let entry_socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let entry_address = entry_socket.local_addr().unwrap();
-    drop(entry_socket);
+    let entry_address = own_address();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let socket = UdpSocket::bind(listener.local_addr().unwrap())
         .await
@@ -129,7 +133,7 @@
         }
     };
     let log = Logger::root(Discard, o!());
-    tokio::spawn(run_entry(entry_config(entry_address), call, log));
+    let entry = tokio::spawn(run_entry(entry_config(entry_address), call, log));
 
     // Act
     for _ in 0..20 {
@@ -139,6 +143,7 @@
     }
 
     // Assert
+    assert!(!entry.is_finished());
     let most_written = most_written.load(Ordering::Relaxed);
     assert_ne!(most_written, 0);
     assert!(most_written <= MAX_COPY + SOCKET_BYTES, "{most_written}");
--- a/fleet/tests/many_queries.rs
+++ b/fleet/tests/many_queries.rs
@@ -20,13 +20,17 @@
 /// How long the target keeps each call waiting.
 const CALL_TIME: Duration = Duration::from_millis(300);
 
+/// Returns an address that no other process binds: a port that was free a moment ago may be taken.
+fn own_address() -> SocketAddr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 111 + high, middle, low], 7_340))
+}
+
 // Guards against an agent whose memory is used up by the datagrams that it answers.
 #[tokio::test]
 async fn number_of_datagrams_answered_at_once_is_limited() {
     // Arrange
-    let bound = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let agent = bound.local_addr().unwrap();
-    drop(bound);
+    let agent = own_address();
     let n_calls = Arc::new(AtomicUsize::new(0));
     let most_calls = Arc::new(AtomicUsize::new(0));
     let (count, most) = (n_calls.clone(), most_calls.clone());
@@ -57,7 +61,7 @@
         life: 1,
     };
     let log = Logger::root(Discard, o!());
-    tokio::spawn(run_agent(config, target_call, store_call, log));
+    let running = tokio::spawn(run_agent(config, target_call, store_call, log));
     tokio::time::sleep(CALL_TIME / 3).await;
 
     // Act
@@ -72,6 +76,7 @@
     tokio::time::sleep(CALL_TIME / 3).await;
 
     // Assert
+    assert!(!running.is_finished());
     let at_once = most_calls.load(Ordering::Relaxed);
     assert!(at_once <= MAX_TASKS + OWN_CALLS, "{at_once}");
     // The agent answers again once those calls have ended.
