Yield while the input of refused callers is discarded

What callers saw: 16 callers that sent on without end after a refusal (413, 431, 400, 408) kept an entry from serving anybody else: a request beside them got 504 after 5.9 s.

Cause: waiting for a socket that always has input and reading it never yields, so that neither the limit of one second nor any other task of the runtime ran.

Change: the loop takes part in the scheduler's budget.

--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -223,6 +223,8 @@
     let discarding = async {
         let mut bytes = vec![0; DISCARD_LEN];
         while stream.readable().await.is_ok() {
+            // Neither wait yields while input is there, and other connections have to be served.
+            tokio::task::consume_budget().await;
             match stream.try_read(&mut bytes) {
                 Ok(0) => return,
                 Err(err) if err.kind() != ErrorKind::WouldBlock => return,
--- a/fleet/tests/forwarding/connections.rs
+++ b/fleet/tests/forwarding/connections.rs
@@ -427,3 +427,43 @@
     let n_accepted = n_accepted.load(Ordering::Relaxed);
     assert!(n_accepted <= 40, "{n_accepted}");
 }
+
+// Guards against refused callers that send on and keep the entry from serving anybody else.
+#[tokio::test]
+async fn callers_that_send_on_after_a_refusal_do_not_stop_the_others() {
+    let runtime = runtime_apart();
+    let target = target(2).await;
+    let entry = Entry::on_runtime(&runtime, route(CallKind::Safe), &[&target]).await;
+    let address = entry.address;
+    let floods: Vec<_> = (0..16)
+        .map(|_| std::thread::spawn(move || flood(address)))
+        .collect();
+    sleep(Duration::from_millis(100)).await;
+
+    let mut caller = entry.connect().await;
+    caller.send(&kept_request("r1")).await;
+    let answer = timeout(Duration::from_secs(10), caller.response()).await;
+
+    let answer = answer.expect("the_entry_answers");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    for flood in floods {
+        assert!(flood.join().unwrap(), "the_entry_closes_the_connection");
+    }
+}
+
+/// Sends a body without end; returns whether the entry ended the connection within 6 s.
+fn flood(address: std::net::SocketAddr) -> bool {
+    use std::io::Write;
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    let length = "\r\ncontent-length: 99000000000\r\n\r\n";
+    let head = kept_request("flood").replace("\r\n\r\n", length);
+    stream.write_all(head.as_bytes()).unwrap();
+    let part = vec![0; 4 << 20];
+    let end_at = std::time::Instant::now() + Duration::from_secs(6);
+    while std::time::Instant::now() < end_at {
+        if stream.write(&part).is_err() {
+            return true;
+        }
+    }
+    false
+}
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -256,7 +256,7 @@
 /// An entry that serves callers, with one route and one account.
 pub struct Entry {
     state: Arc<EntryState>,
-    address: SocketAddr,
+    pub address: SocketAddr,
 }
 
 fn header_names() -> HeaderNames {
