Count a stream's comments as no event

Cause: a comment counted as an event, so that it began the response and ended the silence.

Change: comments go out with the next event or the end of the stream, at most 16 KiB of them; more is cut like an event that is too long.

Evidence: stream_of_comments_without_end_is_served_by_another_target failed before; comments_of_a_stream_are_passed_on shows that the body stays whole.

--- a/fleet/src/forward/stream_relay.rs
+++ b/fleet/src/forward/stream_relay.rs
@@ -1,5 +1,7 @@
 //! Relay of one event stream that several targets may send in turn.
 
+use bytes::BytesMut;
+
 use crate::prelude::*;
 use crate::request::AttemptOutcome;
 
@@ -10,6 +12,9 @@
 /// The limit on one event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// The limit on the comments between two events, in bytes.
+const MAX_COMMENT_BYTES: usize = 16 << 10;
+
 /// The bytes of each event that may wait for a slow caller without drawing on the budget.
 const SMALL_EVENT: usize = 2 << 10;
 
@@ -21,6 +26,8 @@
     lease: ByteLease,
     cut: Option<ReadCut>,
     parser: EventParser,
+    /// The comments since the last event. They show no progress, so they go out with the next one.
+    comments: BytesMut,
     last_id: Option<u64>,
     has_ended: bool,
 }
@@ -42,6 +49,7 @@
             lease: ByteLease::new(budget, SMALL_READ),
             cut: None,
             parser: EventParser::default(),
+            comments: BytesMut::new(),
             last_id,
             has_ended: false,
         }
@@ -63,12 +71,20 @@
         response: &mut TargetResponse,
     ) -> Result<StreamEvent, RelayEnd> {
         loop {
-            if let Some(event) = self.parser.next_event() {
-                let event = self.lease_event(event)?;
-                return self.accept(event);
+            match self.parser.next_event() {
+                Some(comment) if comment.id.is_none() && !comment.has_data() => {
+                    self.keep_comment(&comment.bytes)?;
+                    continue;
+                }
+                Some(event) => {
+                    let event = self.with_comments(event);
+                    let event = self.lease_event(event)?;
+                    return self.accept(event);
+                }
+                None => {}
             }
             if self.has_ended {
-                return Err(self.response_end());
+                return self.response_end();
             }
             self.check_buffer().map_err(|cut| self.end_cut(cut))?;
             match response.next_chunk().await {
@@ -79,6 +95,30 @@
         }
     }
 
+    fn keep_comment(&mut self, bytes: &[u8]) -> Result<(), RelayEnd> {
+        self.comments.extend_from_slice(bytes);
+        if self.comments.len() <= MAX_COMMENT_BYTES {
+            return Ok(());
+        }
+        Err(self.end_cut(ReadCut {
+            n_read: self.comments.len(),
+            limit: MAX_COMMENT_BYTES,
+            scope: CutScope::Event,
+        }))
+    }
+
+    fn with_comments(&mut self, event: StreamEvent) -> StreamEvent {
+        if self.comments.is_empty() {
+            return event;
+        }
+        let mut bytes = std::mem::take(&mut self.comments);
+        bytes.extend_from_slice(&event.bytes);
+        StreamEvent {
+            bytes: bytes.freeze(),
+            ..event
+        }
+    }
+
     /// Draws what the parser buffers from the budget.
     fn check_buffer(&mut self) -> Result<(), ReadCut> {
         let n_read = self.parser.buffered();
@@ -124,10 +164,16 @@
         Ok(event)
     }
 
-    fn response_end(&self) -> RelayEnd {
-        match self.parser.has_incomplete_event() {
-            true => RelayEnd::Broken(AttemptOutcome::Unknown),
-            false => RelayEnd::Complete,
+    fn response_end(&mut self) -> Result<StreamEvent, RelayEnd> {
+        if self.parser.has_incomplete_event() {
+            return Err(RelayEnd::Broken(AttemptOutcome::Unknown));
         }
+        if self.comments.is_empty() {
+            return Err(RelayEnd::Complete);
+        }
+        Ok(StreamEvent {
+            id: None,
+            bytes: std::mem::take(&mut self.comments).freeze(),
+        })
     }
 }
--- a/fleet/tests/forwarding/endless_target.rs
+++ b/fleet/tests/forwarding/endless_target.rs
@@ -249,3 +249,28 @@
     assert_eq!(entry.buffered(), 0);
     assert!(sound.requests().is_empty());
 }
+
+// Guards against a stream that is held by a target that sends only comments.
+#[tokio::test]
+async fn stream_of_comments_without_end_is_served_by_another_target() {
+    let start = format!("HTTP/1.1 200 OK\r\n{CHUNKED}");
+    let comments = chunk(&": still here\n\n".repeat(64));
+    let flooding = target(Reply::Flood(start, comments, 100_000)).await;
+    let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let sound = target(Reply::stream(events)).await;
+    let route = long_route(CallKind::ResumableStream);
+    let entry = Entry::with_route(route, 1_000.0, &[&flooding, &sound]).await;
+    entry.disfavour(1);
+    let answer = entry.call("r1").await;
+    assert!(answer.is_complete);
+    assert_eq!(answer.body, events);
+}
+
+// Guards against a body that is changed because comments of a stream are left out.
+#[tokio::test]
+async fn comments_of_a_stream_are_passed_on() {
+    let events = ": first\n\nid: 1\ndata: a\n\n: more\n\nid: 2\ndata: b\n\n: last\n\n";
+    let sound = target(Reply::stream(events)).await;
+    let entry = Entry::start(CallKind::ResumableStream, &[&sound]).await;
+    assert_eq!(entry.call("r1").await.body, events);
+}
