--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -23,5 +23,6 @@
 pub use step_rpc::{MapRequest, PlanReport, StepEnvelope, StepRecipient};
 pub use work_message::{
     CANCEL_PATH, FinalLoad, LossReason, ORDER_PATH, OrderDispatch, RESUME_PATH, ResumeFailure,
-    SEQUENCE_HEADER, WORK_PATH, WorkKind, WorkLine, WorkRefusal, WorkRequest, WorkResume,
+    SEQUENCE_HEADER, WITHDRAW_PATH, WORK_PATH, WorkKind, WorkLine, WorkRefusal, WorkRequest,
+    WorkResume,
 };
--- a/src/connection/work_message.rs
+++ b/src/connection/work_message.rs
@@ -15,6 +15,8 @@
 pub const RESUME_PATH: &str = "/work/resume";
 /// The path on which an agent cancels work.
 pub const CANCEL_PATH: &str = "/work/cancel";
+/// The path on which an agent cancels work that has not started.
+pub const WITHDRAW_PATH: &str = "/work/withdraw";
 /// The path on which an agent accepts orders.
 pub const ORDER_PATH: &str = "/orders";
 /// The header that carries the sequence number of the agent's last load report.
--- a/src/process/agent/work_api.rs
+++ b/src/process/agent/work_api.rs
@@ -10,8 +10,8 @@
 
 use crate::connection::{
     CANCEL_PATH, ORDER_PATH, OrderDispatch, RESUME_PATH, ResponseBody, ResumeFailure,
-    SEQUENCE_HEADER, WORK_PATH, WorkLine, WorkRefusal, WorkRequest, WorkResume, bearer_token,
-    empty_reply, json_reply, read_body, stream_reply,
+    SEQUENCE_HEADER, WITHDRAW_PATH, WORK_PATH, WorkLine, WorkRefusal, WorkRequest, WorkResume,
+    bearer_token, empty_reply, json_reply, read_body, stream_reply,
 };
 use crate::prelude::*;
 use crate::process::routing::{CancelAnswer, RefusalReason, WorkCancel};
@@ -50,6 +50,7 @@
         WORK_PATH => with_body(&body, |work| offer(&process, serving, work)).await,
         RESUME_PATH => with_body(&body, |resume| resume_work(&process, serving, resume)).await,
         CANCEL_PATH => with_body(&body, |cancel| cancel_work(serving, cancel)).await,
+        WITHDRAW_PATH => with_body(&body, |cancel| withdraw_work(serving, cancel)).await,
         ORDER_PATH => with_body(&body, |order| dispatch_order(&process, serving, order)).await,
         _ => empty_reply(StatusCode::NOT_FOUND),
     }
@@ -119,6 +120,11 @@
     json_reply(StatusCode::OK, &answer)
 }
 
+async fn withdraw_work(serving: &ServingState, cancel: WorkCancel) -> Response<ResponseBody> {
+    let answer = serving.table.lock().withdraw(Timestamp::now(), &cancel);
+    json_reply(StatusCode::OK, &answer)
+}
+
 async fn dispatch_order(
     process: &Arc<AgentProcess>,
     serving: &ServingState,
--- a/src/process/agent/work_table.rs
+++ b/src/process/agent/work_table.rs
@@ -118,22 +118,25 @@
 
     /// Cancels work.
     pub(super) fn cancel(&mut self, now: Timestamp, cancel: &WorkCancel) -> CancelAnswer {
-        let answer = self.admission.cancel(now, cancel);
-        match answer {
-            CancelAnswer::Running => {
-                // A second reader means that the caller has resumed through another entry VM.
-                let run = self
-                    .runs
-                    .get(&cancel.work)
-                    .filter(|run| run.n_readers() < 2);
-                if let Some(run) = run {
-                    run.cancel.cancel();
-                }
+        let answer = self.withdraw(now, cancel);
+        if answer == CancelAnswer::Running {
+            // A second reader means that the caller has resumed through another entry VM.
+            let run = self
+                .runs
+                .get(&cancel.work)
+                .filter(|run| run.n_readers() < 2);
+            if let Some(run) = run {
+                run.cancel.cancel();
             }
-            CancelAnswer::NeverStarted => {
-                self.waiting.remove(&cancel.work);
-            }
-            CancelAnswer::Finished | CancelAnswer::Forgotten => {}
+        }
+        answer
+    }
+
+    /// Cancels work that has not started; running work goes on.
+    pub(super) fn withdraw(&mut self, now: Timestamp, cancel: &WorkCancel) -> CancelAnswer {
+        let answer = self.admission.cancel(now, cancel);
+        if answer == CancelAnswer::NeverStarted {
+            self.waiting.remove(&cancel.work);
         }
         answer
     }
--- a/src/process/entry/dispatch.rs
+++ b/src/process/entry/dispatch.rs
@@ -12,8 +12,8 @@
 use tokio_util::io::StreamReader;
 
 use crate::connection::{
-    CANCEL_PATH, RESUME_PATH, ResumeFailure, SEQUENCE_HEADER, WORK_PATH, WorkLine, WorkRefusal,
-    WorkRequest, WorkResume,
+    CANCEL_PATH, RESUME_PATH, ResumeFailure, SEQUENCE_HEADER, WITHDRAW_PATH, WORK_PATH, WorkLine,
+    WorkRefusal, WorkRequest, WorkResume,
 };
 use crate::prelude::*;
 use crate::process::membership::DispatchSignal;
@@ -133,19 +133,7 @@
     events: UnboundedSender<TrackerEvent>,
 ) {
     let attempt = location.work.attempt;
-    let limit = AnswerLimit {
-        time: AGENT_REPLY_TIMEOUT,
-        bytes: MAX_REPLY_BYTES,
-    };
-    let answer = match post(
-        &location,
-        CANCEL_PATH,
-        &cancel,
-        &process.settings.tokens.peer,
-    ) {
-        Ok(request) => process.work_client.json(request, limit).await,
-        Err(err) => Err(err),
-    };
+    let answer = ask_agent(&process, &location, CANCEL_PATH, &cancel).await;
     let answer = answer.unwrap_or(CancelAnswer::Forgotten);
     finish_attempt(
         &process,
@@ -155,6 +143,41 @@
     let _ = events.send(TrackerEvent::CancelAnswered { attempt, answer });
 }
 
+/// Cancels an attempt if it has not started, and sends the proof of that to `events`.
+///
+/// Any other answer, or none, says nothing about the events that may still come.
+pub(super) async fn withdraw_work(
+    process: Arc<EntryProcess>,
+    location: AttemptLocation,
+    cancel: WorkCancel,
+    events: UnboundedSender<TrackerEvent>,
+) {
+    let attempt = location.work.attempt;
+    let answer = ask_agent(&process, &location, WITHDRAW_PATH, &cancel).await;
+    if let Ok(answer @ CancelAnswer::NeverStarted) = answer {
+        finish_attempt(
+            &process,
+            &location,
+            DispatchResult::Cancelled { sequence: 0 },
+        );
+        let _ = events.send(TrackerEvent::CancelAnswered { attempt, answer });
+    }
+}
+
+async fn ask_agent(
+    process: &EntryProcess,
+    location: &AttemptLocation,
+    path: &str,
+    cancel: &WorkCancel,
+) -> Result<CancelAnswer, HttpFailure> {
+    let limit = AnswerLimit {
+        time: AGENT_REPLY_TIMEOUT,
+        bytes: MAX_REPLY_BYTES,
+    };
+    let request = post(location, path, cancel, &process.settings.tokens.peer)?;
+    process.work_client.json(request, limit).await
+}
+
 /// Records what a dispatch revealed about an agent's state.
 fn record_signal(
     process: &EntryProcess,
--- a/src/process/entry/request_run.rs
+++ b/src/process/entry/request_run.rs
@@ -19,12 +19,12 @@
 use crate::version::config::TargetRole;
 
 use super::answer_resume::ResumeToken;
-use super::dispatch::{AttemptLocation, cancel_work, resume_work, send_work};
+use super::dispatch::{AttemptLocation, cancel_work, resume_work, send_work, withdraw_work};
 use super::entry_process::EntryProcess;
 
 /// The maximum number of answer parts buffered for a slow caller.
 pub(super) const MAX_BUFFERED_PARTS: usize = 256;
-/// How long before the deadline work that has sent no event is cancelled, so that the agent can
+/// How long before the deadline work that has sent no event is withdrawn, so that the agent can
 /// still prove that it did not run.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
 /// How long a stream can be resumed after its caller disconnected, before it is cancelled.
@@ -216,6 +216,7 @@
                     self.dispatch(work, target, incarnation, from);
                 }
                 TrackerAction::Resume { work, from, .. } => self.resume(work, from),
+                TrackerAction::Withdraw { work, .. } => self.withdraw(work),
                 TrackerAction::Cancel { work, .. } => self.cancel(work),
                 TrackerAction::RetryLater { delay } => {
                     self.process.metrics.retries.inc();
@@ -351,18 +352,34 @@
         tokio::spawn(resume_work(process, location, resume, self.events.clone()));
     }
 
+    fn withdraw(&self, work: WorkId) {
+        if let Some((location, cancel)) = self.cancellation(work) {
+            let process = Arc::clone(&self.process);
+            tokio::spawn(withdraw_work(
+                process,
+                location,
+                cancel,
+                self.events.clone(),
+            ));
+        }
+    }
+
     fn cancel(&self, work: WorkId) {
-        let Some(location) = self.locations.get(&work.attempt).cloned() else {
-            return;
-        };
+        if let Some((location, cancel)) = self.cancellation(work) {
+            let process = Arc::clone(&self.process);
+            tokio::spawn(cancel_work(process, location, cancel, self.events.clone()));
+        }
+    }
+
+    fn cancellation(&self, work: WorkId) -> Option<(AttemptLocation, WorkCancel)> {
+        let location = self.locations.get(&work.attempt)?.clone();
         let cancel = WorkCancel {
             work,
             incarnation: location.incarnation,
             entry: self.process.name.clone(),
             accepted_at: self.request.accepted_at,
         };
-        let process = Arc::clone(&self.process);
-        tokio::spawn(cancel_work(process, location, cancel, self.events.clone()));
+        Some((location, cancel))
     }
 
     async fn deliver(&mut self, event: WorkEvent) {
--- a/src/request/request_tracker.rs
+++ b/src/request/request_tracker.rs
@@ -377,7 +377,13 @@
     fn on_deadline_near(&mut self, actions: &mut TrackerActions) {
         let is_unanswered = self.assembler.resume_point().index == 0;
         if self.phase == TrackerPhase::InFlight && is_unanswered {
-            self.cancel_all(actions);
+            for attempt in self.in_flight() {
+                let TrackedAttempt { target, .. } = &self.attempts[attempt as usize - 1];
+                actions.push(TrackerAction::Withdraw {
+                    work: self.work(attempt),
+                    target: target.clone(),
+                });
+            }
         }
     }
 
@@ -521,13 +527,15 @@
     }
 
     fn cancel_all(&self, actions: &mut TrackerActions) {
-        for attempt in 1..=self.attempts.len() as u32 {
-            if self.is_in_flight(attempt) {
-                actions.push(self.cancel(attempt));
-            }
+        for attempt in self.in_flight() {
+            actions.push(self.cancel(attempt));
         }
     }
 
+    fn in_flight(&self) -> impl Iterator<Item = u32> {
+        (1..=self.attempts.len() as u32).filter(|&attempt| self.is_in_flight(attempt))
+    }
+
     fn cancel(&self, attempt: u32) -> TrackerAction {
         TrackerAction::Cancel {
             work: self.work(attempt),
--- a/src/request/tracker_event.rs
+++ b/src/request/tracker_event.rs
@@ -54,7 +54,7 @@
     RetryDue,
     /// The hedging delay of a lookup has elapsed: it is slow enough for a second attempt.
     HedgeDue,
-    /// The deadline is so near that only a cancellation can still prove that nothing ran.
+    /// The deadline is so near that only a withdrawal can still prove that nothing ran.
     DeadlineNear,
     /// The deadline has passed.
     DeadlinePassed,
@@ -90,6 +90,13 @@
         /// The point to resume from.
         from: ResumePoint,
     },
+    /// Cancel an attempt if it has not started.
+    Withdraw {
+        /// The attempt.
+        work: WorkId,
+        /// The target.
+        target: TargetName,
+    },
     /// Cancel an attempt.
     Cancel {
         /// The attempt.
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -262,6 +262,23 @@
     assert_eq!(end.outcome, RequestOutcome::NotRun);
 }
 
+#[test]
+fn running_work_is_not_cancelled_before_its_deadline() {
+    let mut tracker = new_tracker(WorkRepetition::Repeatable);
+    step(&mut tracker, routed(0));
+    let events = answer_events(1, ResumePoint::default(), &["late"]);
+
+    let near = step(&mut tracker, TrackerEvent::DeadlineNear);
+    step(&mut tracker, TrackerEvent::Received(events[0].clone()));
+    let end = last_end(&mut tracker, TrackerEvent::Received(events[1].clone()));
+
+    assert!(
+        matches!(near[0], TrackerAction::Withdraw { .. }),
+        "{near:?}"
+    );
+    assert_eq!(end.outcome, RequestOutcome::Answered);
+}
+
 #[test]
 fn every_request_ends_in_one_correct_outcome_under_faults() {
     let mut runner = fixed_runner(200);
@@ -514,6 +531,7 @@
 #[derive(Clone, Debug)]
 enum AgentMessage {
     Offer(WorkOffer, ResumePoint),
+    Withdraw(WorkCancel),
     Cancel(WorkCancel),
     Resume(WorkCancel, ResumePoint),
 }
@@ -685,6 +703,10 @@
                     let message = AgentMessage::Resume(self.cancel_of(work), from);
                     self.send_to_agent(&target, work, message);
                 }
+                TrackerAction::Withdraw { work, target } => {
+                    let message = AgentMessage::Withdraw(self.cancel_of(work));
+                    self.send_to_agent(&target, work, message);
+                }
                 TrackerAction::Cancel { work, target } => {
                     let message = AgentMessage::Cancel(self.cancel_of(work));
                     self.send_to_agent(&target, work, message);
@@ -771,6 +793,7 @@
     fn receive_at_agent(&mut self, agent: usize, message: AgentMessage) {
         match message {
             AgentMessage::Offer(offer, from) => self.offer(agent, offer, from),
+            AgentMessage::Withdraw(cancel) => self.withdraw(agent, &cancel),
             AgentMessage::Cancel(cancel) => self.cancel(agent, &cancel),
             AgentMessage::Resume(cancel, from) => self.resume(agent, &cancel, &from),
         }
@@ -800,6 +823,17 @@
         self.act_at_agent(agent, &actions);
     }
 
+    fn withdraw(&mut self, agent: usize, cancel: &WorkCancel) {
+        let fake = &mut self.agents[agent];
+        let answer = fake.admission.cancel(self.now, cancel);
+        if answer == CancelAnswer::NeverStarted {
+            fake.buffers.remove(&cancel.work);
+            let attempt = cancel.work.attempt;
+            let event = TrackerEvent::CancelAnswered { attempt, answer };
+            self.send_to_entry(cancel.work, event);
+        }
+    }
+
     fn cancel(&mut self, agent: usize, cancel: &WorkCancel) {
         let fake = &mut self.agents[agent];
         let answer = fake.admission.cancel(self.now, cancel);
--- a/tests/whole_path/silence.rs
+++ b/tests/whole_path/silence.rs
@@ -3,6 +3,7 @@
 use comfreyhead::prelude::*;
 use comfreyhead_standins::{ServiceOptions, ServiceStandIn, expected_tokens};
 use futures::future::join_all;
+use serde_json::json;
 
 use crate::caller::{StreamedText, post, read_stream};
 use crate::fleet::{Fleet, FleetShape};
@@ -76,6 +77,27 @@
     assert_eq!(answer.body["call"], "stock", "{answer:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn lookup_that_takes_nearly_its_whole_time_is_answered() {
+    let fleet = Fleet::start(FleetShape {
+        entries: 1,
+        engines: 0,
+        services: 1,
+    })
+    .await;
+    let bearer = bearer();
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("x-request-timeout-ms", "1500"),
+    ];
+    fleet.services[0].set_delay(Duration::from_millis(1_350));
+
+    let answer = post(fleet.callers()[0], STOCK, &headers, "{}".to_owned()).await;
+
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.body["call"], json!("stock"), "{answer:?}");
+}
+
 async fn one_engine() -> Fleet {
     Fleet::start(FleetShape {
         entries: 1,
