Refuse a request that ends its targets, at all entries

Callers saw 502 for a request that ended each target which ran it, and 503 for those beside it while all targets of the service were down, again each time they came back.

Cause: nothing that a run did to its target outlived the attempt. An entry counts the runs of one attempt, a target's end is held against the target alone, and the same request gets 'attempts' fresh targets each time it comes, at any entry.

Now an entry that loses the connection to a target checks whether its address still accepts one. If not, the end is kept under the request's digest and told to the other entries in datagrams of their own, relayed by each. Three ends without an answer since make a request harmful: it is refused before it is sent, and not retried. An answer clears it, also one from before the ends that another entry saw, since popular requests run at several targets when these end together; no verdict is given before that entry can have told of it. After ten minutes one attempt at a time finds out whether it still holds.

--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -1,5 +1,6 @@
 //! One dispatch of a request to a target.
 
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -36,6 +37,8 @@
 pub struct TargetResponse {
     /// The head, as it is sent to the caller.
     pub head: ResponseHead,
+    /// Whether the body ends by its length or its chunks, not with the connection.
+    pub is_delimited: bool,
     body: Incoming,
     connection: PooledConnection,
     idle_timeout: Option<Duration>,
@@ -192,7 +195,11 @@
         return Err(AttemptOutcome::Unknown);
     }
     let idle_timeout = keep_alive_timeout(&parts.headers);
+    let is_delimited = [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| parts.headers.contains_key(name));
     Ok(TargetResponse {
+        is_delimited,
         head: ResponseHead::new(parts.status, parts.headers),
         body,
         connection,
--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -7,7 +7,7 @@
 use crate::expert::{KeeperVerdict, MapOrder, PassQuery, RankReport};
 use crate::mirror::StorePosition;
 use crate::prelude::*;
-use crate::routing::ResultCounts;
+use crate::routing::{ResultCounts, SuspectReport};
 
 /// A datagram from one process to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -27,6 +27,8 @@
     /// An agent's report to entries: the target at an address takes this many times as long as
     /// usual.
     Pace(SocketAddr, f32),
+    /// An entry's reports of requests that may have ended targets, to the other entries.
+    Suspects(Vec<SuspectReport>),
 }
 
 /// The part of a rank's state that is queried.
--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -147,7 +147,8 @@
             Some(PeerMessage::State(state)) => {
                 table.lock().record_state(from, *state, Instant::now());
             }
-            Some(PeerMessage::Beat(_) | PeerMessage::Pace(..)) | None => {
+            Some(PeerMessage::Beat(_) | PeerMessage::Pace(..) | PeerMessage::Suspects(_))
+            | None => {
                 debug!(log, "unexpected datagram"; "from" => %from, "len" => len);
             }
         }
--- /dev/null
+++ b/fleet/src/process/end_check.rs
@@ -0,0 +1,33 @@
+//! Finds out whether a target ended while it ran a request.
+
+use slog::{info, warn};
+
+use crate::forward::TargetCheck;
+use crate::prelude::*;
+use crate::request::CallDigest;
+use crate::routing::{TargetPick, name_hash};
+
+use super::entry_state::EntryState;
+
+/// A run of a request whose connection to the target has ended.
+pub(super) struct EndedRun {
+    pub(super) attempt_id: Arc<str>,
+    pub(super) digest: CallDigest,
+    pub(super) pick: TargetPick,
+}
+
+/// Checks whether the target of a run is still there, and holds its end against the request if not.
+pub(super) async fn check_end(state: &EntryState, run: &EndedRun) -> TargetCheck {
+    let check = state.pool.check(run.pick.address).await;
+    info!(state.log, "target checked"; "request" => &*run.attempt_id,
+        "target" => &*run.pick.id, "result" => ?check, "digest" => %run.digest);
+    if check == TargetCheck::Refuses {
+        let target = name_hash(&run.pick.id);
+        let now = Instant::now();
+        let n_ends = state.suspects.lock().record_end(run.digest, target, now);
+        warn!(state.log, "target ended"; "request" => &*run.attempt_id,
+            "target" => &*run.pick.id, "digest" => %run.digest, "ends" => n_ends);
+        state.metrics.target_ends.inc();
+    }
+    check
+}
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -12,14 +12,14 @@
 
 use crate::forward::{ByteBudget, HeaderNames, TargetPool};
 use crate::prelude::*;
-use crate::routing::{BudgetSettings, RetryBudget, RoutingTable};
+use crate::routing::{BudgetSettings, CrashSuspects, RetryBudget, RoutingTable};
 
 use super::drain::DrainState;
 use super::metrics::EntryMetrics;
 
 /// The tables that the tasks of an entry share.
 ///
-/// Lock order: `table`, then `budgets`, then `rng`. No lock is held across an await.
+/// Lock order: `table`, then `budgets`, then `rng`, then `suspects`. No lock is held across an await.
 #[derive(Debug)]
 pub struct EntryState {
     /// The platform's header names.
@@ -28,6 +28,8 @@
     pub catalog: ArcSwapOption<RouteCatalog>,
     /// Targets, load and limits.
     pub table: Mutex<RoutingTable>,
+    /// The requests that may have ended targets.
+    pub suspects: Mutex<CrashSuspects>,
     /// Connections to targets.
     pub pool: TargetPool,
     /// Notified whenever a request ends and a slot may be free.
@@ -85,6 +87,7 @@
             names,
             catalog: ArcSwapOption::empty(),
             table: Mutex::new(RoutingTable::new(zone)),
+            suspects: Mutex::new(CrashSuspects::new(Instant::now())),
             pool: TargetPool::default(),
             slot_freed: Notify::new(),
             n_entries: AtomicUsize::new(1),
--- a/fleet/src/process/metrics.rs
+++ b/fleet/src/process/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and latency histograms of an entry.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// The upper bounds of the latency buckets, in seconds; they cover the latency objectives of plain
@@ -34,6 +35,10 @@
     pub cut_reads: IntCounterVec,
     /// The number of targets that may receive requests.
     pub targets: IntGauge,
+    /// Targets that ended while they ran a request of this entry, once for each request.
+    pub target_ends: IntCounter,
+    /// The requests that may have ended targets, as known to this entry.
+    pub crash_suspects: IntGauge,
 }
 
 impl Default for EntryMetrics {
@@ -70,6 +75,11 @@
         registry
             .register(Box::new(latency.clone()))
             .expect("metrics_differ");
+        let target_ends = IntCounter::new("comfrey_target_ends", "Runs during which targets ended");
+        let target_ends = target_ends.expect("metric_names_are_valid");
+        registry
+            .register(Box::new(target_ends.clone()))
+            .expect("metrics_differ");
         Self {
             requests: counters("comfrey_requests", "Requests", &["kind", "outcome"]),
             dispatches: counters("comfrey_dispatches", "Dispatches to targets", &["outcome"]),
@@ -89,6 +99,8 @@
             buffered_bytes: gauge("comfrey_buffered_bytes", "Large bodies and events buffered"),
             cut_reads: counters("comfrey_cut_reads", "Inputs over a limit", &["sender"]),
             targets: gauge("comfrey_targets", "Targets that may get work"),
+            target_ends,
+            crash_suspects: gauge("comfrey_crash_suspects", "Requests that may end targets"),
             latency,
             registry,
         }
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod caller_server;
 mod connection_activity;
 mod drain;
+mod end_check;
 mod entry_run;
 mod entry_state;
 mod keeper_link;
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -12,7 +12,9 @@
 
 use crate::forward::ByteBudget;
 use crate::mirror::{MAX_COPY_BYTES, StoreEra, StorePosition};
-use crate::peers::{PeerCopy, PeerHeartbeat, PeerMessage, RankQuery, StoreTopic};
+use crate::peers::{
+    HeartbeatReceivers, PeerCopy, PeerHeartbeat, PeerMessage, RankQuery, StoreTopic,
+};
 use crate::prelude::*;
 use crate::routing::{PeerLoad, ROUND_PERIOD, RankStatus};
 
@@ -60,10 +62,17 @@
                 .then(|| peers.zone_heartbeat(&heartbeat, now));
             (receivers, zone_heartbeat)
         });
-        send_to_all(&socket, heartbeat, &receivers.own_heartbeat).await;
+        send_to_all(
+            &socket,
+            &PeerMessage::Beat(heartbeat),
+            &receivers.own_heartbeat,
+        )
+        .await;
         if let Some(zone_heartbeat) = zone_heartbeat {
-            send_to_all(&socket, zone_heartbeat, &receivers.zone_heartbeat).await;
+            let message = PeerMessage::Beat(zone_heartbeat);
+            send_to_all(&socket, &message, &receivers.zone_heartbeat).await;
         }
+        send_suspects(&state, &socket, &receivers).await;
         let n_entries = replica.with_peers(|peers| peers.len()) + 1;
         state.n_entries.store(n_entries, Ordering::Relaxed);
         heartbeat_idx += 1;
@@ -71,10 +80,25 @@
     }
 }
 
-async fn send_to_all(socket: &UdpSocket, heartbeat: PeerHeartbeat, receivers: &[SocketAddr]) {
-    let bytes = PeerMessage::Beat(heartbeat).encode();
+/// Sends what is due of the requests that may have ended targets.
+async fn send_suspects(state: &EntryState, socket: &UdpSocket, receivers: &HeartbeatReceivers) {
+    let reports = {
+        let mut suspects = state.suspects.lock();
+        state.metrics.crash_suspects.set(suspects.len() as i64);
+        suspects.take_reports(Instant::now())
+    };
+    if reports.is_empty() {
+        return;
+    }
+    let message = PeerMessage::Suspects(reports);
+    send_to_all(socket, &message, &receivers.own_heartbeat).await;
+    send_to_all(socket, &message, &receivers.zone_heartbeat).await;
+}
+
+async fn send_to_all(socket: &UdpSocket, message: &PeerMessage, receivers: &[SocketAddr]) {
+    let bytes = message.encode();
     for receiver in receivers {
-        // A datagram that cannot be sent counts as lost; the next heartbeat replaces it.
+        // A datagram that cannot be sent counts as lost; a later one replaces it.
         let _ = socket.send_to(&bytes, receiver).await;
     }
 }
@@ -136,6 +160,12 @@
                 }
                 replica.with_peers(|peers| peers.record_heartbeat(address, heartbeat, now));
             }
+            Some(PeerMessage::Suspects(reports)) => {
+                let mut suspects = state.suspects.lock();
+                for report in &reports {
+                    suspects.observe_report(report, now);
+                }
+            }
             Some(PeerMessage::Pace(target, pace)) => {
                 state.table.lock().observe_pace(target, pace, now);
             }
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -21,6 +21,9 @@
 
 /// Runs a call answered by one complete response.
 pub(super) async fn run(call: CallContext) -> Response<CallerBody> {
+    if let Some(refusal) = call.refusal(call.admit_suspect()) {
+        return refusal;
+    }
     let mut last_failure = None;
     let step = tokio::select! {
         biased;
@@ -157,6 +160,7 @@
     };
     drop(guard);
     let head = response.head.clone();
+    let is_delimited = response.is_delimited;
     response.keep_connection(&call.state.pool, &pick);
     if head.status == StatusCode::SERVICE_UNAVAILABLE
         || head.status == StatusCode::TOO_MANY_REQUESTS
@@ -173,5 +177,6 @@
         return Err(AttemptError::Failure((head, body)));
     }
     call.record(&pick, None);
+    call.record_answer(&pick, is_delimited);
     Ok((head, body))
 }
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -5,15 +5,18 @@
 use slog::{debug, info, warn};
 
 use crate::catalog::{Account, RouteError};
-use crate::forward::{ReadCut, RequestHead, ResponseHead, TargetCall, TargetResponse, call_target};
+use crate::forward::{
+    ReadCut, RequestHead, ResponseHead, TargetCall, TargetCheck, TargetResponse, call_target,
+};
 use crate::prelude::*;
 use crate::request::{
     AttemptOutcome, CallDigest, CallProgress, DeniedReason, NextStep, UnknownReason,
 };
 use crate::request::{next_step, stop_step};
-use crate::routing::{GROUP_RECOVERY_TIME, TargetPick};
+use crate::routing::{GROUP_RECOVERY_TIME, SuspectDecision, TargetPick};
 
 use super::caller_body::CallerBody;
+use super::end_check::{EndedRun, check_end};
 use super::entry_state::EntryState;
 use super::request_body::{leave_body_unread, read_body};
 use super::running_guard::RunningGuard;
@@ -79,10 +82,16 @@
         Ok(body) => body,
         Err(refusal) => return refusal.response(&state, &attempt_id),
     };
-    match admit_call(&state, head, body, received_at) {
-        Ok(call) if call.route.kind.is_stream() => stream_run::run(call).await,
-        Ok(call) => plain_run::run(call).await,
-        Err((answer, why)) => local_response(&state, &attempt_id, answer, why),
+    let call = match admit_call(&state, head, body, received_at) {
+        Ok(call) => call,
+        Err((answer, why)) => return local_response(&state, &attempt_id, answer, why),
+    };
+    if let Some(refusal) = call.refusal(call.check_suspect()) {
+        return refusal;
+    }
+    match call.route.kind.is_stream() {
+        true => stream_run::run(call).await,
+        false => plain_run::run(call).await,
     }
 }
 
@@ -248,10 +257,66 @@
     pub(super) async fn record_failure(&self, pick: &TargetPick, outcome: AttemptOutcome) {
         self.record(pick, Some(outcome));
         if outcome == AttemptOutcome::Broken {
-            let check = self.state.pool.check(pick.address).await;
-            info!(self.state.log, "target checked"; "request" => &*self.head.attempt_id,
-                "target" => &*pick.id, "result" => ?check, "digest" => %self.digest);
+            let (state, run) = (self.state.clone(), self.ended_run(pick));
+            // The check goes on if the caller leaves meanwhile; it fails only as the process ends.
+            let _ = tokio::spawn(async move { check_end(&state, &run).await }).await;
+        }
+    }
+
+    /// Records that a target answered the request completely.
+    ///
+    /// An answer that only the end of its connection completes may be one that broke off with its
+    /// target.
+    pub(super) fn record_answer(&self, pick: &TargetPick, is_delimited: bool) {
+        let digest = self.digest;
+        if is_delimited {
+            let now = Instant::now();
+            self.state.suspects.lock().record_answer(digest, now);
+            return;
+        }
+        let (state, run) = (self.state.clone(), self.ended_run(pick));
+        tokio::spawn(async move {
+            if check_end(&state, &run).await == TargetCheck::Accepts {
+                let now = Instant::now();
+                state.suspects.lock().record_answer(digest, now);
+            }
+        });
+    }
+
+    fn ended_run(&self, pick: &TargetPick) -> EndedRun {
+        EndedRun {
+            attempt_id: self.head.attempt_id.clone(),
+            digest: self.digest,
+            pick: pick.clone(),
+        }
+    }
+
+    /// Decides whether the request ends its targets, as known now.
+    fn check_suspect(&self) -> SuspectDecision {
+        let suspects = self.state.suspects.lock();
+        suspects.check(self.digest, Instant::now())
+    }
+
+    /// Decides the same for a request that is sent now; a probe counts as sent.
+    pub(super) fn admit_suspect(&self) -> SuspectDecision {
+        let decision = {
+            let mut suspects = self.state.suspects.lock();
+            suspects.admit(self.digest, Instant::now())
+        };
+        if decision == SuspectDecision::Probe {
+            info!(self.state.log, "probe"; "request" => &*self.head.attempt_id,
+                "digest" => %self.digest);
         }
+        decision
+    }
+
+    /// Returns the refusal of a request that ends its targets.
+    pub(super) fn refusal(&self, decision: SuspectDecision) -> Option<Response<CallerBody>> {
+        let SuspectDecision::Refused(after) = decision else {
+            return None;
+        };
+        let answer = LocalResponse::Refused(NotRunProof::never_sent(), after);
+        Some(self.local_response(answer, "ends its targets"))
     }
 
     /// Logs and counts a read from a target that exceeded a limit.
@@ -288,13 +353,14 @@
         let is_broken = table.is_group_broken(&self.service, now);
         drop(table);
         let budget = || !is_broken && self.state.draw_retry(&self.service, now);
-        let step = match has_target {
+        let is_harmful = self.state.suspects.lock().is_harmful(self.digest, now);
+        let step = match has_target && !is_harmful {
             true => next_step(&self.route, progress, outcome, self.time_left(), budget),
             false => stop_step(progress, outcome),
         };
         info!(self.state.log, "after a failed dispatch"; "request" => &*self.head.attempt_id,
             "sends" => progress.sends, "runs" => progress.possible_runs,
-            "connects" => progress.failed_connects, "step" => ?step);
+            "connects" => progress.failed_connects, "harmful" => is_harmful, "step" => ?step);
         step
     }
 
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -25,6 +25,10 @@
     if let Err(answer) = admit(&call).await {
         return call.local_response(answer, "no room in the group, or it does not serve");
     }
+    // Targets may have ended under the request while this attempt waited.
+    if let Some(refusal) = call.refusal(call.admit_suspect()) {
+        return refusal;
+    }
     let call = Arc::new(call);
     let mut source = StreamSource::new(call.clone());
     let first = tokio::select! {
@@ -146,7 +150,7 @@
                 }
             }
             Err(SourceEnd::Complete) => {
-                source.keep_connection();
+                source.complete();
                 return StreamEnd::Complete;
             }
             Err(SourceEnd::Broken(step)) => return StreamEnd::Broken(step),
--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -102,8 +102,8 @@
         self.stated_failure.take()
     }
 
-    /// Keeps the connection of a complete stream for later requests.
-    pub(super) fn keep_connection(&mut self) {
+    /// Records the answer of a complete stream, and keeps its connection for later requests.
+    pub(super) fn complete(&mut self) {
         let Some(run) = self.current.take() else {
             return;
         };
@@ -113,6 +113,7 @@
             response,
         } = run.dispatched;
         drop(guard);
+        self.call.record_answer(&pick, response.is_delimited);
         response.keep_connection(&self.call.state.pool, &pick);
     }
 
--- /dev/null
+++ b/fleet/src/routing/crash_suspect.rs
@@ -0,0 +1,211 @@
+//! One request that may have ended targets.
+
+use crate::prelude::*;
+use crate::request::CallDigest;
+
+use super::crash_suspects::SuspectDecision;
+use super::suspect_report::{EndReport, SuspectReport};
+
+/// The number of targets that end under a request from which it is harmful.
+const MIN_ENDS: usize = 3;
+
+/// The same for a request that was answered before: it is popular, and runs at several targets when
+/// they end together.
+const MIN_ENDS_ANSWERED: usize = 9;
+
+/// The most ends that are kept; the newest ones.
+const MAX_ENDS: usize = 12;
+
+/// How long an answer speaks for a request.
+const TRUST_MS: i64 = 600_000;
+
+/// The time after the first end before which no request is harmful: an entry that got it answered
+/// before learns of the end and tells the others, by way of three heartbeats between data centres.
+const VERDICT_DELAY_MS: i64 = 1_200;
+
+/// Two ends of one target within this time are the same end, reported by two entries or runs.
+const SAME_END_MS: i64 = 1_000;
+
+/// How long a harmful request is refused after the last target that ended under it.
+const REFUSAL_MS: i64 = 600_000;
+
+/// How long the ends under a request are kept; after the refusal, one more is enough to refuse it
+/// again.
+const SUSPECT_TTL_MS: i64 = 2 * REFUSAL_MS;
+
+/// How long before they are dropped ends are no longer reported, so that they do not come back from
+/// an entry that drops them a moment later.
+const REPORT_MARGIN_MS: i64 = 5_000;
+
+/// How long a suspect is kept after an answer cleared it, so that all entries learn of it.
+const CLEARED_TTL_MS: i64 = 10_000;
+
+/// How long a probe may take before another one may begin.
+const PROBE_TIMEOUT_MS: i64 = 30_000;
+
+/// How often a change is reported at once, as datagrams may be lost.
+const REPORTS_OF_CHANGE: u8 = 3;
+
+/// The time between two later reports of a harmful request, for entries that restart or were cut off.
+const HARMFUL_REPORT_MS: i64 = 500;
+
+/// The time between two later reports of any other suspect.
+const SUSPECT_REPORT_MS: i64 = 1_500;
+
+/// One request that may have ended targets. All times are in milliseconds of the table's clock.
+#[derive(Debug, Default)]
+pub(super) struct CrashSuspect {
+    /// The ends of targets that ran the request, the oldest first.
+    ends: SmallVec<[TargetEnd; 4]>,
+    answered_at: Option<i64>,
+    probe_until: Option<i64>,
+    /// The number of reports since the last change, up to `REPORTS_OF_CHANGE`.
+    n_reports: u8,
+    reported_at: Option<i64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct TargetEnd {
+    target: u32,
+    at: i64,
+}
+
+impl CrashSuspect {
+    /// Adds the end of a target, unless it is known.
+    pub(super) fn add_end(&mut self, target: u32, at: i64) {
+        let is_same = |end: &TargetEnd| end.target == target && (end.at - at).abs() < SAME_END_MS;
+        if self.ends.iter().any(is_same) {
+            return;
+        }
+        let idx = self.ends.partition_point(|end| end.at <= at);
+        if MAX_ENDS <= self.ends.len() {
+            if idx == 0 {
+                return;
+            }
+            self.ends.remove(0);
+            self.ends.insert(idx - 1, TargetEnd { target, at });
+        } else {
+            self.ends.insert(idx, TargetEnd { target, at });
+        }
+        self.n_reports = 0;
+    }
+
+    /// Records an answer, which clears the request of all ends before it.
+    pub(super) fn clear(&mut self, at: i64) {
+        let is_news = match (self.answered_at, self.last_end()) {
+            // A small difference comes from the way of the report.
+            (Some(old), Some(end)) => old < end && (end <= at || old + SAME_END_MS <= at),
+            (Some(_), None) => false,
+            (None, _) => true,
+        };
+        if is_news {
+            self.answered_at = Some(at);
+            self.n_reports = 0;
+        }
+    }
+
+    /// Returns the number of ends since the last answer.
+    pub(super) fn n_counted(&self) -> usize {
+        let ends = self.ends.iter();
+        ends.filter(|end| self.answered_at.is_none_or(|at| at < end.at))
+            .count()
+    }
+
+    /// Returns whether the request ends its targets, as far as this entry knows.
+    pub(super) fn is_harmful(&self, now: i64) -> bool {
+        let is_trusted = self.answered_at.is_some_and(|at| now < at + TRUST_MS);
+        let min_ends = if is_trusted {
+            MIN_ENDS_ANSWERED
+        } else {
+            MIN_ENDS
+        };
+        let n_counted = self.n_counted();
+        let first = self
+            .ends
+            .len()
+            .checked_sub(n_counted)
+            .and_then(|idx| self.ends.get(idx));
+        min_ends <= n_counted && first.is_some_and(|end| end.at + VERDICT_DELAY_MS <= now)
+    }
+
+    /// Decides whether the request may be sent.
+    pub(super) fn check(&self, now: i64) -> SuspectDecision {
+        if !self.is_harmful(now) {
+            return SuspectDecision::Clear;
+        }
+        let refused_until = self.last_end().unwrap_or(now) + REFUSAL_MS;
+        let until = refused_until.max(self.probe_until.unwrap_or(refused_until));
+        if now < until {
+            return SuspectDecision::Refused(Duration::from_millis((until - now) as u64));
+        }
+        SuspectDecision::Probe
+    }
+
+    /// Counts a probe that is sent.
+    pub(super) fn begin_probe(&mut self, now: i64) {
+        self.probe_until = Some(now + PROBE_TIMEOUT_MS);
+    }
+
+    /// Returns whether a report is due.
+    pub(super) fn is_report_due(&self, now: i64) -> bool {
+        let interval = match self.is_harmful(now) {
+            true => HARMFUL_REPORT_MS,
+            false => SUSPECT_REPORT_MS,
+        };
+        self.n_reports < REPORTS_OF_CHANGE || self.reported_at.is_none_or(|at| at + interval <= now)
+    }
+
+    /// Returns the order of reports: changes first, then the most ends, then the oldest report.
+    pub(super) fn urgency(&self, now: i64) -> (bool, usize, i64) {
+        let is_changed = self.n_reports < REPORTS_OF_CHANGE;
+        let waiting = self.reported_at.map_or(i64::MAX, |at| now - at);
+        (is_changed, self.n_counted(), waiting)
+    }
+
+    /// Returns a report for the other entries.
+    pub(super) fn take_report(&mut self, digest: CallDigest, now: i64) -> SuspectReport {
+        self.n_reports = REPORTS_OF_CHANGE.min(self.n_reports + 1);
+        self.reported_at = Some(now);
+        let age = |at: i64| u32::try_from(now - at).unwrap_or_default();
+        let ends = self
+            .ends
+            .iter()
+            .filter(|end| now < end.at + SUSPECT_TTL_MS - REPORT_MARGIN_MS);
+        SuspectReport {
+            digest,
+            ends: ends
+                .map(|end| EndReport {
+                    target: end.target,
+                    age_ms: age(end.at),
+                })
+                .collect(),
+            answered_ms: self.answered_at.map(age),
+        }
+    }
+
+    /// Merges the report of another entry.
+    pub(super) fn merge(&mut self, report: &SuspectReport, now: i64) {
+        for end in report.ends.iter().take(MAX_ENDS) {
+            self.add_end(end.target, now - i64::from(end.age_ms));
+        }
+        if let Some(age) = report.answered_ms {
+            self.clear(now - i64::from(age));
+        }
+    }
+
+    /// Returns the time of the last end.
+    pub(super) fn last_end(&self) -> Option<i64> {
+        self.ends.last().map(|end| end.at)
+    }
+
+    /// Returns whether the suspect is to be dropped.
+    pub(super) fn has_expired(&self, now: i64) -> bool {
+        let Some(last_end) = self.last_end() else {
+            return true;
+        };
+        match self.answered_at {
+            Some(at) if last_end <= at => at + CLEARED_TTL_MS <= now,
+            _ => last_end + SUSPECT_TTL_MS <= now,
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/routing/crash_suspects.rs
@@ -0,0 +1,170 @@
+//! The requests that may have ended targets, at all entries.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::num::NonZeroUsize;
+
+use lru::LruCache;
+
+use crate::prelude::*;
+use crate::request::CallDigest;
+
+use super::crash_suspect::CrashSuspect;
+use super::suspect_report::SuspectReport;
+
+/// The most suspects that are kept.
+const MAX_SUSPECTS: usize = 4_096;
+
+/// The most answered requests that are remembered.
+const MAX_ANSWERED: NonZeroUsize = NonZeroUsize::new(8_192).expect("is_not_zero");
+
+/// The most suspects that one message reports.
+const MAX_REPORTS: usize = 16;
+
+/// The requests that may have ended targets, at all entries.
+///
+/// A request is harmful once several targets have ended under it without an answer in between. One
+/// that was answered before needs many more ends: it is popular, and targets end by themselves.
+/// In the lock order it comes last.
+#[derive(Debug)]
+pub struct CrashSuspects {
+    /// The start of the clock in which the suspects count.
+    epoch: Instant,
+    suspects: HashMap<CallDigest, CrashSuspect>,
+    /// The requests that this entry got answered, and when.
+    answered: LruCache<CallDigest, i64>,
+}
+
+/// Whether a request may be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectDecision {
+    /// It may.
+    Clear,
+    /// It may, as the only one of its kind, to find out whether it still ends targets.
+    Probe,
+    /// It ends its targets; holds the time after which it may be tried again.
+    Refused(Duration),
+}
+
+impl CrashSuspects {
+    /// Creates an empty table.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            epoch: now,
+            suspects: HashMap::new(),
+            answered: LruCache::new(MAX_ANSWERED),
+        }
+    }
+
+    /// Records that a target ended while it ran a request; returns the number of ends since the last
+    /// answer.
+    pub fn record_end(&mut self, digest: CallDigest, target: u32, now: Instant) -> usize {
+        let now = self.millis(now);
+        self.change(digest, now, |suspect| suspect.add_end(target, now))
+    }
+
+    /// Records that a target answered a request.
+    pub fn record_answer(&mut self, digest: CallDigest, now: Instant) {
+        let now = self.millis(now);
+        self.answered.put(digest, now);
+        if let Some(suspect) = self.suspects.get_mut(&digest) {
+            suspect.clear(now);
+        }
+    }
+
+    /// Decides whether a request may be sent.
+    pub fn check(&self, digest: CallDigest, now: Instant) -> SuspectDecision {
+        let now = self.millis(now);
+        let suspect = self.suspects.get(&digest);
+        suspect.map_or(SuspectDecision::Clear, |suspect| suspect.check(now))
+    }
+
+    /// Decides whether a request may be sent; a probe counts as sent.
+    pub fn admit(&mut self, digest: CallDigest, now: Instant) -> SuspectDecision {
+        let decision = self.check(digest, now);
+        let now = self.millis(now);
+        if let (SuspectDecision::Probe, Some(suspect)) = (decision, self.suspects.get_mut(&digest))
+        {
+            suspect.begin_probe(now);
+        }
+        decision
+    }
+
+    /// Returns whether a request is harmful, so that it is not sent once more.
+    pub fn is_harmful(&self, digest: CallDigest, now: Instant) -> bool {
+        let now = self.millis(now);
+        let suspect = self.suspects.get(&digest);
+        suspect.is_some_and(|suspect| suspect.is_harmful(now))
+    }
+
+    /// Takes the reports that are due for the other entries: changes first, then the most harmful.
+    pub fn take_reports(&mut self, now: Instant) -> Vec<SuspectReport> {
+        let now = self.millis(now);
+        self.suspects.retain(|_, suspect| !suspect.has_expired(now));
+        let mut due: Vec<_> = self
+            .suspects
+            .iter_mut()
+            .filter(|(_, suspect)| suspect.is_report_due(now))
+            .collect();
+        due.sort_by_key(|(_, suspect)| Reverse(suspect.urgency(now)));
+        due.into_iter()
+            .take(MAX_REPORTS)
+            .map(|(digest, suspect)| suspect.take_report(*digest, now))
+            .collect()
+    }
+
+    /// Merges the report of another entry; it may arrive late, or more than once.
+    pub fn observe_report(&mut self, report: &SuspectReport, now: Instant) {
+        let now = self.millis(now);
+        self.change(report.digest, now, |suspect| suspect.merge(report, now));
+    }
+
+    /// Returns the number of suspects.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns whether there are no suspects.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    fn millis(&self, now: Instant) -> i64 {
+        now.saturating_duration_since(self.epoch).as_millis() as i64
+    }
+
+    /// Changes the suspect of a digest, adds this entry's last answer, and returns the number of ends
+    /// since the last answer.
+    fn change(
+        &mut self,
+        digest: CallDigest,
+        now: i64,
+        change: impl FnOnce(&mut CrashSuspect),
+    ) -> usize {
+        if !self.suspects.contains_key(&digest) {
+            self.make_room(now);
+        }
+        let suspect = self.suspects.entry(digest).or_default();
+        change(suspect);
+        if let Some(at) = self.answered.peek(&digest) {
+            suspect.clear(*at);
+        }
+        suspect.n_counted()
+    }
+
+    /// Drops the suspect with the fewest ends, the oldest one, where there is no room.
+    fn make_room(&mut self, now: i64) {
+        if self.suspects.len() < MAX_SUSPECTS {
+            return;
+        }
+        self.suspects.retain(|_, suspect| !suspect.has_expired(now));
+        let least = self
+            .suspects
+            .iter()
+            .min_by_key(|(_, suspect)| (suspect.n_counted(), suspect.last_end()));
+        let least = least.map(|(digest, _)| *digest);
+        if let Some(digest) = least.filter(|_| MAX_SUSPECTS <= self.suspects.len()) {
+            self.suspects.remove(&digest);
+        }
+    }
+}
--- a/fleet/src/routing/mod.rs
+++ b/fleet/src/routing/mod.rs
@@ -1,17 +1,22 @@
-//! Target selection, admission control and retry budgets.
+//! Target selection, admission control, retry budgets and requests that end targets.
 
+mod crash_suspect;
+mod crash_suspects;
 mod group_health;
 mod group_limit;
 mod load_view;
 mod rank_watch;
 mod retry_budget;
 mod routing_table;
+mod suspect_report;
 mod target_health;
 
+pub use crash_suspects::{CrashSuspects, SuspectDecision};
 pub use group_health::{GROUP_RECOVERY_TIME, GroupHealth, GroupState};
 pub use group_limit::{AdmitDecision, GroupLimit, GroupLoad};
 pub use load_view::{LoadView, MAX_SENDERS, PeerLoad, name_hash};
 pub use rank_watch::{ROUND_PERIOD, RankStatus, RankWatch};
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use routing_table::{RoutingTable, TargetPick};
+pub use suspect_report::{EndReport, SuspectReport};
 pub use target_health::{ResultCounts, TargetHealth};
--- /dev/null
+++ b/fleet/src/routing/suspect_report.rs
@@ -0,0 +1,26 @@
+//! What entries tell each other of the requests that may have ended targets.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::request::CallDigest;
+
+/// What an entry knows of a request that may have ended targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectReport {
+    /// The request.
+    pub digest: CallDigest,
+    /// The targets that ended while they ran it.
+    pub ends: SmallVec<[EndReport; 4]>,
+    /// The time since a target last answered it, in milliseconds, where one did.
+    pub answered_ms: Option<u32>,
+}
+
+/// The end of a target while it ran a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndReport {
+    /// The hash of the target's id.
+    pub target: u32,
+    /// The time since the end, in milliseconds.
+    pub age_ms: u32,
+}
