Log the shared parts of a prompt whose run ended with its target

The logs did not tell whether requests that end one target after the other have a part of their prompts in common, since nothing read the parts. 'target checked' names those that other requests share.

--- a/fleet/src/forward/header_names.rs
+++ b/fleet/src/forward/header_names.rs
@@ -24,6 +24,8 @@
     pub not_run: HeaderName,
     /// The id of the last event that the sender has received.
     pub last_event_id: HeaderName,
+    /// The parts of a request's prompt.
+    pub prompt_parts: HeaderName,
     /// The time after which a refused caller may retry, in seconds.
     pub retry_after: HeaderName,
     /// The header that holds the caller's key.
--- a/fleet/src/forward/mod.rs
+++ b/fleet/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod event_parser;
 mod head_meter;
 mod header_names;
+mod prompt_parts;
 mod request_head;
 mod response_head;
 mod shared_stream;
@@ -18,6 +19,7 @@
 pub use event_parser::{EventParser, StreamEvent};
 pub use head_meter::{BoundedClient, HeadMeter, MeteredStream, bounded_handshake};
 pub use header_names::{HeaderNames, strip_hop_headers};
+pub use prompt_parts::PromptParts;
 pub use request_head::RequestHead;
 pub use response_head::ResponseHead;
 pub use shared_stream::{SharedStream, StreamInput};
--- a/fleet/src/forward/request_head.rs
+++ b/fleet/src/forward/request_head.rs
@@ -6,6 +6,7 @@
 use crate::prelude::*;
 
 use super::header_names::{HeaderNames, strip_hop_headers};
+use super::prompt_parts::PromptParts;
 
 /// The head of a caller's request, with the headers that the entry uses parsed into fields.
 #[derive(Clone, Debug)]
@@ -24,6 +25,8 @@
     pub key: Option<Arc<str>>,
     /// The id of the last event that the caller has received.
     pub last_event_id: Option<u64>,
+    /// The shared parts of the prompt.
+    pub prompt_parts: PromptParts,
     /// The headers to pass on.
     pub headers: HeaderMap,
 }
@@ -50,6 +53,8 @@
             .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(&names.key_scheme))
             .map(|(_, key)| key.trim().into());
         let last_event_id = text(&names.last_event_id).and_then(|value| value.trim().parse().ok());
+        let prompt_parts = text(&names.prompt_parts).map(PromptParts::parse);
+        let prompt_parts = prompt_parts.unwrap_or_default();
         strip_hop_headers(&mut headers);
         headers.remove(&names.key);
         headers.remove(&names.account);
@@ -63,6 +68,7 @@
             caller_timeout,
             key,
             last_event_id,
+            prompt_parts,
             headers,
         })
     }
--- a/fleet/src/process/end_check.rs
+++ b/fleet/src/process/end_check.rs
@@ -2,7 +2,7 @@
 
 use slog::{info, warn};
 
-use crate::forward::TargetCheck;
+use crate::forward::{PromptParts, TargetCheck};
 use crate::prelude::*;
 use crate::request::CallDigest;
 use crate::routing::{TargetPick, name_hash};
@@ -13,6 +13,7 @@
 pub(super) struct EndedRun {
     pub(super) attempt_id: Arc<str>,
     pub(super) digest: CallDigest,
+    pub(super) prompt_parts: PromptParts,
     pub(super) pick: TargetPick,
 }
 
@@ -20,7 +21,8 @@
 pub(super) async fn check_end(state: &EntryState, run: &EndedRun) -> TargetCheck {
     let check = state.pool.check(run.pick.address).await;
     info!(state.log, "target checked"; "request" => &*run.attempt_id,
-        "target" => &*run.pick.id, "result" => ?check, "digest" => %run.digest);
+        "target" => &*run.pick.id, "result" => ?check, "digest" => %run.digest,
+        "parts" => %run.prompt_parts);
     if check == TargetCheck::Refuses {
         let target = name_hash(&run.pick.id);
         let now = Instant::now();
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -287,6 +287,7 @@
         EndedRun {
             attempt_id: self.head.attempt_id.clone(),
             digest: self.digest,
+            prompt_parts: self.head.prompt_parts.clone(),
             pick: pick.clone(),
         }
     }
--- a/fleet/tests/endless_peer.rs
+++ b/fleet/tests/endless_peer.rs
@@ -78,6 +78,7 @@
             signature: name("x-seal"),
             not_run: name("x-not-run"),
             last_event_id: name("last-event-id"),
+            prompt_parts: name("x-parts"),
             retry_after: http::header::RETRY_AFTER,
             key: http::header::AUTHORIZATION,
             key_scheme: "Token".into(),
--- a/fleet/tests/store_restored.rs
+++ b/fleet/tests/store_restored.rs
@@ -95,6 +95,7 @@
         signature: name("x-seal"),
         not_run: name("x-not-run"),
         last_event_id: name("last-event-id"),
+        prompt_parts: name("x-parts"),
         retry_after: http::header::RETRY_AFTER,
         key: http::header::AUTHORIZATION,
         key_scheme: "Token".into(),
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -268,6 +268,7 @@
         signature: HeaderName::from_static("x-seal"),
         not_run: HeaderName::from_static("x-not-run"),
         last_event_id: HeaderName::from_static("last-event-id"),
+        prompt_parts: HeaderName::from_static("x-parts"),
         retry_after: http::header::RETRY_AFTER,
         key: http::header::AUTHORIZATION,
         key_scheme: "Token".into(),
