Count only ends of runs that followed each other against a request

A new popular request that runs at several targets when all of them end at once counted as harmful, and was refused for ten minutes, as nothing had answered it before.

An end counts if its run began after the last counted one. A request that ends its targets comes again after each end, or is retried, so that three still suffice; for one that was answered before, six in a row now say as much as nine at any time did.

--- a/fleet/src/process/end_check.rs
+++ b/fleet/src/process/end_check.rs
@@ -26,7 +26,9 @@
     if check == TargetCheck::Refuses {
         let target = name_hash(&run.pick.id);
         let now = Instant::now();
-        let n_ends = state.suspects.lock().record_end(run.digest, target, now);
+        let mut suspects = state.suspects.lock();
+        let n_ends = suspects.record_end(run.digest, target, run.pick.chosen_at, now);
+        drop(suspects);
         warn!(state.log, "target ended"; "request" => &*run.attempt_id,
             "target" => &*run.pick.id, "digest" => %run.digest, "ends" => n_ends);
         state.metrics.target_ends.inc();
--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -6,15 +6,18 @@
 use super::crash_suspects::SuspectDecision;
 use super::suspect_report::{EndReport, SuspectReport};
 
-/// The number of targets that end under a request from which it is harmful.
+/// The number of targets that end under a request, in runs that follow each other, from which it is
+/// harmful.
 const MIN_ENDS: usize = 3;
 
-/// The same for a request that was answered before: it is popular, and runs at several targets when
-/// they end together.
-const MIN_ENDS_ANSWERED: usize = 9;
+/// The same for a request that was answered before.
+const MIN_ENDS_ANSWERED: usize = 6;
 
 /// The most ends that are kept; the newest ones.
-const MAX_ENDS: usize = 12;
+const MAX_ENDS: usize = 16;
+
+/// How much earlier a run may seem to begin than the one before it ended, as reports take time.
+const CLOCK_ERROR_MS: i64 = 10;
 
 /// How long an answer speaks for a request.
 const TRUST_MS: i64 = 600_000;
@@ -64,28 +67,34 @@
     reported_at: Option<i64>,
 }
 
+/// The end of a target while it ran a request.
 #[derive(Clone, Copy, Debug)]
-struct TargetEnd {
-    target: u32,
-    at: i64,
+pub(super) struct TargetEnd {
+    /// The hash of the target's id.
+    pub(super) target: u32,
+    /// The start of the run.
+    pub(super) began_at: i64,
+    /// The end of the target.
+    pub(super) at: i64,
 }
 
 impl CrashSuspect {
     /// Adds the end of a target, unless it is known.
-    pub(super) fn add_end(&mut self, target: u32, at: i64) {
-        let is_same = |end: &TargetEnd| end.target == target && (end.at - at).abs() < SAME_END_MS;
+    pub(super) fn add_end(&mut self, new: TargetEnd) {
+        let is_same =
+            |end: &TargetEnd| end.target == new.target && (end.at - new.at).abs() < SAME_END_MS;
         if self.ends.iter().any(is_same) {
             return;
         }
-        let idx = self.ends.partition_point(|end| end.at <= at);
+        let idx = self.ends.partition_point(|end| end.at <= new.at);
         if MAX_ENDS <= self.ends.len() {
             if idx == 0 {
                 return;
             }
             self.ends.remove(0);
-            self.ends.insert(idx - 1, TargetEnd { target, at });
+            self.ends.insert(idx - 1, new);
         } else {
-            self.ends.insert(idx, TargetEnd { target, at });
+            self.ends.insert(idx, new);
         }
         self.n_reports = 0;
     }
@@ -104,11 +113,23 @@
         }
     }
 
-    /// Returns the number of ends since the last answer.
+    /// Returns the number of ends since the last answer, in runs that followed each other: a request
+    /// that runs at many targets when they end together need not be the cause.
     pub(super) fn n_counted(&self) -> usize {
+        let mut n_counted = 0;
+        let mut last_end = i64::MIN;
+        for end in self.ends_since_answer() {
+            if last_end <= end.began_at + CLOCK_ERROR_MS {
+                n_counted += 1;
+                last_end = end.at;
+            }
+        }
+        n_counted
+    }
+
+    fn ends_since_answer(&self) -> impl Iterator<Item = &TargetEnd> {
         let ends = self.ends.iter();
         ends.filter(|end| self.answered_at.is_none_or(|at| at < end.at))
-            .count()
     }
 
     /// Returns whether the request ends its targets, as far as this entry knows.
@@ -119,13 +140,8 @@
         } else {
             MIN_ENDS
         };
-        let n_counted = self.n_counted();
-        let first = self
-            .ends
-            .len()
-            .checked_sub(n_counted)
-            .and_then(|idx| self.ends.get(idx));
-        min_ends <= n_counted && first.is_some_and(|end| end.at + VERDICT_DELAY_MS <= now)
+        let first = self.ends_since_answer().next();
+        min_ends <= self.n_counted() && first.is_some_and(|end| end.at + VERDICT_DELAY_MS <= now)
     }
 
     /// Decides whether the request may be sent.
@@ -177,6 +193,7 @@
                 .map(|end| EndReport {
                     target: end.target,
                     age_ms: age(end.at),
+                    run_ms: u32::try_from(end.at - end.began_at).unwrap_or(u32::MAX),
                 })
                 .collect(),
             answered_ms: self.answered_at.map(age),
@@ -186,7 +203,12 @@
     /// Merges the report of another entry.
     pub(super) fn merge(&mut self, report: &SuspectReport, now: i64) {
         for end in report.ends.iter().take(MAX_ENDS) {
-            self.add_end(end.target, now - i64::from(end.age_ms));
+            let at = now - i64::from(end.age_ms);
+            self.add_end(TargetEnd {
+                target: end.target,
+                began_at: at - i64::from(end.run_ms),
+                at,
+            });
         }
         if let Some(age) = report.answered_ms {
             self.clear(now - i64::from(age));
--- a/fleet/src/routing/crash_suspects.rs
+++ b/fleet/src/routing/crash_suspects.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 use crate::request::CallDigest;
 
-use super::crash_suspect::CrashSuspect;
+use super::crash_suspect::{CrashSuspect, TargetEnd};
 use super::suspect_report::SuspectReport;
 
 /// The most suspects that are kept.
@@ -23,8 +23,8 @@
 
 /// The requests that may have ended targets, at all entries.
 ///
-/// A request is harmful once several targets have ended under it without an answer in between. One
-/// that was answered before needs many more ends: it is popular, and targets end by themselves.
+/// A request is harmful once several targets have ended under it, in runs that followed each other,
+/// without an answer in between. One that was answered before needs more of them.
 /// In the lock order it comes last.
 #[derive(Debug)]
 pub struct CrashSuspects {
@@ -56,11 +56,21 @@
         }
     }
 
-    /// Records that a target ended while it ran a request; returns the number of ends since the last
-    /// answer.
-    pub fn record_end(&mut self, digest: CallDigest, target: u32, now: Instant) -> usize {
-        let now = self.millis(now);
-        self.change(digest, now, |suspect| suspect.add_end(target, now))
+    /// Records that a target ended while it ran a request; returns the number of ends that count
+    /// against the request now.
+    pub fn record_end(
+        &mut self,
+        digest: CallDigest,
+        target: u32,
+        began_at: Instant,
+        now: Instant,
+    ) -> usize {
+        let end = TargetEnd {
+            target,
+            began_at: self.millis(began_at),
+            at: self.millis(now),
+        };
+        self.change(digest, end.at, |suspect| suspect.add_end(end))
     }
 
     /// Records that a target answered a request.
@@ -134,7 +144,7 @@
     }
 
     /// Changes the suspect of a digest, adds this entry's last answer, and returns the number of ends
-    /// since the last answer.
+    /// that count against it.
     fn change(
         &mut self,
         digest: CallDigest,
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -67,6 +67,8 @@
     pub running: u32,
     /// The score that it was chosen by; lower is better.
     pub score: f64,
+    /// When it was chosen.
+    pub chosen_at: Instant,
 }
 
 impl RoutingTable {
@@ -196,6 +198,7 @@
             running,
             // All ranks of a group wait for the slowest one, so a slow rank gets work last.
             score: (f64::from(running) + jitter) * row.pace_at(now).powi(2) + penalty + distance,
+            chosen_at: now,
         }
     }
 
--- a/fleet/src/routing/suspect_report.rs
+++ b/fleet/src/routing/suspect_report.rs
@@ -23,4 +23,6 @@
     pub target: u32,
     /// The time since the end, in milliseconds.
     pub age_ms: u32,
+    /// The time from the start of the run to the end, in milliseconds.
+    pub run_ms: u32,
 }
