Tell requests apart that ran together whenever targets ended

A sound request that runs at the few targets of a service each time a harmful one ends them was refused with it for ten minutes, if it had not been answered before.

The ends under a request that another harmful one also ended are no proof against it. Where both ran at all of them, one may be sent, and its next run tells: another end leaves only it harmful, an answer clears it. The other is refused for 15 s at most.

--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -354,7 +354,7 @@
         let is_broken = table.is_group_broken(&self.service, now);
         drop(table);
         let budget = || !is_broken && self.state.draw_retry(&self.service, now);
-        let is_harmful = self.state.suspects.lock().is_harmful(self.digest, now);
+        let is_harmful = matches!(self.check_suspect(), SuspectDecision::Refused(_));
         let step = match has_target && !is_harmful {
             true => next_step(&self.route, progress, outcome, self.time_left(), budget),
             false => stop_step(progress, outcome),
--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -29,6 +29,10 @@
 /// Two ends of one target within this time are the same end, reported by two entries or runs.
 const SAME_END_MS: i64 = 1_000;
 
+/// How long a request is refused that ran at each end beside another one, until the next run of the
+/// other one tells which of them is harmful.
+const TIE_MS: i64 = 15_000;
+
 /// How long a harmful request is refused after the last target that ended under it.
 const REFUSAL_MS: i64 = 600_000;
 
@@ -78,12 +82,16 @@
     pub(super) at: i64,
 }
 
+impl TargetEnd {
+    fn is_same(&self, other: &Self) -> bool {
+        self.target == other.target && (self.at - other.at).abs() < SAME_END_MS
+    }
+}
+
 impl CrashSuspect {
     /// Adds the end of a target, unless it is known.
     pub(super) fn add_end(&mut self, new: TargetEnd) {
-        let is_same =
-            |end: &TargetEnd| end.target == new.target && (end.at - new.at).abs() < SAME_END_MS;
-        if self.ends.iter().any(is_same) {
+        if self.ends.iter().any(|end| end.is_same(&new)) {
             return;
         }
         let idx = self.ends.partition_point(|end| end.at <= new.at);
@@ -144,6 +152,22 @@
         min_ends <= self.n_counted() && first.is_some_and(|end| end.at + VERDICT_DELAY_MS <= now)
     }
 
+    /// Returns whether targets ended under this request whenever they did under another one.
+    pub(super) fn covers(&self, other: &Self) -> bool {
+        other
+            .ends_since_answer()
+            .all(|end| self.ends_since_answer().any(|own| own.is_same(end)))
+    }
+
+    /// Decides about a request that ran beside another one at each end.
+    pub(super) fn check_tied(&self, now: i64) -> SuspectDecision {
+        let until = self.last_end().unwrap_or(now) + TIE_MS;
+        match now < until {
+            true => SuspectDecision::Refused(Duration::from_millis((until - now) as u64)),
+            false => SuspectDecision::Clear,
+        }
+    }
+
     /// Decides whether the request may be sent.
     pub(super) fn check(&self, now: i64) -> SuspectDecision {
         if !self.is_harmful(now) {
--- a/fleet/src/routing/crash_suspects.rs
+++ b/fleet/src/routing/crash_suspects.rs
@@ -46,6 +46,14 @@
     Refused(Duration),
 }
 
+/// What the ends under a request may be due to instead.
+enum Explanation {
+    /// Another request, under which more targets ended.
+    Other,
+    /// One of several requests that ran together at all their ends.
+    Tied,
+}
+
 impl CrashSuspects {
     /// Creates an empty table.
     pub fn new(now: Instant) -> Self {
@@ -85,8 +93,45 @@
     /// Decides whether a request may be sent.
     pub fn check(&self, digest: CallDigest, now: Instant) -> SuspectDecision {
         let now = self.millis(now);
-        let suspect = self.suspects.get(&digest);
-        suspect.map_or(SuspectDecision::Clear, |suspect| suspect.check(now))
+        let Some(suspect) = self.suspects.get(&digest) else {
+            return SuspectDecision::Clear;
+        };
+        match suspect.check(now) {
+            SuspectDecision::Clear => SuspectDecision::Clear,
+            decision => match self.explanation(digest, suspect, now) {
+                None => decision,
+                Some(Explanation::Other) => SuspectDecision::Clear,
+                Some(Explanation::Tied) => suspect.check_tied(now),
+            },
+        }
+    }
+
+    /// Returns whether the ends under a request may be due to another one that ran beside it.
+    ///
+    /// Of requests that ran together at all their ends the one with the lowest digest may be sent:
+    /// its next run tells which of them is harmful.
+    fn explanation(
+        &self,
+        digest: CallDigest,
+        suspect: &CrashSuspect,
+        now: i64,
+    ) -> Option<Explanation> {
+        let covering = self.suspects.iter().filter(|(other, other_suspect)| {
+            **other != digest && other_suspect.is_harmful(now) && other_suspect.covers(suspect)
+        });
+        let (mut is_tied, mut is_first) = (false, true);
+        for (other, other_suspect) in covering {
+            if !suspect.covers(other_suspect) {
+                return Some(Explanation::Other);
+            }
+            is_tied = true;
+            is_first &= digest < *other;
+        }
+        match (is_tied, is_first) {
+            (false, _) => None,
+            (true, true) => Some(Explanation::Other),
+            (true, false) => Some(Explanation::Tied),
+        }
     }
 
     /// Decides whether a request may be sent; a probe counts as sent.
@@ -100,13 +145,6 @@
         decision
     }
 
-    /// Returns whether a request is harmful, so that it is not sent once more.
-    pub fn is_harmful(&self, digest: CallDigest, now: Instant) -> bool {
-        let now = self.millis(now);
-        let suspect = self.suspects.get(&digest);
-        suspect.is_some_and(|suspect| suspect.is_harmful(now))
-    }
-
     /// Takes the reports that are due for the other entries: changes first, then the most harmful.
     pub fn take_reports(&mut self, now: Instant) -> Vec<SuspectReport> {
         let now = self.millis(now);
--- a/fleet/tests/crash_suspects.rs
+++ b/fleet/tests/crash_suspects.rs
@@ -157,6 +157,59 @@
     assert!(!entries.iter().any(|entry| is_refused(entry, now)));
 }
 
+// Guards against sound requests that are refused as a harmful one runs beside them each time.
+#[test]
+fn request_that_only_ran_beside_a_harmful_one_is_served() {
+    for (harmful, sound) in [(1, 2), (2, 1)] {
+        // Arrange: a service with one target, which never gets the sound request answered.
+        let (harmful, sound) = (CallDigest(harmful), CallDigest(sound));
+        let start = Instant::now() + SECOND;
+        let mut suspects = CrashSuspects::new(start);
+        for n_end in 0..3 {
+            let at = start + n_end * 4 * SECOND;
+            for digest in [harmful, sound] {
+                suspects.record_end(digest, n_end, at - SECOND, at);
+            }
+        }
+
+        // Act: both come again, at most one of them is sent.
+        let now = start + 10 * SECOND;
+        let is_sent = |suspects: &CrashSuspects, digest, now| {
+            !matches!(suspects.check(digest, now), SuspectDecision::Refused(_))
+        };
+        let sent = [harmful, sound].map(|digest| is_sent(&suspects, digest, now));
+        match sent {
+            [true, false] => {
+                suspects.record_end(harmful, 3, now, now + SECOND);
+            }
+            [false, true] => suspects.record_answer(sound, now + SECOND),
+            _ => panic!("{sent:?}"),
+        }
+
+        // Assert
+        let now = now + 2 * SECOND;
+        assert!(!is_sent(&suspects, harmful, now));
+        assert!(is_sent(&suspects, sound, now));
+    }
+}
+
+// Guards against a request that stays refused though the harmful one beside it comes no more.
+#[test]
+fn refusal_that_waits_for_another_request_to_tell_is_short() {
+    let start = Instant::now() + SECOND;
+    let mut suspects = CrashSuspects::new(start);
+    for n_end in 0..3 {
+        let at = start + n_end * 4 * SECOND;
+        for digest in [CallDigest(1), CallDigest(2)] {
+            suspects.record_end(digest, n_end, at - SECOND, at);
+        }
+    }
+    let now = start + 30 * SECOND;
+    for digest in [CallDigest(1), CallDigest(2)] {
+        assert_eq!(suspects.check(digest, now), SuspectDecision::Clear);
+    }
+}
+
 // Guards against a flood of failing requests that fills the memory, or drives out a harmful one.
 #[test]
 fn flood_of_suspects_is_bounded_and_keeps_the_harmful_one() {
