Refuse requests with a part of their prompts that ends targets, at all entries

All streams of a service were refused for 35 s at a time, as one rank after the other ended under requests of which no two are alike, and the group formed anew each time.

Cause: the parts of a prompt were passed on and never read, so that each request was new to every entry. What is known of requests that end their targets is kept by request only.

Now ends and answers are kept for each shared part as well, at most once for each request, and told to the other entries in the same reports. A request with a harmful part is refused. A part that was there at each end only beside another one, which the request at hand does not have, is no cause; where two came together at every end, one of them may be sent after at most 6 s, and its answer or its end tells. An answer outside 2xx clears no part, as nothing may have been written on the prompt.

--- a/fleet/src/process/end_check.rs
+++ b/fleet/src/process/end_check.rs
@@ -4,15 +4,14 @@
 
 use crate::forward::{PromptParts, TargetCheck};
 use crate::prelude::*;
-use crate::request::CallDigest;
-use crate::routing::{TargetPick, name_hash};
+use crate::routing::{SuspectKeys, TargetPick, name_hash};
 
 use super::entry_state::EntryState;
 
 /// A run of a request whose connection to the target has ended.
 pub(super) struct EndedRun {
     pub(super) attempt_id: Arc<str>,
-    pub(super) digest: CallDigest,
+    pub(super) keys: SuspectKeys,
     pub(super) prompt_parts: PromptParts,
     pub(super) pick: TargetPick,
 }
@@ -21,16 +20,17 @@
 pub(super) async fn check_end(state: &EntryState, run: &EndedRun) -> TargetCheck {
     let check = state.pool.check(run.pick.address).await;
     info!(state.log, "target checked"; "request" => &*run.attempt_id,
-        "target" => &*run.pick.id, "result" => ?check, "digest" => %run.digest,
+        "target" => &*run.pick.id, "result" => ?check, "digest" => %run.keys.request,
         "parts" => %run.prompt_parts);
     if check == TargetCheck::Refuses {
         let target = name_hash(&run.pick.id);
         let now = Instant::now();
         let mut suspects = state.suspects.lock();
-        let n_ends = suspects.record_end(run.digest, target, run.pick.chosen_at, now);
+        let n_ends = suspects.record_end(&run.keys, target, run.pick.chosen_at, now);
         drop(suspects);
         warn!(state.log, "target ended"; "request" => &*run.attempt_id,
-            "target" => &*run.pick.id, "digest" => %run.digest, "ends" => n_ends);
+            "target" => &*run.pick.id, "digest" => %run.keys.request,
+            "parts" => %run.prompt_parts, "ends" => n_ends);
         state.metrics.target_ends.inc();
     }
     check
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -177,6 +177,6 @@
         return Err(AttemptError::Failure((head, body)));
     }
     call.record(&pick, None);
-    call.record_answer(&pick, is_delimited);
+    call.record_answer(&pick, head.status, is_delimited);
     Ok((head, body))
 }
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -5,18 +5,15 @@
 use slog::{debug, info, warn};
 
 use crate::catalog::{Account, RouteError};
-use crate::forward::{
-    ReadCut, RequestHead, ResponseHead, TargetCall, TargetCheck, TargetResponse, call_target,
-};
+use crate::forward::{ReadCut, RequestHead, ResponseHead, TargetCall, TargetResponse, call_target};
 use crate::prelude::*;
-use crate::request::{
-    AttemptOutcome, CallDigest, CallProgress, DeniedReason, NextStep, UnknownReason,
-};
+use crate::request::{AttemptOutcome, CallProgress, DeniedReason, NextStep, UnknownReason};
 use crate::request::{next_step, stop_step};
-use crate::routing::{GROUP_RECOVERY_TIME, SuspectDecision, TargetPick};
+use crate::routing::{GROUP_RECOVERY_TIME, SuspectDecision, SuspectKeys, TargetPick};
 
+use super::call_suspects::suspect_keys;
 use super::caller_body::CallerBody;
-use super::end_check::{EndedRun, check_end};
+use super::end_check::check_end;
 use super::entry_state::EntryState;
 use super::request_body::{leave_body_unread, read_body};
 use super::running_guard::RunningGuard;
@@ -47,7 +44,7 @@
     pub(super) route: Arc<RouteSpec>,
     pub(super) account: Option<Account>,
     pub(super) service: Arc<str>,
-    pub(super) digest: CallDigest,
+    pub(super) keys: SuspectKeys,
     pub(super) received_at: Instant,
     /// The earlier of the caller's and the route's deadlines.
     pub(super) deadline: Instant,
@@ -137,7 +134,7 @@
         .unwrap_or(route.timeout)
         .min(route.timeout);
     state.count_request(&service, received_at);
-    let digest = call_digest(&head, &body, account.as_ref());
+    let keys = suspect_keys(&head, &body, account.as_ref(), &service);
     Ok(CallContext {
         state: state.clone(),
         head,
@@ -145,23 +142,12 @@
         route,
         account,
         service,
-        digest,
+        keys,
         received_at,
         deadline: received_at + timeout,
     })
 }
 
-fn call_digest(head: &RequestHead, body: &[u8], account: Option<&Account>) -> CallDigest {
-    let target = head.uri.path_and_query().map_or("", |uri| uri.as_str());
-    CallDigest::new(&[
-        account.map_or("", |account| &account.name).as_bytes(),
-        head.method.as_str().as_bytes(),
-        head.host.as_bytes(),
-        target.as_bytes(),
-        body,
-    ])
-}
-
 impl CallContext {
     /// Returns the time left until the deadline.
     pub(super) fn time_left(&self) -> Duration {
@@ -235,7 +221,7 @@
             .inc();
         if outcome.is_some() {
             info!(self.state.log, "dispatch failed"; "request" => &*self.head.attempt_id,
-                "target" => &*pick.id, "outcome" => label, "digest" => %self.digest);
+                "target" => &*pick.id, "outcome" => label, "digest" => %self.keys.request);
         }
         let mut table = self.state.table.lock();
         if outcome == Some(AttemptOutcome::NotRun) && self.route.kind.is_stream() {
@@ -263,63 +249,6 @@
         }
     }
 
-    /// Records that a target answered the request completely.
-    ///
-    /// An answer that only the end of its connection completes may be one that broke off with its
-    /// target.
-    pub(super) fn record_answer(&self, pick: &TargetPick, is_delimited: bool) {
-        let digest = self.digest;
-        if is_delimited {
-            let now = Instant::now();
-            self.state.suspects.lock().record_answer(digest, now);
-            return;
-        }
-        let (state, run) = (self.state.clone(), self.ended_run(pick));
-        tokio::spawn(async move {
-            if check_end(&state, &run).await == TargetCheck::Accepts {
-                let now = Instant::now();
-                state.suspects.lock().record_answer(digest, now);
-            }
-        });
-    }
-
-    fn ended_run(&self, pick: &TargetPick) -> EndedRun {
-        EndedRun {
-            attempt_id: self.head.attempt_id.clone(),
-            digest: self.digest,
-            prompt_parts: self.head.prompt_parts.clone(),
-            pick: pick.clone(),
-        }
-    }
-
-    /// Decides whether the request ends its targets, as known now.
-    fn check_suspect(&self) -> SuspectDecision {
-        let suspects = self.state.suspects.lock();
-        suspects.check(self.digest, Instant::now())
-    }
-
-    /// Decides the same for a request that is sent now; a probe counts as sent.
-    pub(super) fn admit_suspect(&self) -> SuspectDecision {
-        let decision = {
-            let mut suspects = self.state.suspects.lock();
-            suspects.admit(self.digest, Instant::now())
-        };
-        if decision == SuspectDecision::Probe {
-            info!(self.state.log, "probe"; "request" => &*self.head.attempt_id,
-                "digest" => %self.digest);
-        }
-        decision
-    }
-
-    /// Returns the refusal of a request that ends its targets.
-    pub(super) fn refusal(&self, decision: SuspectDecision) -> Option<Response<CallerBody>> {
-        let SuspectDecision::Refused(after) = decision else {
-            return None;
-        };
-        let answer = LocalResponse::Refused(NotRunProof::never_sent(), after);
-        Some(self.local_response(answer, "ends its targets"))
-    }
-
     /// Logs and counts a read from a target that exceeded a limit.
     pub(super) fn record_cut(&self, pick: &TargetPick, cut: ReadCut) {
         warn!(self.state.log, "read cut"; "request" => &*self.head.attempt_id,
@@ -442,7 +371,7 @@
             .observe(elapsed.as_secs_f64());
         info!(self.state.log, "answered"; "request" => &*self.head.attempt_id,
             "route" => &*self.route.name, "status" => head.status.as_u16(),
-            "after_ms" => elapsed.as_millis() as u64, "digest" => %self.digest);
+            "after_ms" => elapsed.as_millis() as u64, "digest" => %self.keys.request);
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -113,7 +113,9 @@
             response,
         } = run.dispatched;
         drop(guard);
-        self.call.record_answer(&pick, response.is_delimited);
+        let status = response.head.status;
+        self.call
+            .record_answer(&pick, status, response.is_delimited);
         response.keep_connection(&self.call.state.pool, &pick);
     }
 
--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -1,16 +1,16 @@
-//! One request that may have ended targets.
+//! One request or part of prompts that may have ended targets.
 
 use crate::prelude::*;
-use crate::request::CallDigest;
 
 use super::crash_suspects::SuspectDecision;
+use super::suspect_key::SuspectKey;
 use super::suspect_report::{EndReport, SuspectReport};
 
-/// The number of targets that end under a request, in runs that follow each other, from which it is
-/// harmful.
+/// The number of targets that end under a suspect, in runs that follow each other, from which it is
+/// harmful; a part's runs are those of different requests.
 const MIN_ENDS: usize = 3;
 
-/// The same for a request that was answered before.
+/// The same for one that was answered before.
 const MIN_ENDS_ANSWERED: usize = 6;
 
 /// The most ends that are kept; the newest ones.
@@ -19,24 +19,24 @@
 /// How much earlier a run may seem to begin than the one before it ended, as reports take time.
 const CLOCK_ERROR_MS: i64 = 10;
 
-/// How long an answer speaks for a request.
+/// How long an answer speaks for a suspect.
 const TRUST_MS: i64 = 600_000;
 
-/// The time after the first end before which no request is harmful: an entry that got it answered
+/// The time after the first end before which no suspect is harmful: an entry that got it answered
 /// before learns of the end and tells the others, by way of three heartbeats between data centres.
 const VERDICT_DELAY_MS: i64 = 1_200;
 
 /// Two ends of one target within this time are the same end, reported by two entries or runs.
 const SAME_END_MS: i64 = 1_000;
 
-/// How long a request is refused that ran at each end beside another one, until the next run of the
-/// other one tells which of them is harmful.
-const TIE_MS: i64 = 15_000;
+/// How long a suspect is refused that ran at each end beside another one, until a run of the other
+/// one tells which of them is harmful: the time of a target's return and of a run.
+const TIE_MS: i64 = 6_000;
 
-/// How long a harmful request is refused after the last target that ended under it.
+/// How long a harmful suspect is refused after the last target that ended under it.
 const REFUSAL_MS: i64 = 600_000;
 
-/// How long the ends under a request are kept; after the refusal, one more is enough to refuse it
+/// How long the ends under a suspect are kept; after the refusal, one more is enough to refuse it
 /// again.
 const SUSPECT_TTL_MS: i64 = 2 * REFUSAL_MS;
 
@@ -53,15 +53,19 @@
 /// How often a change is reported at once, as datagrams may be lost.
 const REPORTS_OF_CHANGE: u8 = 3;
 
-/// The time between two later reports of a harmful request, for entries that restart or were cut off.
+/// The time between two later reports of a harmful suspect, for entries that restart or were cut off.
 const HARMFUL_REPORT_MS: i64 = 500;
 
-/// The time between two later reports of any other suspect.
+/// The time between two later reports of a suspect with several ends.
 const SUSPECT_REPORT_MS: i64 = 1_500;
 
-/// One request that may have ended targets. All times are in milliseconds of the table's clock.
-#[derive(Debug, Default)]
+/// The time between two later reports of any other suspect.
+const SINGLE_REPORT_MS: i64 = 10_000;
+
+/// One request or part of prompts that may have ended targets. All times are in milliseconds of the table's clock.
+#[derive(Debug)]
 pub(super) struct CrashSuspect {
+    key: SuspectKey,
     /// The ends of targets that ran the request, the oldest first.
     ends: SmallVec<[TargetEnd; 4]>,
     answered_at: Option<i64>,
@@ -76,6 +80,8 @@
 pub(super) struct TargetEnd {
     /// The hash of the target's id.
     pub(super) target: u32,
+    /// The start of the digest of the request that ran.
+    pub(super) request: u32,
     /// The start of the run.
     pub(super) began_at: i64,
     /// The end of the target.
@@ -89,9 +95,24 @@
 }
 
 impl CrashSuspect {
-    /// Adds the end of a target, unless it is known.
+    pub(super) fn new(key: SuspectKey) -> Self {
+        Self {
+            key,
+            ends: SmallVec::new(),
+            answered_at: None,
+            probe_until: None,
+            n_reports: 0,
+            reported_at: None,
+        }
+    }
+
+    /// Adds the end of a target, unless it is known. One request is no evidence against the parts of
+    /// its prompt more than once.
     pub(super) fn add_end(&mut self, new: TargetEnd) {
-        if self.ends.iter().any(|end| end.is_same(&new)) {
+        let is_part = matches!(self.key, SuspectKey::Part(_));
+        let is_known =
+            |end: &TargetEnd| end.is_same(&new) || (is_part && end.request == new.request);
+        if self.ends.iter().any(is_known) {
             return;
         }
         let idx = self.ends.partition_point(|end| end.at <= new.at);
@@ -107,7 +128,7 @@
         self.n_reports = 0;
     }
 
-    /// Records an answer, which clears the request of all ends before it.
+    /// Records an answer, which clears the suspect of all ends before it.
     pub(super) fn clear(&mut self, at: i64) {
         let is_news = match (self.answered_at, self.last_end()) {
             // A small difference comes from the way of the report.
@@ -121,8 +142,8 @@
         }
     }
 
-    /// Returns the number of ends since the last answer, in runs that followed each other: a request
-    /// that runs at many targets when they end together need not be the cause.
+    /// Returns the number of ends since the last answer, in runs that followed each other: what runs
+    /// at many targets when they end together need not be the cause.
     pub(super) fn n_counted(&self) -> usize {
         let mut n_counted = 0;
         let mut last_end = i64::MIN;
@@ -140,7 +161,7 @@
         ends.filter(|end| self.answered_at.is_none_or(|at| at < end.at))
     }
 
-    /// Returns whether the request ends its targets, as far as this entry knows.
+    /// Returns whether the suspect ends its targets, as far as this entry knows.
     pub(super) fn is_harmful(&self, now: i64) -> bool {
         let is_trusted = self.answered_at.is_some_and(|at| now < at + TRUST_MS);
         let min_ends = if is_trusted {
@@ -152,14 +173,14 @@
         min_ends <= self.n_counted() && first.is_some_and(|end| end.at + VERDICT_DELAY_MS <= now)
     }
 
-    /// Returns whether targets ended under this request whenever they did under another one.
+    /// Returns whether targets ended under this suspect whenever they did under another one.
     pub(super) fn covers(&self, other: &Self) -> bool {
         other
             .ends_since_answer()
             .all(|end| self.ends_since_answer().any(|own| own.is_same(end)))
     }
 
-    /// Decides about a request that ran beside another one at each end.
+    /// Decides about a suspect that ran beside another one at each end.
     pub(super) fn check_tied(&self, now: i64) -> SuspectDecision {
         let until = self.last_end().unwrap_or(now) + TIE_MS;
         match now < until {
@@ -168,7 +189,7 @@
         }
     }
 
-    /// Decides whether the request may be sent.
+    /// Decides whether a request with the suspect may be sent.
     pub(super) fn check(&self, now: i64) -> SuspectDecision {
         if !self.is_harmful(now) {
             return SuspectDecision::Clear;
@@ -188,9 +209,10 @@
 
     /// Returns whether a report is due.
     pub(super) fn is_report_due(&self, now: i64) -> bool {
-        let interval = match self.is_harmful(now) {
-            true => HARMFUL_REPORT_MS,
-            false => SUSPECT_REPORT_MS,
+        let interval = match self.n_counted() {
+            _ if self.is_harmful(now) => HARMFUL_REPORT_MS,
+            ..=1 => SINGLE_REPORT_MS,
+            _ => SUSPECT_REPORT_MS,
         };
         self.n_reports < REPORTS_OF_CHANGE || self.reported_at.is_none_or(|at| at + interval <= now)
     }
@@ -203,7 +225,7 @@
     }
 
     /// Returns a report for the other entries.
-    pub(super) fn take_report(&mut self, digest: CallDigest, now: i64) -> SuspectReport {
+    pub(super) fn take_report(&mut self, key: SuspectKey, now: i64) -> SuspectReport {
         self.n_reports = REPORTS_OF_CHANGE.min(self.n_reports + 1);
         self.reported_at = Some(now);
         let age = |at: i64| u32::try_from(now - at).unwrap_or_default();
@@ -212,10 +234,11 @@
             .iter()
             .filter(|end| now < end.at + SUSPECT_TTL_MS - REPORT_MARGIN_MS);
         SuspectReport {
-            digest,
+            key,
             ends: ends
                 .map(|end| EndReport {
                     target: end.target,
+                    request: end.request,
                     age_ms: age(end.at),
                     run_ms: u32::try_from(end.at - end.began_at).unwrap_or(u32::MAX),
                 })
@@ -230,6 +253,7 @@
             let at = now - i64::from(end.age_ms);
             self.add_end(TargetEnd {
                 target: end.target,
+                request: end.request,
                 began_at: at - i64::from(end.run_ms),
                 at,
             });
--- a/fleet/src/routing/crash_suspects.rs
+++ b/fleet/src/routing/crash_suspects.rs
@@ -1,4 +1,4 @@
-//! The requests that may have ended targets, at all entries.
+//! The requests and parts of prompts that may have ended targets, at all entries.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -7,36 +7,36 @@
 use lru::LruCache;
 
 use crate::prelude::*;
-use crate::request::CallDigest;
 
 use super::crash_suspect::{CrashSuspect, TargetEnd};
+use super::suspect_key::{SuspectKey, SuspectKeys};
 use super::suspect_report::SuspectReport;
 
 /// The most suspects that are kept.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// The most answered requests that are remembered.
+/// The most answered requests and parts that are remembered.
 const MAX_ANSWERED: NonZeroUsize = NonZeroUsize::new(8_192).expect("is_not_zero");
 
 /// The most suspects that one message reports.
 const MAX_REPORTS: usize = 16;
 
-/// The requests that may have ended targets, at all entries.
+/// The requests and parts of prompts that may have ended targets, at all entries.
 ///
-/// A request is harmful once several targets have ended under it, in runs that followed each other,
+/// A suspect is harmful once several targets have ended under it, in runs that followed each other,
 /// without an answer in between. One that was answered before needs more of them.
 /// In the lock order it comes last.
 #[derive(Debug)]
 pub struct CrashSuspects {
     /// The start of the clock in which the suspects count.
     epoch: Instant,
-    suspects: HashMap<CallDigest, CrashSuspect>,
-    /// The requests that this entry got answered, and when.
-    answered: LruCache<CallDigest, i64>,
+    suspects: HashMap<SuspectKey, CrashSuspect>,
+    /// What this entry got answered, and when.
+    answered: LruCache<SuspectKey, i64>,
 }
 
-/// Whether a request may be sent to a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whether a request may be sent to a target; the strictest comes last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SuspectDecision {
     /// It may.
     Clear,
@@ -46,11 +46,11 @@
     Refused(Duration),
 }
 
-/// What the ends under a request may be due to instead.
+/// What the ends under a suspect may be due to instead.
 enum Explanation {
-    /// Another request, under which more targets ended.
+    /// Another suspect, under which more targets ended.
     Other,
-    /// One of several requests that ran together at all their ends.
+    /// One of several suspects that ran together at all their ends.
     Tied,
 }
 
@@ -65,82 +65,55 @@
     }
 
     /// Records that a target ended while it ran a request; returns the number of ends that count
-    /// against the request now.
+    /// against the request or one of its parts now.
     pub fn record_end(
         &mut self,
-        digest: CallDigest,
+        keys: &SuspectKeys,
         target: u32,
         began_at: Instant,
         now: Instant,
     ) -> usize {
         let end = TargetEnd {
             target,
+            request: keys.request.0 as u32,
             began_at: self.millis(began_at),
             at: self.millis(now),
         };
-        self.change(digest, end.at, |suspect| suspect.add_end(end))
+        let counts = keys.iter().map(|key| {
+            self.change(key, end.at, |suspect| suspect.add_end(end));
+            self.suspects.get(&key).map_or(0, CrashSuspect::n_counted)
+        });
+        counts.max().unwrap_or_default()
     }
 
-    /// Records that a target answered a request.
-    pub fn record_answer(&mut self, digest: CallDigest, now: Instant) {
+    /// Records that a target answered something.
+    pub fn record_answer(&mut self, keys: impl Iterator<Item = SuspectKey>, now: Instant) {
         let now = self.millis(now);
-        self.answered.put(digest, now);
-        if let Some(suspect) = self.suspects.get_mut(&digest) {
-            suspect.clear(now);
+        for key in keys {
+            self.answered.put(key, now);
+            if let Some(suspect) = self.suspects.get_mut(&key) {
+                suspect.clear(now);
+            }
         }
     }
 
     /// Decides whether a request may be sent.
-    pub fn check(&self, digest: CallDigest, now: Instant) -> SuspectDecision {
+    pub fn check(&self, keys: &SuspectKeys, now: Instant) -> SuspectDecision {
         let now = self.millis(now);
-        let Some(suspect) = self.suspects.get(&digest) else {
-            return SuspectDecision::Clear;
-        };
-        match suspect.check(now) {
-            SuspectDecision::Clear => SuspectDecision::Clear,
-            decision => match self.explanation(digest, suspect, now) {
-                None => decision,
-                Some(Explanation::Other) => SuspectDecision::Clear,
-                Some(Explanation::Tied) => suspect.check_tied(now),
-            },
-        }
-    }
-
-    /// Returns whether the ends under a request may be due to another one that ran beside it.
-    ///
-    /// Of requests that ran together at all their ends the one with the lowest digest may be sent:
-    /// its next run tells which of them is harmful.
-    fn explanation(
-        &self,
-        digest: CallDigest,
-        suspect: &CrashSuspect,
-        now: i64,
-    ) -> Option<Explanation> {
-        let covering = self.suspects.iter().filter(|(other, other_suspect)| {
-            **other != digest && other_suspect.is_harmful(now) && other_suspect.covers(suspect)
-        });
-        let (mut is_tied, mut is_first) = (false, true);
-        for (other, other_suspect) in covering {
-            if !suspect.covers(other_suspect) {
-                return Some(Explanation::Other);
-            }
-            is_tied = true;
-            is_first &= digest < *other;
-        }
-        match (is_tied, is_first) {
-            (false, _) => None,
-            (true, true) => Some(Explanation::Other),
-            (true, false) => Some(Explanation::Tied),
-        }
+        let decisions = keys.iter().map(|key| self.check_key(key, keys, now));
+        decisions.max().unwrap_or(SuspectDecision::Clear)
     }
 
     /// Decides whether a request may be sent; a probe counts as sent.
-    pub fn admit(&mut self, digest: CallDigest, now: Instant) -> SuspectDecision {
-        let decision = self.check(digest, now);
-        let now = self.millis(now);
-        if let (SuspectDecision::Probe, Some(suspect)) = (decision, self.suspects.get_mut(&digest))
-        {
-            suspect.begin_probe(now);
+    pub fn admit(&mut self, keys: &SuspectKeys, now: Instant) -> SuspectDecision {
+        let decision = self.check(keys, now);
+        if decision == SuspectDecision::Probe {
+            let now = self.millis(now);
+            for key in keys.iter() {
+                if let Some(suspect) = self.suspects.get_mut(&key) {
+                    suspect.begin_probe(now);
+                }
+            }
         }
         decision
     }
@@ -157,14 +130,14 @@
         due.sort_by_key(|(_, suspect)| Reverse(suspect.urgency(now)));
         due.into_iter()
             .take(MAX_REPORTS)
-            .map(|(digest, suspect)| suspect.take_report(*digest, now))
+            .map(|(key, suspect)| suspect.take_report(*key, now))
             .collect()
     }
 
     /// Merges the report of another entry; it may arrive late, or more than once.
     pub fn observe_report(&mut self, report: &SuspectReport, now: Instant) {
         let now = self.millis(now);
-        self.change(report.digest, now, |suspect| suspect.merge(report, now));
+        self.change(report.key, now, |suspect| suspect.merge(report, now));
     }
 
     /// Returns the number of suspects.
@@ -181,23 +154,65 @@
         now.saturating_duration_since(self.epoch).as_millis() as i64
     }
 
-    /// Changes the suspect of a digest, adds this entry's last answer, and returns the number of ends
-    /// that count against it.
-    fn change(
-        &mut self,
-        digest: CallDigest,
+    fn check_key(&self, key: SuspectKey, keys: &SuspectKeys, now: i64) -> SuspectDecision {
+        let Some(suspect) = self.suspects.get(&key) else {
+            return SuspectDecision::Clear;
+        };
+        match suspect.check(now) {
+            SuspectDecision::Clear => SuspectDecision::Clear,
+            decision => match self.explanation(key, suspect, keys, now) {
+                None => decision,
+                Some(Explanation::Other) => SuspectDecision::Clear,
+                Some(Explanation::Tied) => suspect.check_tied(now),
+            },
+        }
+    }
+
+    /// Returns whether the ends under a suspect may be due to another one, which the request to be
+    /// sent does not have.
+    ///
+    /// Of suspects that ran together at all their ends the one with the lowest key may be sent: its
+    /// next run tells which of them is harmful.
+    fn explanation(
+        &self,
+        key: SuspectKey,
+        suspect: &CrashSuspect,
+        keys: &SuspectKeys,
         now: i64,
-        change: impl FnOnce(&mut CrashSuspect),
-    ) -> usize {
-        if !self.suspects.contains_key(&digest) {
+    ) -> Option<Explanation> {
+        let covering = self.suspects.iter().filter(|(other, other_suspect)| {
+            !keys.contains(**other)
+                && other_suspect.is_harmful(now)
+                && other_suspect.covers(suspect)
+        });
+        let (mut is_tied, mut is_first) = (false, true);
+        for (other, other_suspect) in covering {
+            if !suspect.covers(other_suspect) {
+                return Some(Explanation::Other);
+            }
+            is_tied = true;
+            is_first &= key < *other;
+        }
+        match (is_tied, is_first) {
+            (false, _) => None,
+            (true, true) => Some(Explanation::Other),
+            (true, false) => Some(Explanation::Tied),
+        }
+    }
+
+    /// Changes a suspect, and adds this entry's last answer.
+    fn change(&mut self, key: SuspectKey, now: i64, change: impl FnOnce(&mut CrashSuspect)) {
+        if !self.suspects.contains_key(&key) {
             self.make_room(now);
         }
-        let suspect = self.suspects.entry(digest).or_default();
+        let suspect = self
+            .suspects
+            .entry(key)
+            .or_insert_with(|| CrashSuspect::new(key));
         change(suspect);
-        if let Some(at) = self.answered.peek(&digest) {
+        if let Some(at) = self.answered.peek(&key) {
             suspect.clear(*at);
         }
-        suspect.n_counted()
     }
 
     /// Drops the suspect with the fewest ends, the oldest one, where there is no room.
@@ -210,9 +225,9 @@
             .suspects
             .iter()
             .min_by_key(|(_, suspect)| (suspect.n_counted(), suspect.last_end()));
-        let least = least.map(|(digest, _)| *digest);
-        if let Some(digest) = least.filter(|_| MAX_SUSPECTS <= self.suspects.len()) {
-            self.suspects.remove(&digest);
+        let least = least.map(|(key, _)| *key);
+        if let Some(key) = least.filter(|_| MAX_SUSPECTS <= self.suspects.len()) {
+            self.suspects.remove(&key);
         }
     }
 }
--- a/fleet/src/routing/mod.rs
+++ b/fleet/src/routing/mod.rs
@@ -8,6 +8,7 @@
 mod rank_watch;
 mod retry_budget;
 mod routing_table;
+mod suspect_key;
 mod suspect_report;
 mod target_health;
 
@@ -18,5 +19,6 @@
 pub use rank_watch::{ROUND_PERIOD, RankStatus, RankWatch};
 pub use retry_budget::{BudgetSettings, RetryBudget};
 pub use routing_table::{RoutingTable, TargetPick};
+pub use suspect_key::{SuspectKey, SuspectKeys};
 pub use suspect_report::{EndReport, SuspectReport};
 pub use target_health::{ResultCounts, TargetHealth};
--- a/fleet/src/routing/suspect_report.rs
+++ b/fleet/src/routing/suspect_report.rs
@@ -1,16 +1,17 @@
-//! What entries tell each other of the requests that may have ended targets.
+//! What entries tell each other of what may have ended targets.
 
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
-use crate::request::CallDigest;
 
-/// What an entry knows of a request that may have ended targets.
+use super::suspect_key::SuspectKey;
+
+/// What an entry knows of a request or part of prompts that may have ended targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
-    /// The request.
-    pub digest: CallDigest,
-    /// The targets that ended while they ran it.
+    /// The request or part.
+    pub key: SuspectKey,
+    /// The targets that ended while they ran it, or a request that has it.
     pub ends: SmallVec<[EndReport; 4]>,
     /// The time since a target last answered it, in milliseconds, where one did.
     pub answered_ms: Option<u32>,
@@ -21,6 +22,8 @@
 pub struct EndReport {
     /// The hash of the target's id.
     pub target: u32,
+    /// The start of the digest of the request.
+    pub request: u32,
     /// The time since the end, in milliseconds.
     pub age_ms: u32,
     /// The time from the start of the run to the end, in milliseconds.
--- a/fleet/tests/crash_suspects.rs
+++ b/fleet/tests/crash_suspects.rs
@@ -4,9 +4,8 @@
 
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::request::CallDigest;
-use comfreyhead_fleet::routing::{CrashSuspects, SuspectDecision};
+use comfreyhead_fleet::routing::{CrashSuspects, SuspectDecision, SuspectKeys};
 
-const REQUEST: CallDigest = CallDigest(1);
 const SECOND: Duration = Duration::from_secs(1);
 
 /// The stated time within which all entries know what a request did at one of them.
@@ -36,14 +35,30 @@
     n_reports
 }
 
-/// Records the end of a target after a run of 50 ms.
+/// Returns the keys of a request without shared parts.
+fn request(n_request: u64) -> SuspectKeys {
+    prompt(n_request, &[])
+}
+
+/// Returns the keys of a request whose prompt has these shared parts.
+fn prompt(n_request: u64, parts: &[u64]) -> SuspectKeys {
+    SuspectKeys {
+        request: CallDigest(n_request),
+        parts: parts.iter().map(|part| CallDigest(*part)).collect(),
+    }
+}
+
+/// Records the end of a target after a run of request 1 for 50 ms.
 fn end(suspects: &mut CrashSuspects, target: u32, at: Instant) {
     let began_at = at - Duration::from_millis(50);
-    suspects.record_end(REQUEST, target, began_at, at);
+    suspects.record_end(&request(1), target, began_at, at);
 }
 
 fn is_refused(suspects: &CrashSuspects, now: Instant) -> bool {
-    matches!(suspects.check(REQUEST, now), SuspectDecision::Refused(_))
+    matches!(
+        suspects.check(&request(1), now),
+        SuspectDecision::Refused(_)
+    )
 }
 
 // Guards against entries that each count their own ends only.
@@ -81,7 +96,7 @@
 fn request_that_another_entry_got_answered_is_never_refused() {
     let start = Instant::now() + SECOND;
     let mut entries = entries::<3>(start);
-    entries[2].record_answer(REQUEST, start);
+    entries[2].record_answer(request(1).iter(), start);
     let ended_at = start + 20 * SECOND;
     for target in 0..5 {
         let at = ended_at + target * Duration::from_millis(60);
@@ -101,7 +116,7 @@
 fn request_that_was_answered_and_then_ends_all_its_targets_is_refused() {
     let start = Instant::now() + SECOND;
     let mut suspects = CrashSuspects::new(start);
-    suspects.record_answer(REQUEST, start);
+    suspects.record_answer(request(1).iter(), start);
     for target in 0..6 {
         end(&mut suspects, target, start + (target + 1) * SECOND);
     }
@@ -126,19 +141,19 @@
     for target in 0..3 {
         end(&mut suspects, target, start + target * SECOND / 4);
     }
-    let SuspectDecision::Refused(after) = suspects.check(REQUEST, start + 2 * SECOND) else {
+    let SuspectDecision::Refused(after) = suspects.check(&request(1), start + 2 * SECOND) else {
         panic!("not refused");
     };
 
     // Act, assert
     let later = start + 2 * SECOND + after;
-    assert_eq!(suspects.admit(REQUEST, later), SuspectDecision::Probe);
+    assert_eq!(suspects.admit(&request(1), later), SuspectDecision::Probe);
     assert!(is_refused(&suspects, later + SECOND));
     end(&mut suspects, 9, later + 2 * SECOND);
     let again = later + 60 * SECOND;
     assert!(is_refused(&suspects, again));
-    suspects.record_answer(REQUEST, again);
-    assert_eq!(suspects.check(REQUEST, again), SuspectDecision::Clear);
+    suspects.record_answer(request(1).iter(), again);
+    assert_eq!(suspects.check(&request(1), again), SuspectDecision::Clear);
 }
 
 // Guards against a new popular request that counts as harmful as all its targets end at once.
@@ -150,7 +165,7 @@
     for target in 0..12 {
         let began_at = ended_at - Duration::from_millis(100 + 40 * u64::from(target));
         let suspects = &mut entries[target as usize % 3];
-        suspects.record_end(REQUEST, target, began_at, ended_at);
+        suspects.record_end(&request(1), target, began_at, ended_at);
     }
     exchange(&mut entries, ended_at, CONTACT_TIME);
     let now = ended_at + CONTACT_TIME;
@@ -162,34 +177,34 @@
 fn request_that_only_ran_beside_a_harmful_one_is_served() {
     for (harmful, sound) in [(1, 2), (2, 1)] {
         // Arrange: a service with one target, which never gets the sound request answered.
-        let (harmful, sound) = (CallDigest(harmful), CallDigest(sound));
+        let (harmful, sound) = (request(harmful), request(sound));
         let start = Instant::now() + SECOND;
         let mut suspects = CrashSuspects::new(start);
         for n_end in 0..3 {
             let at = start + n_end * 4 * SECOND;
-            for digest in [harmful, sound] {
-                suspects.record_end(digest, n_end, at - SECOND, at);
+            for keys in [&harmful, &sound] {
+                suspects.record_end(keys, n_end, at - SECOND, at);
             }
         }
 
         // Act: both come again, at most one of them is sent.
         let now = start + 10 * SECOND;
-        let is_sent = |suspects: &CrashSuspects, digest, now| {
-            !matches!(suspects.check(digest, now), SuspectDecision::Refused(_))
+        let is_sent = |suspects: &CrashSuspects, keys: &SuspectKeys, now| {
+            !matches!(suspects.check(keys, now), SuspectDecision::Refused(_))
         };
-        let sent = [harmful, sound].map(|digest| is_sent(&suspects, digest, now));
+        let sent = [&harmful, &sound].map(|keys| is_sent(&suspects, keys, now));
         match sent {
             [true, false] => {
-                suspects.record_end(harmful, 3, now, now + SECOND);
+                suspects.record_end(&harmful, 3, now, now + SECOND);
             }
-            [false, true] => suspects.record_answer(sound, now + SECOND),
+            [false, true] => suspects.record_answer(sound.iter(), now + SECOND),
             _ => panic!("{sent:?}"),
         }
 
         // Assert
         let now = now + 2 * SECOND;
-        assert!(!is_sent(&suspects, harmful, now));
-        assert!(is_sent(&suspects, sound, now));
+        assert!(!is_sent(&suspects, &harmful, now));
+        assert!(is_sent(&suspects, &sound, now));
     }
 }
 
@@ -200,14 +215,90 @@
     let mut suspects = CrashSuspects::new(start);
     for n_end in 0..3 {
         let at = start + n_end * 4 * SECOND;
-        for digest in [CallDigest(1), CallDigest(2)] {
-            suspects.record_end(digest, n_end, at - SECOND, at);
+        for n_request in [1, 2] {
+            suspects.record_end(&request(n_request), n_end, at - SECOND, at);
         }
     }
     let now = start + 30 * SECOND;
-    for digest in [CallDigest(1), CallDigest(2)] {
-        assert_eq!(suspects.check(digest, now), SuspectDecision::Clear);
+    for n_request in [1, 2] {
+        assert_eq!(
+            suspects.check(&request(n_request), now),
+            SuspectDecision::Clear
+        );
+    }
+}
+
+/// Records the ends of targets under requests of which no two are alike, four seconds apart.
+fn end_prompts(suspects: &mut CrashSuspects, start: Instant, prompts: &[&[u64]]) {
+    for (n_prompt, parts) in (0..).zip(prompts) {
+        let at = start + n_prompt * 4 * SECOND;
+        let keys = prompt(1_000 + u64::from(n_prompt), parts);
+        suspects.record_end(&keys, n_prompt, at - SECOND, at);
+    }
+}
+
+fn refuses(suspects: &CrashSuspects, parts: &[u64], now: Instant) -> bool {
+    let decision = suspects.check(&prompt(7, parts), now);
+    matches!(decision, SuspectDecision::Refused(_))
+}
+
+// Guards against a sound first part that is refused with the harmful part beside it.
+#[test]
+fn part_is_refused_and_those_beside_it_are_not() {
+    let start = Instant::now() + SECOND;
+    let mut suspects = CrashSuspects::new(start);
+    suspects.record_answer(prompt(5, &[10]).iter(), start);
+    end_prompts(&mut suspects, start, &[&[10, 66], &[10, 66], &[10, 66]]);
+    let now = start + 20 * SECOND;
+    assert!(refuses(&suspects, &[10, 66], now));
+    assert!(refuses(&suspects, &[11, 66], now));
+    assert!(!refuses(&suspects, &[10], now));
+    assert!(!refuses(&suspects, &[10, 12], now));
+}
+
+// The same where nothing with the first part was ever answered.
+#[test]
+fn part_that_came_with_a_harmful_one_only_is_soon_told_apart() {
+    for (first, harmful) in [(10, 66), (66, 10)] {
+        let start = Instant::now() + SECOND;
+        let mut suspects = CrashSuspects::new(start);
+        let both: &[u64] = &[first, harmful];
+        end_prompts(&mut suspects, start, &[both, both, both]);
+        let last_end = start + 8 * SECOND;
+        assert!(refuses(&suspects, both, last_end + 2 * SECOND));
+        let now = last_end + 2 * CONTACT_TIME;
+        assert!(!refuses(&suspects, &[first], now), "{first}");
+        suspects.record_answer(prompt(8, &[first]).iter(), now);
+        assert!(!refuses(&suspects, &[first, 12], now));
+        assert!(refuses(&suspects, both, now));
+    }
+}
+
+#[test]
+fn part_that_all_crashed_prompts_share_is_refused_whatever_stands_beside_it() {
+    let start = Instant::now() + SECOND;
+    let mut suspects = CrashSuspects::new(start);
+    end_prompts(&mut suspects, start, &[&[66, 10], &[66, 11], &[12, 66]]);
+    let now = start + 20 * SECOND;
+    assert!(refuses(&suspects, &[66], now));
+    assert!(refuses(&suspects, &[13, 66], now));
+    for sound in [10, 11, 12] {
+        assert!(!refuses(&suspects, &[sound], now));
+    }
+}
+
+// Guards against a part that is blamed for one request that is sent again and again.
+#[test]
+fn one_request_is_no_evidence_against_the_parts_of_its_prompt() {
+    let start = Instant::now() + SECOND;
+    let mut suspects = CrashSuspects::new(start);
+    for n_end in 0..5 {
+        let at = start + n_end * 4 * SECOND;
+        suspects.record_end(&prompt(1, &[10]), n_end, at - SECOND, at);
     }
+    let now = start + 20 * SECOND;
+    assert!(is_refused(&suspects, now));
+    assert!(!refuses(&suspects, &[10], now));
 }
 
 // Guards against a flood of failing requests that fills the memory, or drives out a harmful one.
@@ -219,7 +310,7 @@
         end(&mut suspects, target, start + target * SECOND / 4);
     }
     for n_request in 0..6_000 {
-        suspects.record_end(CallDigest(100 + n_request), 5, start, start + SECOND);
+        suspects.record_end(&request(100 + n_request), 5, start, start + SECOND);
     }
     assert!(suspects.len() <= 4_096);
     assert!(is_refused(&suspects, start + 2 * SECOND));
@@ -235,7 +326,7 @@
     exchange(&mut entries, start, 10 * SECOND);
     let later = start + 10 * SECOND;
     assert!(exchange(&mut entries, later, 30 * SECOND) <= 4 * 30);
-    entries[1].record_answer(REQUEST, start + 40 * SECOND);
+    entries[1].record_answer(request(1).iter(), start + 40 * SECOND);
     exchange(&mut entries, start + 40 * SECOND, 60 * SECOND);
     assert!(entries.iter().all(CrashSuspects::is_empty));
 
