Hold the end of a target that leaves as announced against no request

The new test failed before with 503.

The end of a target whose record says that it drains, or is gone, is no evidence. A target that crashes tells nothing before, and its record stays for some seconds.

--- a/fleet/src/process/end_check.rs
+++ b/fleet/src/process/end_check.rs
@@ -22,7 +22,9 @@
     info!(state.log, "target checked"; "request" => &*run.attempt_id,
         "target" => &*run.pick.id, "result" => ?check, "digest" => %run.keys.request,
         "parts" => %run.prompt_parts);
-    if check == TargetCheck::Refuses {
+    // What leaves as announced ends by itself.
+    let is_leaving = state.table.lock().is_leaving(&run.pick.id);
+    if check == TargetCheck::Refuses && !is_leaving {
         let target = name_hash(&run.pick.id);
         let now = Instant::now();
         let mut suspects = state.suspects.lock();
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -219,6 +219,11 @@
             .any(|row| !excluded.contains(&row.entry.id))
     }
 
+    /// Returns whether a target is draining or gone, as its record says.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.targets.get(id).is_none_or(|row| !row.is_usable())
+    }
+
     /// Returns the number of targets that accept requests.
     pub fn n_usable(&self) -> usize {
         self.targets.values().filter(|row| row.is_usable()).count()
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -3,6 +3,8 @@
 
 #[path = "forwarding/connections.rs"]
 mod connections;
+#[path = "forwarding/ended_target.rs"]
+mod ended_target;
 #[path = "forwarding/endless_target.rs"]
 mod endless_target;
 #[path = "forwarding/silent_target.rs"]
--- /dev/null
+++ b/fleet/tests/forwarding/ended_target.rs
@@ -0,0 +1,80 @@
+//! Targets that end while they run a request.
+
+use std::time::Duration;
+
+use comfreyhead_fleet::prelude::*;
+
+use crate::wire::{Entry, Reply, ScriptedTarget};
+
+/// The time of a run until its target ends.
+const RUN_TIME: Duration = Duration::from_millis(100);
+
+/// The time until a request counts as harmful at one entry: until others can have told of an answer.
+const VERDICT_TIME: Duration = Duration::from_millis(1_300);
+
+/// Starts targets that end under their first request, and answer later ones.
+async fn ending_targets<const N: usize>() -> [ScriptedTarget; N] {
+    let mut targets = Vec::new();
+    for _ in 0..N {
+        targets.push(ScriptedTarget::start(vec![Reply::End(RUN_TIME)]).await);
+    }
+    targets.try_into().ok().unwrap()
+}
+
+#[tokio::test]
+async fn request_that_ended_three_targets_is_refused_and_others_are_served() {
+    // Arrange: the sound target is chosen last.
+    let ending = ending_targets::<3>().await;
+    let replies = vec![Reply::whole("200 OK", "ok"); 2];
+    let sound = ScriptedTarget::start(replies).await;
+    let [a, b, c] = &ending;
+    let entry = Entry::start(CallKind::Unsafe, &[a, b, c, &sound]).await;
+    for _ in 0..5 {
+        entry.disfavour(3);
+    }
+
+    // Act
+    for id in ["r1", "r2", "r3"] {
+        assert_eq!(entry.call(id).await.status, 502);
+    }
+    tokio::time::sleep(VERDICT_TIME).await;
+    let refused = entry.call("r4").await;
+    let other = entry.call_path("/r/other", "k1").await;
+
+    // Assert
+    assert_eq!(refused.status, 503);
+    assert!(refused.head.contains("retry-after: 59"), "{}", refused.head);
+    assert_eq!(other.status, 200);
+    assert_eq!(sound.requests().len(), 1);
+}
+
+// Guards against a request that counts as harmful as its targets leave one after the other.
+#[tokio::test]
+async fn targets_that_end_as_announced_are_not_held_against_a_request() {
+    // Arrange
+    let ending = ending_targets::<3>().await;
+    let sound = ScriptedTarget::start(vec![Reply::whole("200 OK", "ok")]).await;
+    let [a, b, c] = &ending;
+    let entry = Entry::start(CallKind::Unsafe, &[a, b, c, &sound]).await;
+    for _ in 0..5 {
+        entry.disfavour(3);
+    }
+
+    // Act
+    for id in ["r1", "r2", "r3"] {
+        let draining = async {
+            tokio::time::sleep(RUN_TIME / 2).await;
+            for (n_target, target) in ending.iter().enumerate() {
+                if !target.requests().is_empty() {
+                    entry.drain(n_target, target);
+                }
+            }
+        };
+        let (response, ()) = tokio::join!(entry.call(id), draining);
+        assert_eq!(response.status, 502);
+    }
+    tokio::time::sleep(VERDICT_TIME).await;
+
+    // Assert
+    assert_eq!(entry.call("r4").await.status, 200);
+}
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -51,6 +51,8 @@
     /// Streams the events after the caller's last one up to `N_EVENTS`, and is silent once: for a
     /// time after the first of them.
     SilentOnce(Duration),
+    /// Sends nothing for a time, then ends the target: its listener and this connection close.
+    End(Duration),
     /// Writes a start, then a piece so many times, and waits for the peer to close.
     Flood(String, String, usize),
 }
@@ -112,12 +114,19 @@
             target.end.clone(),
             target.flood.clone(),
         );
+        let (stop, mut stopped) = watch::channel(false);
+        let stop = Arc::new(stop);
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let stream = tokio::select! {
+                    Ok((stream, _)) = listener.accept() => stream,
+                    Ok(_) = stopped.wait_for(|is_stopped| *is_stopped) => return,
+                    else => return,
+                };
                 let (script, seen, end) = (script.clone(), seen.clone(), end.clone());
-                let flood = flood.clone();
+                let (flood, stop) = (flood.clone(), stop.clone());
                 tokio::spawn(async move {
-                    if let Err(err) = follow(stream, &script, &seen, &flood).await {
+                    if let Err(err) = follow(stream, &script, &seen, &flood, &stop).await {
                         *end.lock().unwrap() = Some(err.kind());
                     }
                 });
@@ -157,6 +166,7 @@
     script: &Mutex<Vec<Reply>>,
     seen: &Mutex<Vec<String>>,
     flood: &FloodCount,
+    stop: &watch::Sender<bool>,
 ) -> std::io::Result<()> {
     loop {
         let mut head = Vec::new();
@@ -216,6 +226,12 @@
                 let last_id = last_id.and_then(|(_, rest)| rest.lines().next()?.parse().ok());
                 stream_with_silence(&mut stream, last_id.unwrap_or(0), time).await?;
             }
+            Reply::End(time) => {
+                tokio::time::sleep(time).await;
+                stop.send_replace(true);
+                stop.closed().await;
+                return Ok(());
+            }
             Reply::Flood(start, piece, n_pieces) => {
                 // What this side buffers is no memory of the entry's.
                 socket2::SockRef::from(&stream).set_send_buffer_size(1 << 14)?;
@@ -306,6 +322,18 @@
     catalog
 }
 
+fn target_entry(n_target: usize, address: SocketAddr) -> TargetEntry {
+    TargetEntry {
+        id: format!("t{n_target}").into(),
+        service: "svc".into(),
+        address,
+        zone: "a".into(),
+        slots: 4,
+        draining: false,
+        started_ms: 0,
+    }
+}
+
 impl Entry {
     pub async fn start(kind: CallKind, targets: &[&ScriptedTarget]) -> Self {
         Self::with_route(route(kind), 1_000.0, targets).await
@@ -354,15 +382,7 @@
         self.state.catalog.store(Some(Arc::new(catalog(route))));
         self.state.confirm(Instant::now());
         for (n_target, &address) in addresses.iter().enumerate() {
-            let change = RosterChange::Changed(TargetEntry {
-                id: format!("t{n_target}").into(),
-                service: "svc".into(),
-                address,
-                zone: "a".into(),
-                slots: 4,
-                draining: false,
-                started_ms: 0,
-            });
+            let change = RosterChange::Changed(target_entry(n_target, address));
             self.state.table.lock().apply(&change);
         }
     }
--- a/fleet/tests/wire/silence.rs
+++ b/fleet/tests/wire/silence.rs
@@ -5,8 +5,9 @@
 use comfreyhead_fleet::catalog::EngineSpec;
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::process::EntryState;
+use comfreyhead_fleet::roster::RosterChange;
 
-use super::{Entry, catalog, route};
+use super::{Entry, ScriptedTarget, catalog, route, target_entry};
 
 impl Entry {
     /// Records a failure of a target, so that it is chosen after the others.
@@ -16,6 +17,15 @@
         health.record_failure(Instant::now());
     }
 
+    /// Lets a target tell that it leaves.
+    pub fn drain(&self, n_target: usize, target: &ScriptedTarget) {
+        let change = RosterChange::Changed(TargetEntry {
+            draining: true,
+            ..target_entry(n_target, target.address)
+        });
+        self.state.table.lock().apply(&change);
+    }
+
     /// Makes the targets the ranks of a group.
     pub fn form_group(&self, route: RouteSpec) {
         let mut catalog = catalog(route);
