--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -51,8 +51,8 @@
     /// Streams the events after the caller's last one up to `N_EVENTS`, and is silent once: for a
     /// time after the first of them.
     SilentOnce(Duration),
-    /// Sends nothing for a time, then ends the target: its listener and this connection close.
-    End(Duration),
+    /// Writes bytes, and ends the target after a time: its listener and this connection close.
+    End(String, Duration),
     /// Writes a start, then a piece so many times, and waits for the peer to close.
     Flood(String, String, usize),
 }
@@ -226,7 +226,8 @@
                 let last_id = last_id.and_then(|(_, rest)| rest.lines().next()?.parse().ok());
                 stream_with_silence(&mut stream, last_id.unwrap_or(0), time).await?;
             }
-            Reply::End(time) => {
+            Reply::End(text, time) => {
+                stream.write_all(text.as_bytes()).await?;
                 tokio::time::sleep(time).await;
                 stop.send_replace(true);
                 stop.closed().await;
