Report suspects again once more entries can be reached

An end known at one entry only reached those behind a cut, or in another data centre whose representative changed, with the next repeat, after up to ten seconds; the stated time is three. The test fails where nothing is reported again.

Now an entry reports all suspects as after a change when it hears from more entries than before, or begins to represent its data centre.

--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -51,6 +51,7 @@
     socket: Arc<UdpSocket>,
 ) {
     let mut heartbeat_idx: u64 = 0;
+    let mut last_contacts = Contacts::default();
     loop {
         let now = Instant::now();
         replica.tick(now);
@@ -72,6 +73,14 @@
             let message = PeerMessage::Beat(zone_heartbeat);
             send_to_all(&socket, &message, &receivers.zone_heartbeat).await;
         }
+        let contacts = Contacts {
+            represents_zone: !receivers.zone_heartbeat.is_empty(),
+            n_recent: replica.with_peers(|peers| peers.recent_heartbeats(now).count()),
+        };
+        if contacts.has_more_than(&last_contacts) {
+            state.suspects.lock().report_again();
+        }
+        last_contacts = contacts;
         send_suspects(&state, &socket, &receivers).await;
         let n_entries = replica.with_peers(|peers| peers.len()) + 1;
         state.n_entries.store(n_entries, Ordering::Relaxed);
@@ -80,6 +89,19 @@
     }
 }
 
+/// The other entries that hear from this one.
+#[derive(Default)]
+struct Contacts {
+    represents_zone: bool,
+    n_recent: usize,
+}
+
+impl Contacts {
+    fn has_more_than(&self, other: &Self) -> bool {
+        (self.represents_zone && !other.represents_zone) || other.n_recent < self.n_recent
+    }
+}
+
 /// Sends what is due of the requests that may have ended targets.
 async fn send_suspects(state: &EntryState, socket: &UdpSocket, receivers: &HeartbeatReceivers) {
     let reports = {
--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -217,6 +217,11 @@
         self.n_reports < REPORTS_OF_CHANGE || self.reported_at.is_none_or(|at| at + interval <= now)
     }
 
+    /// Makes a report due, as after a change.
+    pub(super) fn report_again(&mut self) {
+        self.n_reports = 0;
+    }
+
     /// Returns the order of reports: changes first, then the most ends, then the oldest report.
     pub(super) fn urgency(&self, now: i64) -> (bool, usize, i64) {
         let is_changed = self.n_reports < REPORTS_OF_CHANGE;
--- a/fleet/src/routing/crash_suspects.rs
+++ b/fleet/src/routing/crash_suspects.rs
@@ -134,6 +134,13 @@
             .collect()
     }
 
+    /// Reports all suspects again, as another entry can be reached that could not be before.
+    pub fn report_again(&mut self) {
+        self.suspects
+            .values_mut()
+            .for_each(CrashSuspect::report_again);
+    }
+
     /// Merges the report of another entry; it may arrive late, or more than once.
     pub fn observe_report(&mut self, report: &SuspectReport, now: Instant) {
         let now = self.millis(now);
--- a/fleet/tests/crash_suspects.rs
+++ b/fleet/tests/crash_suspects.rs
@@ -75,6 +75,26 @@
     assert!(entries.iter().all(|entry| is_refused(entry, now)));
 }
 
+// Guards against ends that stay unknown where the entries could not reach each other at first.
+#[test]
+fn single_ends_behind_cuts_are_known_once_the_entries_reach_each_other() {
+    let start = Instant::now() + SECOND;
+    let mut entries = entries::<3>(start);
+    for (target, suspects) in (0..3).zip(&mut entries) {
+        end(suspects, target, start + target * SECOND / 2);
+        exchange(
+            std::slice::from_mut(suspects),
+            start + 2 * SECOND,
+            4 * SECOND,
+        );
+    }
+    let healed_at = start + 6 * SECOND;
+    entries.iter_mut().for_each(CrashSuspects::report_again);
+    exchange(&mut entries, healed_at, SECOND);
+    let now = healed_at + SECOND;
+    assert!(entries.iter().all(|entry| is_refused(entry, now)));
+}
+
 #[test]
 fn two_ends_or_reports_of_the_same_ends_refuse_nothing() {
     let start = Instant::now() + SECOND;
