Report up to 32 suspects at once, within one packet

After a rank ends with all its streams, a data centre's representative has over a hundred suspects to pass on, which took two seconds at 16 four times a second.

--- a/fleet/src/routing/crash_suspects.rs
+++ b/fleet/src/routing/crash_suspects.rs
@@ -19,7 +19,10 @@
 const MAX_ANSWERED: NonZeroUsize = NonZeroUsize::new(8_192).expect("is_not_zero");
 
 /// The most suspects that one message reports.
-const MAX_REPORTS: usize = 16;
+const MAX_REPORTS: usize = 32;
+
+/// The ends from which a message reports no further suspect, so that it fits into one packet.
+const MAX_REPORTED_ENDS: usize = 40;
 
 /// The requests and parts of prompts that may have ended targets, at all entries.
 ///
@@ -128,10 +131,17 @@
             .filter(|(_, suspect)| suspect.is_report_due(now))
             .collect();
         due.sort_by_key(|(_, suspect)| Reverse(suspect.urgency(now)));
-        due.into_iter()
-            .take(MAX_REPORTS)
-            .map(|(key, suspect)| suspect.take_report(*key, now))
-            .collect()
+        let mut reports = Vec::new();
+        let mut n_ends = 0;
+        for (key, suspect) in due.into_iter().take(MAX_REPORTS) {
+            if MAX_REPORTED_ENDS <= n_ends {
+                break;
+            }
+            let report = suspect.take_report(*key, now);
+            n_ends += report.ends.len();
+            reports.push(report);
+        }
+        reports
     }
 
     /// Reports all suspects again, as another entry can be reached that could not be before.
