Keep the last run of each end, so that entries judge alike

Where one end broke off several runs of a request, each entry kept the one it learned of first, and whether the next end followed it differed between them. The test failed before: one entry refused the request, the other did not.

--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -62,7 +62,8 @@
 /// The time between two later reports of any other suspect.
 const SINGLE_REPORT_MS: i64 = 10_000;
 
-/// One request or part of prompts that may have ended targets. All times are in milliseconds of the table's clock.
+/// One request or part of prompts that may have ended targets. All times are in milliseconds of the
+/// table's clock.
 #[derive(Debug)]
 pub(super) struct CrashSuspect {
     key: SuspectKey,
@@ -109,10 +110,16 @@
     /// Adds the end of a target, unless it is known. One request is no evidence against the parts of
     /// its prompt more than once.
     pub(super) fn add_end(&mut self, new: TargetEnd) {
+        if let Some(known) = self.ends.iter_mut().find(|end| end.is_same(&new)) {
+            // Of several runs that one end broke off, all entries keep the last one.
+            if known.began_at + CLOCK_ERROR_MS < new.began_at {
+                known.began_at = new.began_at;
+                self.n_reports = 0;
+            }
+            return;
+        }
         let is_part = matches!(self.key, SuspectKey::Part(_));
-        let is_known =
-            |end: &TargetEnd| end.is_same(&new) || (is_part && end.request == new.request);
-        if self.ends.iter().any(is_known) {
+        if is_part && self.ends.iter().any(|end| end.request == new.request) {
             return;
         }
         let idx = self.ends.partition_point(|end| end.at <= new.at);
--- a/fleet/tests/crash_suspects.rs
+++ b/fleet/tests/crash_suspects.rs
@@ -76,6 +76,22 @@
     assert!(entries.iter().all(|entry| is_refused(entry, now)));
 }
 
+// Guards against entries that judge differently as they learned of the same ends in another order.
+#[test]
+fn entries_that_saw_different_runs_of_the_same_ends_agree() {
+    let start = Instant::now() + SECOND;
+    let mut entries = entries::<2>(start);
+    for target in 0..3 {
+        let at = start + target * SECOND;
+        let long_ago = at - 10 * SECOND;
+        entries[0].record_end(&request(1), target, long_ago.max(start - SECOND), at);
+        end(&mut entries[1], target, at);
+    }
+    exchange(&mut entries, start + 2 * SECOND, CONTACT_TIME);
+    let now = start + 2 * SECOND + CONTACT_TIME;
+    assert!(entries.iter().all(|entry| is_refused(entry, now)));
+}
+
 // Guards against ends that stay unknown where the entries could not reach each other at first.
 #[test]
 fn single_ends_behind_cuts_are_known_once_the_entries_reach_each_other() {
