--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -1,7 +1,7 @@
 //! The pool of connections to targets.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
 use http_body_util::Full;
@@ -118,10 +118,13 @@
         all.retain(|_, connections| !connections.is_empty());
     }
 
-    /// Checks whether a target accepts a connection, without sending a request.
+    /// Checks whether a target accepts a connection, which is kept for a later request.
     pub async fn check(&self, address: SocketAddr) -> TargetCheck {
-        match tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => TargetCheck::Accepts,
+        match tokio::time::timeout(CHECK_TIMEOUT, open(address)).await {
+            Ok(Ok(connection)) => {
+                self.keep(address, connection, None);
+                TargetCheck::Accepts
+            }
             Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => TargetCheck::Refuses,
             Ok(Err(_)) | Err(_) => TargetCheck::Unclear,
         }
@@ -134,30 +137,28 @@
         time_left: Duration,
     ) -> Option<PooledConnection> {
         let limit = CONNECT_TIMEOUT.min(time_left);
-        let connecting = async {
-            let stream = TcpStream::connect(address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
-            // An abandoned request must not reach its target later: without a reset, bytes that a
-            // network partition delays are still delivered after the connection was closed.
-            socket2::SockRef::from(&stream)
-                .set_linger(Some(Duration::ZERO))
-                .ok()?;
-            let stream = SharedStream::new(stream);
-            let client = bounded_handshake(stream.clone()).await.ok()?;
-            Some((client, stream))
-        };
-        let (client, stream) = tokio::time::timeout(limit, connecting).await.ok()??;
-        let (sender, driver, meter) = client;
-        let task = tokio::spawn(async move {
-            // Requests in progress receive the error; for an idle connection it does not matter.
-            let _ = driver.await;
-        });
-        let task = task.abort_handle();
-        Some(PooledConnection {
-            sender,
-            meter,
-            task,
-            stream,
-        })
+        let opened = tokio::time::timeout(limit, open(address)).await;
+        opened.ok()?.ok()
     }
 }
+
+async fn open(address: SocketAddr) -> io::Result<PooledConnection> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    // An abandoned request must not reach its target later: without a reset, bytes that a network
+    // partition delays are still delivered after the connection was closed.
+    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+    let stream = SharedStream::new(stream);
+    let client = bounded_handshake(stream.clone()).await;
+    let (sender, driver, meter) = client.map_err(io::Error::other)?;
+    let task = tokio::spawn(async move {
+        // Requests in progress receive the error; for an idle connection it does not matter.
+        let _ = driver.await;
+    });
+    Ok(PooledConnection {
+        sender,
+        meter,
+        task: task.abort_handle(),
+        stream,
+    })
+}
