Check no target after an answer without a body

Each answer without a length, chunks or body (204, or to HEAD) opened a connection to see whether its target was still there: three connections for two such calls in the test, which failed before; one now.

--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -3,7 +3,7 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::prelude::*;
 use crate::request::AttemptOutcome;
@@ -37,7 +37,7 @@
 pub struct TargetResponse {
     /// The head, as it is sent to the caller.
     pub head: ResponseHead,
-    /// Whether the body ends by its length or its chunks, not with the connection.
+    /// Whether the body is empty or ends by its length or its chunks, not with the connection.
     pub is_delimited: bool,
     body: Incoming,
     connection: PooledConnection,
@@ -195,9 +195,10 @@
         return Err(AttemptOutcome::Unknown);
     }
     let idle_timeout = keep_alive_timeout(&parts.headers);
-    let is_delimited = [CONTENT_LENGTH, TRANSFER_ENCODING]
-        .iter()
-        .any(|name| parts.headers.contains_key(name));
+    let is_delimited = body.is_end_stream()
+        || [CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|name| parts.headers.contains_key(name));
     Ok(TargetResponse {
         is_delimited,
         head: ResponseHead::new(parts.status, parts.headers),
--- a/fleet/tests/forwarding/ended_target.rs
+++ b/fleet/tests/forwarding/ended_target.rs
@@ -126,6 +126,19 @@
     );
 }
 
+// Guards against a connection that is opened for each answer that has no body.
+#[tokio::test]
+async fn answer_without_a_body_leaves_its_connection_as_it_is() {
+    let empty = Reply::raw("HTTP/1.1 204 No Content\r\nx-seal: s1\r\n\r\n");
+    let target = ScriptedTarget::start(vec![empty.clone(), empty]).await;
+    let entry = Entry::start(CallKind::Safe, &[&target]).await;
+    for id in ["r1", "r2"] {
+        assert_eq!(entry.call(id).await.status, 204);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(target.n_connections(), 1);
+}
+
 /// Returns a response that ends with its connection.
 fn undelimited(body: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nx-seal: s1\r\nconnection: close\r\n\r\n{body}")
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -96,6 +96,7 @@
     seen: Arc<Mutex<Vec<String>>>,
     end: Arc<Mutex<Option<ErrorKind>>>,
     flood: Arc<FloodCount>,
+    n_connections: Arc<AtomicUsize>,
 }
 
 impl ScriptedTarget {
@@ -107,7 +108,9 @@
             seen: Arc::default(),
             end: Arc::default(),
             flood: Arc::default(),
+            n_connections: Arc::default(),
         };
+        let n_connections = target.n_connections.clone();
         let (script, seen, end, flood) = (
             target.script.clone(),
             target.seen.clone(),
@@ -123,6 +126,7 @@
                     Ok(_) = stopped.wait_for(|is_stopped| *is_stopped) => return,
                     else => return,
                 };
+                n_connections.fetch_add(1, Ordering::Relaxed);
                 let (script, seen, end) = (script.clone(), seen.clone(), end.clone());
                 let (flood, stop) = (flood.clone(), stop.clone());
                 tokio::spawn(async move {
@@ -140,6 +144,11 @@
         self.script.lock().unwrap().push(reply);
     }
 
+    /// Returns the number of connections so far.
+    pub fn n_connections(&self) -> usize {
+        self.n_connections.load(Ordering::Relaxed)
+    }
+
     /// Returns the heads of the requests that arrived.
     pub fn requests(&self) -> Vec<String> {
         self.seen.lock().unwrap().clone()
