--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -185,7 +185,10 @@
             Some(PeerMessage::Suspects(reports)) => {
                 let mut suspects = state.suspects.lock();
                 for report in &reports {
-                    suspects.observe_report(report, now);
+                    if suspects.observe_report(report, now) {
+                        warn!(state.log, "suspect reported"; "from" => %address,
+                            "suspect" => %report.key, "ends" => report.ends.len());
+                    }
                 }
             }
             Some(PeerMessage::Pace(target, pace)) => {
--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -170,14 +170,19 @@
 
     /// Returns whether the suspect ends its targets, as far as this entry knows.
     pub(super) fn is_harmful(&self, now: i64) -> bool {
+        let first = self.ends_since_answer().next();
+        self.has_enough_ends(now) && first.is_some_and(|end| end.at + VERDICT_DELAY_MS <= now)
+    }
+
+    /// Returns whether the suspect is harmful unless another entry tells of an answer in time.
+    pub(super) fn has_enough_ends(&self, now: i64) -> bool {
         let is_trusted = self.answered_at.is_some_and(|at| now < at + TRUST_MS);
         let min_ends = if is_trusted {
             MIN_ENDS_ANSWERED
         } else {
             MIN_ENDS
         };
-        let first = self.ends_since_answer().next();
-        min_ends <= self.n_counted() && first.is_some_and(|end| end.at + VERDICT_DELAY_MS <= now)
+        min_ends <= self.n_counted()
     }
 
     /// Returns whether targets ended under this suspect whenever they did under another one.
--- a/fleet/src/routing/crash_suspects.rs
+++ b/fleet/src/routing/crash_suspects.rs
@@ -151,10 +151,17 @@
             .for_each(CrashSuspect::report_again);
     }
 
-    /// Merges the report of another entry; it may arrive late, or more than once.
-    pub fn observe_report(&mut self, report: &SuspectReport, now: Instant) {
+    /// Merges the report of another entry; it may arrive late, or more than once. Returns whether
+    /// enough ends are known only now for the suspect to be harmful.
+    pub fn observe_report(&mut self, report: &SuspectReport, now: Instant) -> bool {
         let now = self.millis(now);
+        let has_enough = |suspects: &Self| {
+            let suspect = suspects.suspects.get(&report.key);
+            suspect.is_some_and(|suspect| suspect.has_enough_ends(now))
+        };
+        let had_enough = has_enough(self);
         self.change(report.key, now, |suspect| suspect.merge(report, now));
+        !had_enough && has_enough(self)
     }
 
     /// Returns the number of suspects.
--- a/fleet/src/routing/suspect_key.rs
+++ b/fleet/src/routing/suspect_key.rs
@@ -1,16 +1,21 @@
 //! What may have ended targets: a request as a whole, or a part of prompts.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
 use crate::request::CallDigest;
 
 /// What may have ended targets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub enum SuspectKey {
     /// A request, whenever it is sent again.
+    #[display("request {_0}")]
     Request(CallDigest),
     /// A part of prompts, in any request to its service.
+    #[display("part {_0}")]
     Part(CallDigest),
 }
 
