Keep the ends that count where many runs of a request overlap

What callers saw: a request that ends its targets, sent in copies, was sent on without end, and ended one target after the other.

Cause: only ends in runs that followed each other count against a request, and of all ends the newest 16 were kept. Copies whose runs overlap fill these with ends that do not count, so that the three, or six, that are needed never stand beside each other. One that was answered before needed six that follow each other, whatever ended beside them.

Change: where there is no room, an end that does not count leaves first. A request that was answered before is harmful after six ends of which three followed each other. A sound one that ran at all targets when these ended together, twice, is still served (test).

--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -10,10 +10,11 @@
 /// harmful; a part's runs are those of different requests.
 const MIN_ENDS: usize = 3;
 
-/// The same for one that was answered before.
+/// The number of targets that end under a suspect that was answered before, `MIN_ENDS` of them in
+/// runs that follow each other, from which it is harmful.
 const MIN_ENDS_ANSWERED: usize = 6;
 
-/// The most ends that are kept; the newest ones.
+/// The most ends that are kept: those in runs that follow each other, then the newest ones.
 const MAX_ENDS: usize = 16;
 
 /// How much earlier a run may seem to begin than the one before it ended, as reports take time.
@@ -123,14 +124,15 @@
             return;
         }
         let idx = self.ends.partition_point(|end| end.at <= new.at);
-        if MAX_ENDS <= self.ends.len() {
-            if idx == 0 {
+        self.ends.insert(idx, new);
+        if MAX_ENDS < self.ends.len() {
+            let counted = self.counted();
+            let dropped = (0..self.ends.len()).find(|idx| !counted.contains(idx));
+            let dropped = dropped.unwrap_or(0);
+            self.ends.remove(dropped);
+            if dropped == idx {
                 return;
             }
-            self.ends.remove(0);
-            self.ends.insert(idx - 1, new);
-        } else {
-            self.ends.insert(idx, new);
         }
         self.n_reports = 0;
     }
@@ -152,20 +154,29 @@
     /// Returns the number of ends since the last answer, in runs that followed each other: what runs
     /// at many targets when they end together need not be the cause.
     pub(super) fn n_counted(&self) -> usize {
-        let mut n_counted = 0;
+        self.counted().len()
+    }
+
+    /// Returns the indices of the ends that count.
+    fn counted(&self) -> SmallVec<[usize; MAX_ENDS]> {
+        let mut counted = SmallVec::new();
         let mut last_end = i64::MIN;
-        for end in self.ends_since_answer() {
-            if last_end <= end.began_at + CLOCK_ERROR_MS {
-                n_counted += 1;
+        for (idx, end) in self.ends.iter().enumerate() {
+            if self.is_since_answer(end) && last_end <= end.began_at + CLOCK_ERROR_MS {
+                counted.push(idx);
                 last_end = end.at;
             }
         }
-        n_counted
+        counted
     }
 
     fn ends_since_answer(&self) -> impl Iterator<Item = &TargetEnd> {
         let ends = self.ends.iter();
-        ends.filter(|end| self.answered_at.is_none_or(|at| at < end.at))
+        ends.filter(|end| self.is_since_answer(end))
+    }
+
+    fn is_since_answer(&self, end: &TargetEnd) -> bool {
+        self.answered_at.is_none_or(|at| at < end.at)
     }
 
     /// Returns whether the suspect ends its targets, as far as this entry knows.
@@ -177,12 +188,8 @@
     /// Returns whether the suspect is harmful unless another entry tells of an answer in time.
     pub(super) fn has_enough_ends(&self, now: i64) -> bool {
         let is_trusted = self.answered_at.is_some_and(|at| now < at + TRUST_MS);
-        let min_ends = if is_trusted {
-            MIN_ENDS_ANSWERED
-        } else {
-            MIN_ENDS
-        };
-        min_ends <= self.n_counted()
+        let has_more = || MIN_ENDS_ANSWERED <= self.ends_since_answer().count();
+        MIN_ENDS <= self.n_counted() && (!is_trusted || has_more())
     }
 
     /// Returns whether targets ended under this suspect whenever they did under another one.
