Count the end of a target whose address accepts connections and closes them

What callers saw: where something stands before a target, or holds its address while it is down, a request that ends its targets was sent on without end.

Cause: a broken run counts against its request only where the target's address refuses a connection afterwards. An address that accepts one and closes it at once was taken for a sound target.

Change: a check waits up to 20 ms for the new connection to be closed.

A retry after a broken connection waits 20 ms longer where its target is sound.

--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -22,6 +22,10 @@
 /// The longest time for a check whether a target accepts connections. It delays a retry.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// The time within which a target's address that only passes connections on, or is kept open for a
+/// target that has ended, closes a new one.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// The time for which an idle connection is kept where the target states no idle timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -59,6 +63,15 @@
     }
 }
 
+impl PooledConnection {
+    /// Waits until the other side closes the connection, at most for a time; returns whether it did.
+    async fn closes_within(&self, time: Duration) -> bool {
+        // Bytes that belong to no request are no close.
+        let _ = tokio::time::timeout(time, self.stream.get().readable()).await;
+        self.sender.is_closed() || self.stream.input() == StreamInput::Ended
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: PooledConnection,
@@ -121,6 +134,9 @@
     /// Checks whether a target accepts a connection, which is kept for a later request.
     pub async fn check(&self, address: SocketAddr) -> TargetCheck {
         match tokio::time::timeout(CHECK_TIMEOUT, open(address)).await {
+            Ok(Ok(connection)) if connection.closes_within(CLOSE_TIMEOUT).await => {
+                TargetCheck::Closes
+            }
             Ok(Ok(connection)) => {
                 self.keep(address, connection, None);
                 TargetCheck::Accepts
--- a/fleet/src/process/end_check.rs
+++ b/fleet/src/process/end_check.rs
@@ -24,7 +24,7 @@
         "parts" => %run.prompt_parts);
     // What leaves as announced ends by itself.
     let is_leaving = state.table.lock().is_leaving(&run.pick.id);
-    if check == TargetCheck::Refuses && !is_leaving {
+    if check.is_end() && !is_leaving {
         let target = name_hash(&run.pick.id);
         let now = Instant::now();
         let mut suspects = state.suspects.lock();
