Share out the limits that targets name among all entries

What callers saw: nothing; what targets saw: one that names a limit in its answers got as many requests as before.

Cause: no entry read the header. Each decides alone where its requests go, and with some 2 requests a second for 15 to 18 entries no whole-number share of an entry's own holds the sum.

Change: a limit holds from the first answer that names it to one without it, or until its target starts anew; entries tell each other within a heartbeat. One entry shares each limit out with a token bucket, and the others ask it before each send: first sends, retries, second runs and resumed streams take the same way. Which one follows from the heartbeats: of the data centres in reach one is chosen by hash, and there the entry that represents it. Behind a cut each side shares out the part of the entries that it reaches. Where no reply comes within 50 ms the request goes to another target. A target without room is not chosen; where none has room the request is refused with the time until then. A rejection that names a limit is no failure, and a limited rank counts with the streams that its limit allows.

Why it works: the sum is counted in one place, so that fractions carry over and follow the demand; buckets start empty, so that a new holder adds nothing to what the one before it has granted.

--- a/fleet/src/forward/header_names.rs
+++ b/fleet/src/forward/header_names.rs
@@ -22,6 +22,8 @@
     pub signature: HeaderName,
     /// Present where the target states that it did not run the request.
     pub not_run: HeaderName,
+    /// The requests per second that a target takes from all entries together.
+    pub limit: HeaderName,
     /// The id of the last event that the sender has received.
     pub last_event_id: HeaderName,
     /// The parts of a request's prompt.
--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -7,7 +7,7 @@
 
 use crate::prelude::*;
 use crate::request::AttemptOutcome;
-use crate::routing::TargetPick;
+use crate::routing::{LimitNotice, TargetPick};
 
 use super::byte_budget::{BodyBuffer, ByteBudget, ReadCut, ReadError};
 use super::header_names::HeaderNames;
@@ -39,6 +39,8 @@
     pub head: ResponseHead,
     /// Whether the body is empty or ends by its length or its chunks, not with the connection.
     pub is_delimited: bool,
+    /// What the head tells of the target's limit.
+    pub limit: LimitNotice,
     body: Incoming,
     connection: PooledConnection,
     idle_timeout: Option<Duration>,
@@ -62,11 +64,17 @@
     pub outcome: AttemptOutcome,
     /// The limit that the head exceeded, if it did.
     pub cut: Option<ReadCut>,
+    /// What the head tells of the target's limit.
+    pub limit: LimitNotice,
 }
 
 impl From<AttemptOutcome> for CallFailure {
     fn from(outcome: AttemptOutcome) -> Self {
-        Self { outcome, cut: None }
+        Self {
+            outcome,
+            cut: None,
+            limit: LimitNotice::Unknown,
+        }
     }
 }
 
@@ -140,12 +148,13 @@
                     return Err(CallFailure {
                         outcome,
                         cut: connection.meter.cut(err.error()),
+                        limit: LimitNotice::Unknown,
                     });
                 }
             },
         };
         connection.meter.end();
-        return Ok(read_head(response, connection, call, names)?);
+        return read_head(response, connection, call, names);
     }
 }
 
@@ -176,7 +185,7 @@
     connection: PooledConnection,
     call: &TargetCall<'_>,
     names: &HeaderNames,
-) -> Result<TargetResponse, AttemptOutcome> {
+) -> Result<TargetResponse, CallFailure> {
     let (parts, body) = response.into_parts();
     let echoed = parts
         .headers
@@ -184,15 +193,25 @@
         .and_then(|value| value.to_str().ok());
     let answers_other_request = echoed.is_some_and(|id| id != &*call.head.attempt_id);
     if answers_other_request {
-        return Err(AttemptOutcome::Unknown);
+        return Err(AttemptOutcome::Unknown.into());
     }
-    let is_not_run = parts.status == StatusCode::MISDIRECTED_REQUEST
-        || parts.headers.contains_key(&names.not_run);
-    if is_not_run {
-        return Err(AttemptOutcome::NotRun);
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptOutcome::NotRun.into());
+    }
+    let limit = limit_notice(&parts.headers, names);
+    if parts.headers.contains_key(&names.not_run) {
+        // A rejection may come from before the target's own part, so that it ends no limit.
+        let limit = match limit {
+            LimitNotice::Absent => LimitNotice::Unknown,
+            limit => limit,
+        };
+        return Err(CallFailure {
+            limit,
+            ..AttemptOutcome::NotRun.into()
+        });
     }
     if !is_target_response(parts.status, &parts.headers, names) {
-        return Err(AttemptOutcome::Unknown);
+        return Err(AttemptOutcome::Unknown.into());
     }
     let idle_timeout = keep_alive_timeout(&parts.headers);
     let is_delimited = body.is_end_stream()
@@ -201,6 +220,7 @@
             .any(|name| parts.headers.contains_key(name));
     Ok(TargetResponse {
         is_delimited,
+        limit,
         head: ResponseHead::new(parts.status, parts.headers),
         body,
         connection,
@@ -217,6 +237,13 @@
     is_unencoded && (is_signed || !status.is_success()) && !status.is_informational()
 }
 
+fn limit_notice(headers: &http::HeaderMap, names: &HeaderNames) -> LimitNotice {
+    let value = headers.get(&names.limit);
+    value.map_or(LimitNotice::Absent, |value| {
+        LimitNotice::parse(value.as_bytes())
+    })
+}
+
 fn keep_alive_timeout(headers: &http::HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = value
--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -7,7 +7,7 @@
 use crate::expert::{KeeperVerdict, MapOrder, PassQuery, RankReport};
 use crate::mirror::StorePosition;
 use crate::prelude::*;
-use crate::routing::{ResultCounts, SuspectReport};
+use crate::routing::{LimitReport, PermitDecision, ResultCounts, SuspectReport};
 
 /// A datagram from one process to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,6 +29,32 @@
     Pace(SocketAddr, f32),
     /// An entry's reports of requests that may have ended targets, to the other entries.
     Suspects(Vec<SuspectReport>),
+    /// An entry's reports of the limits that targets name, to the other entries.
+    Limits(Vec<LimitReport>),
+    /// An entry's query of the one that shares out a target's limit.
+    AskPermit(PermitQuery),
+    /// The reply to it.
+    Permit(PermitReply),
+}
+
+/// An entry's query for a permit to send one request to a target with a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitQuery {
+    /// The number of the query at its sender.
+    pub ticket: u32,
+    /// The hash of the target's id.
+    pub target: u32,
+    /// The limit that the sender knows, in requests per second.
+    pub rate: f32,
+}
+
+/// The reply to a query for a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitReply {
+    /// The number of the query.
+    pub ticket: u32,
+    /// Whether the request may be sent.
+    pub decision: PermitDecision,
 }
 
 /// The part of a rank's state that is queried.
--- a/fleet/src/peers/mod.rs
+++ b/fleet/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between processes, and the load, demand and store positions known of other entries.
 
+mod limit_holders;
 mod message;
 mod peer_copy;
 mod peer_table;
@@ -7,9 +8,10 @@
 mod relay_batches;
 mod zone_heartbeat;
 
+pub use limit_holders::{LimitHolder, LimitHolders};
 pub use message::{
-    PeerHeartbeat, PeerMessage, PeerRecord, RankDetails, RankQuery, RankState, RelayedOrder,
-    StoreTopic, TopicPosition,
+    PeerHeartbeat, PeerMessage, PeerRecord, PermitQuery, PermitReply, RankDetails, RankQuery,
+    RankState, RelayedOrder, StoreTopic, TopicPosition,
 };
 pub use peer_copy::PeerCopy;
 pub use peer_table::{HeartbeatReceivers, PeerRow, PeerTable};
--- a/fleet/src/peers/peer_table.rs
+++ b/fleet/src/peers/peer_table.rs
@@ -122,10 +122,19 @@
     pub fn recent_heartbeats(
         &self,
         now: Instant,
+    ) -> impl Iterator<Item = (SocketAddr, Instant, &PeerHeartbeat)> {
+        self.heartbeats_within(HEARTBEAT_TIMEOUT, now)
+    }
+
+    /// Returns the peers whose last heartbeat is younger than `age`, and the time of its arrival.
+    pub(super) fn heartbeats_within(
+        &self,
+        age: Duration,
+        now: Instant,
     ) -> impl Iterator<Item = (SocketAddr, Instant, &PeerHeartbeat)> {
         self.rows.iter().filter_map(move |(address, row)| {
             let (at, heartbeat) = row.last_heartbeat.as_ref()?;
-            (now < *at + HEARTBEAT_TIMEOUT).then_some((*address, *at, heartbeat))
+            (now < *at + age).then_some((*address, *at, heartbeat))
         })
     }
 
--- a/fleet/src/process/agent_run.rs
+++ b/fleet/src/process/agent_run.rs
@@ -147,8 +147,7 @@
             Some(PeerMessage::State(state)) => {
                 table.lock().record_state(from, *state, Instant::now());
             }
-            Some(PeerMessage::Beat(_) | PeerMessage::Pace(..) | PeerMessage::Suspects(_))
-            | None => {
+            Some(_) | None => {
                 debug!(log, "unexpected datagram"; "from" => %from, "len" => len);
             }
         }
--- a/fleet/src/process/entry_run.rs
+++ b/fleet/src/process/entry_run.rs
@@ -81,6 +81,7 @@
         seed,
         log.clone(),
     ));
+    state.permits.set_socket(datagrams.clone());
     let replica = Arc::new(StoreReplica::new(state.clone(), config.decoders));
     info!(log, "started"; "role" => "entry", "zone" => &*config.zone,
         "callers" => %config.caller_address, "peers" => %config.peer_address);
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -16,10 +16,12 @@
 
 use super::drain::DrainState;
 use super::metrics::EntryMetrics;
+use super::permit_table::PermitTable;
 
 /// The tables that the tasks of an entry share.
 ///
-/// Lock order: `table`, then `budgets`, then `rng`, then `suspects`. No lock is held across an await.
+/// Lock order: `table`, then `budgets`, then `rng`, then `suspects`. Those of `permits` are
+/// held by themselves. No lock is held across an await.
 #[derive(Debug)]
 pub struct EntryState {
     /// The platform's header names.
@@ -30,6 +32,8 @@
     pub table: Mutex<RoutingTable>,
     /// The requests that may have ended targets.
     pub suspects: Mutex<CrashSuspects>,
+    /// Permits to send requests to targets with a limit.
+    pub permits: PermitTable,
     /// Connections to targets.
     pub pool: TargetPool,
     /// Notified whenever a request ends and a slot may be free.
@@ -88,6 +92,7 @@
             catalog: ArcSwapOption::empty(),
             table: Mutex::new(RoutingTable::new(zone)),
             suspects: Mutex::new(CrashSuspects::new(Instant::now())),
+            permits: PermitTable::default(),
             pool: TargetPool::default(),
             slot_freed: Notify::new(),
             n_entries: AtomicUsize::new(1),
--- a/fleet/src/process/metrics.rs
+++ b/fleet/src/process/metrics.rs
@@ -37,6 +37,10 @@
     pub targets: IntGauge,
     /// Targets that ended while they ran a request of this entry, once for each request.
     pub target_ends: IntCounter,
+    /// The targets that name a limit, as known to this entry.
+    pub limited_targets: IntGauge,
+    /// Permits to send requests to targets with a limit, by result and source.
+    pub permits: IntCounterVec,
     /// The requests that may have ended targets, as known to this entry.
     pub crash_suspects: IntGauge,
 }
@@ -100,6 +104,12 @@
             cut_reads: counters("comfrey_cut_reads", "Inputs over a limit", &["sender"]),
             targets: gauge("comfrey_targets", "Targets that may get work"),
             target_ends,
+            limited_targets: gauge("comfrey_limited_targets", "Targets that name a limit"),
+            permits: counters(
+                "comfrey_limit_permits",
+                "Permits for targets with a limit",
+                &["result", "source"],
+            ),
             crash_suspects: gauge("comfrey_crash_suspects", "Requests that may end targets"),
             latency,
             registry,
--- a/fleet/src/process/open_dispatches.rs
+++ b/fleet/src/process/open_dispatches.rs
@@ -16,8 +16,11 @@
 impl OpenDispatches {
     /// Begins a dispatch, to a target that the request has not been sent to; `None` if there is no
     /// other.
-    pub(super) fn begin(&mut self, call: &CallContext) -> Option<(DispatchNumber, ChosenTarget)> {
-        let target = call.choose(&mut self.excluded)?;
+    pub(super) async fn begin(
+        &mut self,
+        call: &CallContext,
+    ) -> Option<(DispatchNumber, ChosenTarget)> {
+        let target = call.choose(&mut self.excluded).await?;
         let number = self.progress.begin();
         self.open.push((number, target.pick.id.clone()));
         Some((number, target))
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -13,7 +13,7 @@
 use crate::forward::ByteBudget;
 use crate::mirror::{MAX_COPY_BYTES, StoreEra, StorePosition};
 use crate::peers::{
-    HeartbeatReceivers, PeerCopy, PeerHeartbeat, PeerMessage, RankQuery, StoreTopic,
+    HeartbeatReceivers, PeerCopy, PeerHeartbeat, PeerMessage, PermitQuery, RankQuery, StoreTopic,
 };
 use crate::prelude::*;
 use crate::routing::{PeerLoad, ROUND_PERIOD, RankStatus};
@@ -21,6 +21,7 @@
 use super::caller_body::CallerBody;
 use super::entry_run::EntryConfig;
 use super::entry_state::EntryState;
+use super::limit_permits::log_change;
 use super::peer_pull::{PULL_TIMEOUT, PullError, pull};
 use super::store_replica::StoreReplica;
 
@@ -61,6 +62,9 @@
             let receivers = peers.heartbeat_receivers(heartbeat_idx, &heartbeat, now);
             let zone_heartbeat = (!receivers.zone_heartbeat.is_empty())
                 .then(|| peers.zone_heartbeat(&heartbeat, now));
+            state
+                .permits
+                .set_holders(peers.limit_holders(&heartbeat, now));
             (receivers, zone_heartbeat)
         });
         send_to_all(
@@ -82,6 +86,7 @@
         }
         last_contacts = contacts;
         send_suspects(&state, &socket, &receivers).await;
+        send_limits(&state, &socket, &receivers).await;
         let n_entries = replica.with_peers(|peers| peers.len()) + 1;
         state.n_entries.store(n_entries, Ordering::Relaxed);
         heartbeat_idx += 1;
@@ -117,6 +122,39 @@
     send_to_all(socket, &message, &receivers.zone_heartbeat).await;
 }
 
+/// Sends what is due of the limits that targets name.
+async fn send_limits(state: &EntryState, socket: &UdpSocket, receivers: &HeartbeatReceivers) {
+    let reports = {
+        let mut table = state.table.lock();
+        state.metrics.limited_targets.set(table.n_limited() as i64);
+        table.take_limit_reports(Instant::now())
+    };
+    if reports.is_empty() {
+        return;
+    }
+    let message = PeerMessage::Limits(reports);
+    send_to_all(socket, &message, &receivers.own_heartbeat).await;
+    send_to_all(socket, &message, &receivers.zone_heartbeat).await;
+}
+
+/// Replies to another entry's query for a permit.
+async fn answer_query(
+    state: &EntryState,
+    socket: &UdpSocket,
+    query: &PermitQuery,
+    sender: SocketAddr,
+) {
+    let own_rate = state.table.lock().limit_of(query.target);
+    let rate = own_rate.unwrap_or(query.rate);
+    let reply = state.permits.decide(query, rate, Instant::now());
+    debug!(state.log, "permit decided"; "for" => %sender, "target" => query.target,
+        "limit" => rate, "decision" => ?reply.decision);
+    // A reply that cannot be sent counts as lost; its receiver does not send the request then.
+    let _ = socket
+        .send_to(&PeerMessage::Permit(reply).encode(), sender)
+        .await;
+}
+
 async fn send_to_all(socket: &UdpSocket, message: &PeerMessage, receivers: &[SocketAddr]) {
     let bytes = message.encode();
     for receiver in receivers {
@@ -191,6 +229,18 @@
                     }
                 }
             }
+            Some(PeerMessage::Limits(reports)) => {
+                for report in &reports {
+                    let change = state.table.lock().merge_limit(report, now);
+                    if let Some((target, change)) = change {
+                        log_change(&state.log, &target, change, &address.to_string());
+                    }
+                }
+            }
+            Some(PeerMessage::AskPermit(query)) => {
+                answer_query(&state, &socket, &query, address).await;
+            }
+            Some(PeerMessage::Permit(reply)) => state.permits.receive(&reply),
             Some(PeerMessage::Pace(target, pace)) => {
                 state.table.lock().observe_pace(target, pace, now);
             }
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -50,12 +50,10 @@
 ) -> Result<TargetAnswer, NextStep> {
     let mut dispatches = OpenDispatches::default();
     let mut running = FuturesUnordered::new();
-    let begin = |dispatches: &mut OpenDispatches| {
-        let (number, target) = dispatches.begin(call)?;
-        Some(async move { (number, attempt(call, target).await) })
-    };
-    let first = begin(&mut dispatches);
-    running.push(first.ok_or_else(|| dispatches.stop_step(AttemptOutcome::NotSent))?);
+    let run = |(number, target)| async move { (number, attempt(call, target).await) };
+    let first = dispatches.begin(call).await;
+    let first = first.ok_or_else(|| dispatches.stop_step(AttemptOutcome::NotSent))?;
+    running.push(run(first));
     let mut silence = silence_limit(call);
     let mut silent_at = Instant::now() + silence;
     loop {
@@ -86,12 +84,12 @@
         };
         let step = dispatches.next_step(call, outcome);
         let next = match step {
-            NextStep::Retry => begin(&mut dispatches),
+            NextStep::Retry => dispatches.begin(call).await,
             _ => None,
         };
         match next {
             Some(next) => {
-                running.push(next);
+                running.push(run(next));
                 silence = silence_limit(call);
                 silent_at = Instant::now() + silence;
             }
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 use crate::request::{AttemptOutcome, CallProgress, DeniedReason, NextStep, UnknownReason};
 use crate::request::{next_step, stop_step};
-use crate::routing::{GROUP_RECOVERY_TIME, SuspectDecision, SuspectKeys, TargetPick};
+use crate::routing::{GROUP_RECOVERY_TIME, LimitNotice, SuspectDecision, SuspectKeys, TargetPick};
 
 use super::call_suspects::suspect_keys;
 use super::caller_body::CallerBody;
@@ -29,6 +29,14 @@
 /// The `Retry-After` time while this entry stops: the caller may retry at another one.
 const RETRY_STOPPING: Duration = Duration::from_millis(50);
 
+/// The targets without room at which a request asks for a permit before it prefers those without a
+/// limit.
+const MAX_FULL_TARGETS: usize = 4;
+
+/// The longest time for which a request asks for permits before it goes only to targets without a
+/// limit.
+const MAX_ASK_TIME: Duration = Duration::from_millis(60);
+
 /// The time before the deadline at which a stated failure is passed on, as a fraction of the
 /// request's time.
 const FAILURE_MARGIN_FRACTION: f64 = 0.05;
@@ -155,12 +163,29 @@
     }
 
     /// Chooses a target other than the excluded ones, and excludes it from then on; `None` if there
-    /// is no other.
-    pub(super) fn choose(&self, excluded: &mut SmallVec<[Arc<str>; 2]>) -> Option<ChosenTarget> {
-        let now = Instant::now();
-        let pick = self
-            .state
-            .with_table(|table, rng| table.choose(&self.service, excluded, now, rng))?;
+    /// is no other, or its limit has no room.
+    pub(super) async fn choose(
+        &self,
+        excluded: &mut SmallVec<[Arc<str>; 2]>,
+    ) -> Option<ChosenTarget> {
+        let ask_until = Instant::now() + MAX_ASK_TIME;
+        let mut n_full = 0;
+        let pick = loop {
+            let now = Instant::now();
+            let pick = self.state.with_table(|table, rng| {
+                let unlimited = (MAX_FULL_TARGETS <= n_full || ask_until <= now)
+                    .then(|| table.choose_unlimited(&self.service, excluded, now, rng))
+                    .flatten();
+                match unlimited {
+                    None if now < ask_until => table.choose(&self.service, excluded, now, rng),
+                    unlimited => unlimited,
+                }
+            })?;
+            if self.take_permit(&pick).await {
+                break pick;
+            }
+            n_full += 1;
+        };
         excluded.push(pick.id.clone());
         debug!(self.state.log, "dispatch"; "request" => &*self.head.attempt_id,
             "target" => &*pick.id, "running" => pick.running, "score" => pick.score,
@@ -186,12 +211,23 @@
             time_left: self.time_left(),
         };
         match call_target(&call, &state.pool, &state.names).await {
-            Ok(response) => Ok(DispatchedCall {
-                pick,
-                guard,
-                response,
-            }),
+            Ok(response) => {
+                self.record_limit(&pick, response.limit);
+                Ok(DispatchedCall {
+                    pick,
+                    guard,
+                    response,
+                })
+            }
             Err(failure) => {
+                self.record_limit(&pick, failure.limit);
+                if let (AttemptOutcome::NotRun, LimitNotice::Named(_)) =
+                    (failure.outcome, failure.limit)
+                {
+                    // It rejects what is over its limit, and is sound.
+                    self.log_outcome(&pick, Some(failure.outcome));
+                    return Err(failure.outcome);
+                }
                 if let Some(cut) = failure.cut {
                     self.record_cut(&pick, cut);
                 }
@@ -204,7 +240,25 @@
     /// Records the outcome of a dispatch in metrics, logs and the target's health; `None` is a
     /// success.
     pub(super) fn record(&self, pick: &TargetPick, outcome: Option<AttemptOutcome>) {
+        self.log_outcome(pick, outcome);
         let now = Instant::now();
+        let mut table = self.state.table.lock();
+        if outcome == Some(AttemptOutcome::NotRun) && self.route.kind.is_stream() {
+            table.group_mut(&self.service).record_refusal(&pick.id, now);
+        }
+        let Some(health) = table.health_mut(&pick.id) else {
+            return;
+        };
+        match outcome {
+            None => health.record_success(now),
+            Some(AttemptOutcome::Silent) => health.record_silence(now),
+            Some(AttemptOutcome::NotSent) => health.record_unreachable(now),
+            Some(_) => health.record_failure(now),
+        }
+    }
+
+    /// Counts and logs the outcome of a dispatch.
+    fn log_outcome(&self, pick: &TargetPick, outcome: Option<AttemptOutcome>) {
         let label = match outcome {
             None => "answered",
             Some(AttemptOutcome::NotSent) => "not-sent",
@@ -223,19 +277,6 @@
             info!(self.state.log, "dispatch failed"; "request" => &*self.head.attempt_id,
                 "target" => &*pick.id, "outcome" => label, "digest" => %self.keys.request);
         }
-        let mut table = self.state.table.lock();
-        if outcome == Some(AttemptOutcome::NotRun) && self.route.kind.is_stream() {
-            table.group_mut(&self.service).record_refusal(&pick.id, now);
-        }
-        let Some(health) = table.health_mut(&pick.id) else {
-            return;
-        };
-        match outcome {
-            None => health.record_success(now),
-            Some(AttemptOutcome::Silent) => health.record_silence(now),
-            Some(AttemptOutcome::NotSent) => health.record_unreachable(now),
-            Some(_) => health.record_failure(now),
-        }
     }
 
     /// Records a dispatch that failed; where its connection broke, also checks whether the target is
@@ -279,7 +320,7 @@
     ) -> NextStep {
         let now = Instant::now();
         let table = self.state.table.lock();
-        let has_target = table.has_target(&self.service, excluded);
+        let has_target = table.has_target(&self.service, excluded, now);
         let is_broken = table.is_group_broken(&self.service, now);
         drop(table);
         let budget = || !is_broken && self.state.draw_retry(&self.service, now);
@@ -323,27 +364,22 @@
     /// Returns the response to a request that no target answered.
     pub(super) fn give_up(&self, step: NextStep) -> Response<CallerBody> {
         let answer = match step {
-            NextStep::Refuse(proof) if proof == NotRunProof::never_sent() => {
-                LocalResponse::Refused(proof, RETRY_NOT_READY)
-            }
-            NextStep::Refuse(proof) => LocalResponse::Refused(proof, self.retry_rejected()),
+            NextStep::Refuse(proof) => LocalResponse::Refused(proof, self.retry_after(proof)),
             NextStep::GiveUp(reason) => LocalResponse::Unknown(reason),
             NextStep::Retry => LocalResponse::Unknown(UnknownReason::BadAnswer),
         };
         self.local_response(answer, "no target answered")
     }
 
-    /// Returns the `Retry-After` time for a request that targets rejected.
-    fn retry_rejected(&self) -> Duration {
-        let is_broken = self
-            .state
-            .table
-            .lock()
-            .is_group_broken(&self.service, Instant::now());
-        if is_broken {
-            GROUP_RECOVERY_TIME
-        } else {
-            RETRY_REJECTED
+    /// Returns the `Retry-After` time for a request that did not run.
+    fn retry_after(&self, proof: NotRunProof) -> Duration {
+        let now = Instant::now();
+        let table = self.state.table.lock();
+        match table.limited_for(&self.service, now) {
+            Some(time) => time,
+            None if proof == NotRunProof::never_sent() => RETRY_NOT_READY,
+            None if table.is_group_broken(&self.service, now) => GROUP_RECOVERY_TIME,
+            None => RETRY_REJECTED,
         }
     }
 
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -30,7 +30,7 @@
         return refusal;
     }
     let call = Arc::new(call);
-    let mut source = StreamSource::new(call.clone());
+    let mut source = StreamSource::new(call.clone()).await;
     let first = tokio::select! {
         biased;
         first = source.next() => Some(first),
--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -65,7 +65,7 @@
 
 impl StreamSource {
     /// Begins to run a stream at a target.
-    pub(super) fn new(call: Arc<CallContext>) -> Self {
+    pub(super) async fn new(call: Arc<CallContext>) -> Self {
         let mut source = Self {
             last_id: call.head.last_event_id,
             call,
@@ -77,7 +77,7 @@
             starting: FuturesUnordered::new(),
             stated_failure: None,
         };
-        source.begin();
+        source.begin().await;
         source
     }
 
@@ -158,7 +158,7 @@
                 continue;
             }
             if self.next_step(outcome) == NextStep::Retry {
-                self.begin();
+                self.begin().await;
             }
             // A silent target may still go on.
             if self.current.is_none() && self.starting.is_empty() {
@@ -181,8 +181,8 @@
     }
 
     /// Sends the stream to another target, if there is one, from the last event on.
-    fn begin(&mut self) {
-        let Some((number, target)) = self.dispatches.begin(&self.call) else {
+    async fn begin(&mut self) {
+        let Some((number, target)) = self.dispatches.begin(&self.call).await else {
             return;
         };
         let starting = start(self.call.clone(), number, target, self.last_id);
--- a/fleet/src/routing/group_limit.rs
+++ b/fleet/src/routing/group_limit.rs
@@ -157,10 +157,14 @@
 
     /// Estimates the time until one of this entry's streams ends.
     fn time_to_free_slot(&self, load: &GroupLoad) -> Duration {
-        // A stream has about 30 events, and the streams end evenly spread over that time. Before
-        // the first sample, 0.08 s stands for the pause.
-        let stream_s = 30.0 * self.pause_s.unwrap_or(0.08);
-        let wait = stream_s / f64::from(load.own.max(1));
+        // The streams end evenly spread over their time.
+        let wait = self.stream_s() / f64::from(load.own.max(1));
         Duration::from_secs_f64(wait.clamp(0.05, 0.5))
     }
+
+    /// Estimates the time that a stream takes, in seconds.
+    pub fn stream_s(&self) -> f64 {
+        // A stream has about 30 events. Before the first sample, 0.08 s stands for the pause.
+        30.0 * self.pause_s.unwrap_or(0.08)
+    }
 }
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -14,6 +14,7 @@
 use super::load_view::{LoadView, name_hash};
 use super::rank_watch::RankStatus;
 use super::target_health::{ResultCounts, TargetHealth};
+use super::target_limit::{LimitChange, LimitNotice, LimitReport, TargetLimit};
 
 /// The penalty of a target in another data centre, in running requests: traffic between data
 /// centres has a cost, and a pass takes equally long on every rank.
@@ -34,6 +35,9 @@
 /// reports.
 const MAX_PACE_AGE: Duration = Duration::from_millis(1_600);
 
+/// The most reports of limits in one message, so that it fits into one datagram.
+const MAX_LIMIT_REPORTS: usize = 512;
+
 /// The targets, their load and health, and the limits of each service.
 #[derive(Debug, Default)]
 pub struct RoutingTable {
@@ -51,6 +55,7 @@
     hash: u32,
     own: u32,
     health: TargetHealth,
+    limit: TargetLimit,
     /// The pass time relative to normal, and when the agent reported it.
     pace: Option<(f64, Instant)>,
     is_removed: bool,
@@ -67,6 +72,8 @@
     pub running: u32,
     /// The score that it was chosen by; lower is better.
     pub score: f64,
+    /// The requests per second that it takes from all entries together, where it names a limit.
+    pub limit: Option<f32>,
     /// When it was chosen.
     pub chosen_at: Instant,
 }
@@ -85,6 +92,10 @@
         match change {
             RosterChange::Changed(entry) => match self.targets.get_mut(&entry.id) {
                 Some(row) => {
+                    if row.entry.started_ms != entry.started_ms {
+                        // It knows nothing of what it named before.
+                        row.limit = TargetLimit::default();
+                    }
                     row.entry = entry.clone();
                     row.is_removed = false;
                 }
@@ -94,6 +105,7 @@
                         hash: name_hash(&entry.id),
                         own: 0,
                         health: TargetHealth::default(),
+                        limit: TargetLimit::default(),
                         pace: None,
                         is_removed: false,
                     };
@@ -121,8 +133,8 @@
     }
 
     /// Chooses the target of a service with the lowest score: running requests plus penalties for
-    /// failures and distance. Never chooses one of `excluded`, and one that is ejected or
-    /// unreachable only if there is no other.
+    /// failures and distance. Never chooses one of `excluded` or one whose limit has no room, and
+    /// one that is ejected or unreachable only if there is no other.
     pub fn choose(
         &self,
         service: &str,
@@ -133,6 +145,7 @@
         let rows = || {
             self.usable(service)
                 .filter(|row| !excluded.contains(&row.entry.id))
+                .filter(|row| row.limit.full_until(now).is_none())
         };
         let ejected = self.ejected(service, now);
         let sound = rows()
@@ -142,6 +155,22 @@
         best.or_else(|| self.best_of(rows(), now, rng))
     }
 
+    /// Chooses likewise among the targets that name no limit.
+    pub fn choose_unlimited(
+        &self,
+        service: &str,
+        excluded: &[Arc<str>],
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<TargetPick> {
+        let limited = self
+            .usable(service)
+            .filter(|row| row.limit.rate().is_some());
+        let mut excluded: SmallVec<[Arc<str>; 16]> = excluded.into();
+        excluded.extend(limited.map(|row| row.entry.id.clone()));
+        self.choose(service, &excluded, now, rng)
+    }
+
     /// Returns the targets of a service that fail far more requests than the others, at all entries
     /// together: the worst ones, up to a fraction of all.
     pub fn ejected(&self, service: &str, now: Instant) -> SmallVec<[u32; 4]> {
@@ -198,6 +227,7 @@
             running,
             // All ranks of a group wait for the slowest one, so a slow rank gets work last.
             score: (f64::from(running) + jitter) * row.pace_at(now).powi(2) + penalty + distance,
+            limit: row.limit.rate(),
             chosen_at: now,
         }
     }
@@ -214,11 +244,65 @@
     }
 
     /// Returns whether any target of a service other than the excluded ones accepts requests.
-    pub fn has_target(&self, service: &str, excluded: &[Arc<str>]) -> bool {
+    pub fn has_target(&self, service: &str, excluded: &[Arc<str>], now: Instant) -> bool {
         self.usable(service)
+            .filter(|row| row.limit.full_until(now).is_none())
             .any(|row| !excluded.contains(&row.entry.id))
     }
 
+    /// Returns the time until a limit of a service's targets has room, where none has now.
+    pub fn limited_for(&self, service: &str, now: Instant) -> Option<Duration> {
+        let waits = self.usable(service).map(|row| row.limit.full_until(now));
+        let waits: Option<SmallVec<[Instant; 16]>> = waits.collect();
+        let until = waits?.into_iter().min()?;
+        Some(until - now)
+    }
+
+    /// Records what an answer tells of its target's limit.
+    pub fn observe_limit(&mut self, id: &str, notice: LimitNotice, now: Instant) -> LimitChange {
+        let row = self.targets.get_mut(id);
+        row.map_or(LimitChange::Same, |row| row.limit.observe(notice, now))
+    }
+
+    /// Merges another entry's report of a target's limit; returns the target where it changed.
+    pub fn merge_limit(
+        &mut self,
+        report: &LimitReport,
+        now: Instant,
+    ) -> Option<(Arc<str>, LimitChange)> {
+        let mut rows = self.targets.values_mut();
+        let row = rows.find(|row| row.hash == report.target)?;
+        let change = row.limit.merge(report, now);
+        (change != LimitChange::Same).then(|| (row.entry.id.clone(), change))
+    }
+
+    /// Records that a target's limit has no room for this entry until a time.
+    pub fn set_full(&mut self, id: &str, until: Instant) {
+        if let Some(row) = self.targets.get_mut(id) {
+            row.limit.set_full(until);
+        }
+    }
+
+    /// Returns the limit that a target names, in requests per second, by the hash of its id.
+    pub fn limit_of(&self, target: u32) -> Option<f32> {
+        let row = self.targets.values().find(|row| row.hash == target);
+        row.and_then(|row| row.limit.rate())
+    }
+
+    /// Returns the reports of limits that are due.
+    pub fn take_limit_reports(&mut self, now: Instant) -> Vec<LimitReport> {
+        let rows = self.targets.values_mut();
+        rows.filter_map(|row| row.limit.take_report(row.hash, now))
+            .take(MAX_LIMIT_REPORTS)
+            .collect()
+    }
+
+    /// Returns the number of targets that name a limit.
+    pub fn n_limited(&self) -> usize {
+        let rows = self.targets.values();
+        rows.filter(|row| row.limit.rate().is_some()).count()
+    }
+
     /// Returns whether a target is draining or gone, as its record says.
     pub fn is_leaving(&self, id: &str) -> bool {
         self.targets.get(id).is_none_or(|row| !row.is_usable())
@@ -301,13 +385,15 @@
             peer_demand: self.view.demand_for(name_hash(service), now),
             ..GroupLoad::default()
         };
+        let limit = self.limits.get(service);
+        let run_s = limit.map_or_else(|| GroupLimit::default().stream_s(), GroupLimit::stream_s);
         for row in self
             .targets
             .values()
             .filter(|row| &*row.entry.service == service)
         {
             if row.is_usable() {
-                load.slots += row.entry.slots;
+                load.slots += row.limit.usable_slots(row.entry.slots, run_s);
             }
             load.own += row.own;
             load.running += row.own + self.view.running_at(row.hash, now);
--- a/fleet/tests/endless_peer.rs
+++ b/fleet/tests/endless_peer.rs
@@ -77,6 +77,7 @@
             account: name("x-account"),
             signature: name("x-seal"),
             not_run: name("x-not-run"),
+            limit: name("server-limit"),
             last_event_id: name("last-event-id"),
             prompt_parts: name("x-parts"),
             retry_after: http::header::RETRY_AFTER,
--- a/fleet/tests/store_outage.rs
+++ b/fleet/tests/store_outage.rs
@@ -68,6 +68,7 @@
         account: name("x-account"),
         signature: name("x-seal"),
         not_run: name("x-not-run"),
+        limit: name("server-limit"),
         last_event_id: name("last-event-id"),
         prompt_parts: name("x-parts"),
         retry_after: http::header::RETRY_AFTER,
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -293,6 +293,7 @@
         account: HeaderName::from_static("x-account"),
         signature: HeaderName::from_static("x-seal"),
         not_run: HeaderName::from_static("x-not-run"),
+        limit: HeaderName::from_static("server-limit"),
         last_event_id: HeaderName::from_static("last-event-id"),
         prompt_parts: HeaderName::from_static("x-parts"),
         retry_after: http::header::RETRY_AFTER,
