Wait for room at a limit with a request that may have run

What callers saw: a stream whose target broke off was cut, though the other targets, which all named limits, had room a moment later.

Cause: a further run that gets no permit counted as one without a target. A request that has not run is refused then, truthfully; one that may have run cannot be, so that its answer was lost.

Change: where all other targets name limits and one has room before the deadline, the request waits for it, beside the runs that are still open.

--- a/fleet/src/process/limit_permits.rs
+++ b/fleet/src/process/limit_permits.rs
@@ -7,6 +7,9 @@
 
 use super::request_run::CallContext;
 
+/// The shortest time before a request asks for room again, and the time that a run needs after it.
+const MIN_ROOM_WAIT: Duration = Duration::from_millis(50);
+
 impl CallContext {
     /// Asks for a permit to send the request to a target, where it names a limit; returns whether the
     /// request may be sent. A target without room is not chosen again until it may have some.
@@ -39,6 +42,21 @@
         full_for.is_none()
     }
 
+    /// Returns when a target other than the excluded ones may have room, where all of them name limits
+    /// and there is room before the deadline.
+    pub(super) fn room_at(&self, excluded: &[Arc<str>]) -> Option<Instant> {
+        let now = Instant::now();
+        let limited_for = {
+            let table = self.state.table.lock();
+            table.limited_for(&self.service, excluded, now)
+        };
+        let at = now + limited_for?.max(MIN_ROOM_WAIT);
+        info!(self.state.log, "no room at any target"; "request" => &*self.head.attempt_id,
+            "wait_ms" => (at - now).as_millis() as u64,
+            "left_ms" => self.time_left().as_millis() as u64);
+        (at + MIN_ROOM_WAIT < self.deadline).then_some(at)
+    }
+
     /// Records what an answer tells of its target's limit.
     pub(super) fn record_limit(&self, pick: &TargetPick, notice: LimitNotice) {
         let change = {
--- a/fleet/src/process/open_dispatches.rs
+++ b/fleet/src/process/open_dispatches.rs
@@ -26,6 +26,15 @@
         Some((number, target))
     }
 
+    /// Returns when a further dispatch may find room at a target's limit; `None` if it will not, or if
+    /// the request has not run, so that it can be refused.
+    pub(super) fn room_at(&self, call: &CallContext) -> Option<Instant> {
+        match self.progress.not_run_proof() {
+            Some(_) => None,
+            None => call.room_at(&self.excluded),
+        }
+    }
+
     /// Records the outcome of a dispatch.
     pub(super) fn end(&mut self, number: DispatchNumber, outcome: AttemptOutcome) {
         self.open.retain(|(open, _)| *open != number);
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -56,6 +56,7 @@
     running.push(run(first));
     let mut silence = silence_limit(call);
     let mut silent_at = Instant::now() + silence;
+    let mut room_at: Option<Instant> = None;
     loop {
         let outcome = tokio::select! {
             biased;
@@ -81,11 +82,13 @@
             () = tokio::time::sleep_until(call.failure_due()), if last_failure.is_some() => {
                 return Err(dispatches.stop_step(AttemptOutcome::Failed));
             }
+            () = sleep_until_room(room_at) => AttemptOutcome::Silent,
         };
-        let step = dispatches.next_step(call, outcome);
-        let next = match step {
-            NextStep::Retry => dispatches.begin(call).await,
-            _ => None,
+        let may_retry =
+            room_at.take().is_some() || dispatches.next_step(call, outcome) == NextStep::Retry;
+        let next = match may_retry {
+            true => dispatches.begin(call).await,
+            false => None,
         };
         match next {
             Some(next) => {
@@ -93,13 +96,26 @@
                 silence = silence_limit(call);
                 silent_at = Instant::now() + silence;
             }
-            // A silent target may still answer, until the deadline.
-            None if !running.is_empty() => silent_at = call.deadline,
-            None => return Err(dispatches.stop_step(outcome)),
+            None => {
+                room_at = dispatches.room_at(call).filter(|_| may_retry);
+                if running.is_empty() && room_at.is_none() {
+                    return Err(dispatches.stop_step(outcome));
+                }
+                // A silent target may still answer, until the deadline.
+                silent_at = call.deadline;
+            }
         }
     }
 }
 
+/// Waits until a target's limit may have room; forever where no dispatch waits for it.
+pub(super) async fn sleep_until_room(room_at: Option<Instant>) {
+    match room_at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Dispatches the call once and reads the complete response.
 async fn attempt(call: &CallContext, target: ChosenTarget) -> Result<TargetAnswer, AttemptError> {
     let dispatched = call.dispatch(target, None).await?;
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -320,7 +320,7 @@
     ) -> NextStep {
         let now = Instant::now();
         let table = self.state.table.lock();
-        let has_target = table.has_target(&self.service, excluded, now);
+        let has_target = table.has_target(&self.service, excluded);
         let is_broken = table.is_group_broken(&self.service, now);
         drop(table);
         let budget = || !is_broken && self.state.draw_retry(&self.service, now);
@@ -375,7 +375,8 @@
     fn retry_after(&self, proof: NotRunProof) -> Duration {
         let now = Instant::now();
         let table = self.state.table.lock();
-        match table.limited_for(&self.service, now) {
+        let limited_for = table.limited_for(&self.service, &[], now);
+        match limited_for.filter(|time| !time.is_zero()) {
             Some(time) => time,
             None if proof == NotRunProof::never_sent() => RETRY_NOT_READY,
             None if table.is_group_broken(&self.service, now) => GROUP_RECOVERY_TIME,
--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -9,7 +9,7 @@
 use crate::request::{AttemptOutcome, DispatchNumber, NextStep, UnknownReason};
 
 use super::open_dispatches::OpenDispatches;
-use super::plain_run::{AttemptError, TargetAnswer, read_response};
+use super::plain_run::{AttemptError, TargetAnswer, read_response, sleep_until_room};
 use super::request_run::{CallContext, ChosenTarget, DispatchedCall};
 
 /// The time without a first event after which a stream is also sent to another target, if other
@@ -40,6 +40,8 @@
     current: Option<StreamRun>,
     /// The runs that have not sent an event.
     starting: FuturesUnordered<BoxFuture<'static, StartResult>>,
+    /// When a further run may find room, where the limits of all targets have none.
+    room_at: Option<Instant>,
     /// The last failure that a target stated, returned if no target sends an event.
     stated_failure: Option<TargetAnswer>,
 }
@@ -75,6 +77,7 @@
             has_begun: false,
             current: None,
             starting: FuturesUnordered::new(),
+            room_at: None,
             stated_failure: None,
         };
         source.begin().await;
@@ -148,6 +151,7 @@
                     self.dispatches.record_silence(&self.call, silence);
                     AttemptOutcome::Silent
                 }
+                () = sleep_until_room(self.room_at) => AttemptOutcome::Silent,
                 () = tokio::time::sleep_until(self.call.failure_due()),
                     if self.stated_failure.is_some() && !self.has_begun =>
                 {
@@ -157,11 +161,12 @@
             if self.dispatches.has_active_dispatch() {
                 continue;
             }
-            if self.next_step(outcome) == NextStep::Retry {
+            if self.room_at.take().is_some() || self.next_step(outcome) == NextStep::Retry {
                 self.begin().await;
             }
             // A silent target may still go on.
-            if self.current.is_none() && self.starting.is_empty() {
+            let is_open = self.current.is_some() || !self.starting.is_empty();
+            if !is_open && self.room_at.is_none() {
                 return Err(self.broken(outcome));
             }
             silence = self.silence_limit();
@@ -183,6 +188,7 @@
     /// Sends the stream to another target, if there is one, from the last event on.
     async fn begin(&mut self) {
         let Some((number, target)) = self.dispatches.begin(&self.call).await else {
+            self.room_at = self.dispatches.room_at(&self.call);
             return;
         };
         let starting = start(self.call.clone(), number, target, self.last_id);
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -244,18 +244,29 @@
     }
 
     /// Returns whether any target of a service other than the excluded ones accepts requests.
-    pub fn has_target(&self, service: &str, excluded: &[Arc<str>], now: Instant) -> bool {
+    pub fn has_target(&self, service: &str, excluded: &[Arc<str>]) -> bool {
         self.usable(service)
-            .filter(|row| row.limit.full_until(now).is_none())
             .any(|row| !excluded.contains(&row.entry.id))
     }
 
-    /// Returns the time until a limit of a service's targets has room, where none has now.
-    pub fn limited_for(&self, service: &str, now: Instant) -> Option<Duration> {
-        let waits = self.usable(service).map(|row| row.limit.full_until(now));
-        let waits: Option<SmallVec<[Instant; 16]>> = waits.collect();
-        let until = waits?.into_iter().min()?;
-        Some(until - now)
+    /// Returns the time until a target of a service other than the excluded ones has room, where all
+    /// of them name limits; `None` where there are none or not all do.
+    pub fn limited_for(
+        &self,
+        service: &str,
+        excluded: &[Arc<str>],
+        now: Instant,
+    ) -> Option<Duration> {
+        let mut soonest: Option<Instant> = None;
+        for row in self.usable(service) {
+            if excluded.contains(&row.entry.id) {
+                continue;
+            }
+            row.limit.rate()?;
+            let until = row.limit.full_until(now).unwrap_or(now);
+            soonest = Some(soonest.map_or(until, |old| old.min(until)));
+        }
+        Some(soonest? - now)
     }
 
     /// Records what an answer tells of its target's limit.
--- a/fleet/tests/target_limits.rs
+++ b/fleet/tests/target_limits.rs
@@ -107,11 +107,11 @@
     table.observe_limit("limited", LimitNotice::Named(2.0), now);
     table.set_full("limited", now + SECOND);
     assert_eq!(choose(&table, now).as_deref(), Some("other"));
-    assert_eq!(table.limited_for("svc", now), None);
+    assert_eq!(table.limited_for("svc", &[], now), None);
     table.observe_limit("other", LimitNotice::Named(0.0), now);
     table.set_full("other", now + 2 * SECOND);
     assert_eq!(choose(&table, now), None);
-    assert_eq!(table.limited_for("svc", now), Some(SECOND));
+    assert_eq!(table.limited_for("svc", &[], now), Some(SECOND));
     assert_eq!(choose(&table, now + SECOND).as_deref(), Some("limited"));
     table.observe_limit("other", LimitNotice::Named(9.0), now);
     assert_eq!(choose(&table, now).as_deref(), Some("other"));
