Hand the configuration in force on after an older one was written

What callers saw: an entry that starts after an operator wrote an older version again serves by that one for good, and refuses what only the newer one allows.

Cause: the others keep the newer version in force, but the bytes that they hand on are those of their copy, which the older record has replaced. The bytes of the version in force were retained over a restore of the store only, not over an older record of the same era.

The test failed: 7 was handed on instead of 9.

Change: the bytes are retained over any change of the operators' topic that leaves an older version in the copy.

--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -263,11 +263,12 @@
         let Some(copy) = inner.copy_mut(topic) else {
             return false;
         };
-        let is_replacing = topic == StoreTopic::Operator && copy.mirror.end().era < delta.era;
+        let may_replace = topic == StoreTopic::Operator
+            && (copy.mirror.end().era < delta.era || !delta.records.is_empty());
         let old_catalog = copy
             .mirror
             .value(self.decoders.catalog_key)
-            .filter(|_| is_replacing)
+            .filter(|_| may_replace)
             .map(<[u8]>::to_vec);
         match copy.mirror.apply(delta) {
             MirrorChange::Updated(records) => {
@@ -279,20 +280,19 @@
                         copy.advance(record.offset);
                     }
                 }
-                true
             }
             MirrorChange::Replaced(replaced) => {
                 self.apply_replaced(inner, topic, &replaced, source);
-                if let Some(bytes) = old_catalog {
-                    self.keep_catalog(inner, bytes);
-                }
-                true
             }
-            MirrorChange::Incomplete | MirrorChange::Outdated => false,
+            MirrorChange::Incomplete | MirrorChange::Outdated => return false,
+        }
+        if let Some(bytes) = old_catalog {
+            self.keep_catalog(inner, bytes);
         }
+        true
     }
 
-    /// Keeps the bytes of the configuration in force if the copy of the new era holds an older one.
+    /// Keeps the bytes of the configuration in force if the copy now holds an older one.
     fn keep_catalog(&self, inner: &mut ReplicaTables, old_bytes: Vec<u8>) {
         let version_of = |bytes: &[u8]| {
             let catalog = (self.decoders.catalog)(bytes).ok()?;
--- a/fleet/tests/store_restored.rs
+++ b/fleet/tests/store_restored.rs
@@ -4,10 +4,11 @@
 //! Decisions only, without a network: the mirror, the roster, the table of peers, the choice of a
 //! reader, and the replica that joins them.
 
+#[path = "store_restored/fixtures.rs"]
+mod fixtures;
+
 use std::time::Duration;
 
-use comfreyhead_fleet::catalog::RouteCatalog;
-use comfreyhead_fleet::forward::HeaderNames;
 use comfreyhead_fleet::mirror::{
     KeyedMirror, MirrorChange, MirrorDelta, MirrorRecord, StoreEra, StorePosition,
 };
@@ -15,12 +16,10 @@
     PeerHeartbeat, PeerTable, ReaderChoice, ReaderInput, StoreTopic, TopicPosition, choose_reader,
 };
 use comfreyhead_fleet::prelude::*;
-use comfreyhead_fleet::process::{Decoders, EntryState, ProcessBounds, StoreReplica};
+use comfreyhead_fleet::process::{EntryState, StoreReplica};
 use comfreyhead_fleet::roster::{DepartedTarget, RosterChange, TargetRoster};
-use comfreyhead_fleet::routing::BudgetSettings;
-use http::HeaderName;
-use slog::{Discard, Logger, o};
-use tokio::sync::watch;
+
+use fixtures::{replica, target};
 
 /// The time in which live targets write their records again.
 const RESTORE_TIME: Duration = Duration::from_secs(2);
@@ -55,73 +54,6 @@
     }
 }
 
-/// Decodes a configuration that consists of its version.
-fn decode_catalog(bytes: &[u8]) -> Result<RouteCatalog, String> {
-    let text = std::str::from_utf8(bytes).map_err(|err| err.to_string())?;
-    let version = text.parse().map_err(|_| format!("no version: {text}"))?;
-    Ok(RouteCatalog {
-        version,
-        ..RouteCatalog::default()
-    })
-}
-
-/// Decodes a target from "STATE PORT".
-fn decode_target(id: &str, bytes: &[u8]) -> Result<TargetEntry, String> {
-    let text = std::str::from_utf8(bytes).map_err(|err| err.to_string())?;
-    let (state, port) = text.split_once(' ').ok_or("no port")?;
-    Ok(TargetEntry {
-        id: id.into(),
-        service: "svc".into(),
-        address: ([127, 0, 0, 1], port.parse().map_err(|_| "bad port")?).into(),
-        zone: "a".into(),
-        slots: 4,
-        draining: state == "draining",
-        started_ms: 7,
-    })
-}
-
-fn target(id: &str, state: &str) -> TargetEntry {
-    decode_target(id, format!("{state} 80").as_bytes()).unwrap()
-}
-
-/// An entry's replica without its tasks.
-fn replica() -> (Arc<EntryState>, StoreReplica) {
-    let name = |name| HeaderName::from_static(name);
-    let names = HeaderNames {
-        attempt_id: name("x-id"),
-        deadline_ms: name("x-deadline"),
-        expected_target: name("x-expect"),
-        account: name("x-account"),
-        signature: name("x-seal"),
-        not_run: name("x-not-run"),
-        limit: name("server-limit"),
-        last_event_id: name("last-event-id"),
-        prompt_parts: name("x-parts"),
-        retry_after: http::header::RETRY_AFTER,
-        key: http::header::AUTHORIZATION,
-        key_scheme: "Token".into(),
-    };
-    let budget = BudgetSettings {
-        window: Duration::from_secs(10),
-        ratio: 0.2,
-        slack: 100.0,
-    };
-    let bounds = ProcessBounds {
-        budget,
-        grace: Duration::from_secs(8),
-    };
-    let (_, bounds) = watch::channel(bounds);
-    let log = Logger::root(Discard, o!());
-    let state = Arc::new(EntryState::new(names, "a".into(), bounds, 1, log));
-    let decoders = Decoders {
-        catalog: decode_catalog,
-        target: decode_target,
-        catalog_key: "config",
-    };
-    let replica = StoreReplica::new(state.clone(), decoders);
-    (state, replica)
-}
-
 fn is_routable(state: &EntryState, id: &str) -> bool {
     let excluded = [];
     let picks = (0..32).filter_map(|_| {
@@ -297,6 +229,27 @@
     assert_eq!(started.catalog_bytes(), Some(b"9".to_vec()));
 }
 
+// Guards against a version in force that no process can hand on, after an operator wrote an older one
+// again: processes that start keep to the older one for good.
+#[test]
+fn configuration_in_force_is_handed_on_after_an_older_one_is_written() {
+    // Arrange
+    let (state, replica) = replica();
+    let now = Instant::now();
+    let topic = StoreTopic::Operator;
+    replica.apply_from_store(topic, delta(0, 9, false, &[("config", 8, "9")]), now);
+
+    // Act
+    replica.apply_from_store(topic, delta(0, 10, false, &[("config", 9, "7")]), now);
+    let after_older = replica.catalog_bytes();
+    replica.apply_from_store(topic, delta(1, 10, true, &[("config", 9, "7")]), now);
+
+    // Assert
+    assert_eq!(state.version(), Some(9));
+    assert_eq!(after_older, Some(b"9".to_vec()));
+    assert_eq!(replica.catalog_bytes(), Some(b"9".to_vec()));
+}
+
 #[test]
 fn configuration_that_is_written_again_is_the_stores_again() {
     // Arrange
