Refuse a sound request beside several harmful ones for a short time only

What callers saw: a new popular stream, which ran where two harmful requests ended their targets by turns, was refused with a Retry-After of ten minutes.

Cause: the ends under a request were explained by one other suspect only, which had to have run at all of them.

Change: the ends under a request may be due to several others together, where each of them is harmful and has ended a target without it. Before that is known it is held back for at most 6 s after the last end, so that the next runs tell. Within 1.2 s of the last end the Retry-After is what is left of that time.

Why it is safe: no explanation counts that the request at hand has itself, and a harmful request that runs again alone has an end that no other one shares.

--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -199,6 +199,23 @@
             .all(|end| self.ends_since_answer().any(|own| own.is_same(end)))
     }
 
+    /// Returns whether a target ended under this suspect and another one.
+    pub(super) fn shares_end(&self, other: &Self) -> bool {
+        let mut ends = other.ends_since_answer();
+        ends.any(|end| self.ends_since_answer().any(|own| own.is_same(end)))
+    }
+
+    /// Returns whether at each end of a target under this suspect it ended under one of the others.
+    pub(super) fn is_covered_by<'a, Others>(&self, others: impl Fn() -> Others) -> bool
+    where
+        Others: Iterator<Item = &'a Self>,
+    {
+        let is_shared = |end: &TargetEnd| {
+            others().any(|other| other.ends_since_answer().any(|own| own.is_same(end)))
+        };
+        self.ends_since_answer().all(is_shared)
+    }
+
     /// Decides about a suspect that ran beside another one at each end.
     pub(super) fn check_tied(&self, now: i64) -> SuspectDecision {
         let until = self.last_end().unwrap_or(now) + TIE_MS;
@@ -213,7 +230,13 @@
         if !self.is_harmful(now) {
             return SuspectDecision::Clear;
         }
-        let refused_until = self.last_end().unwrap_or(now) + REFUSAL_MS;
+        let last_end = self.last_end().unwrap_or(now);
+        let settled_at = last_end + VERDICT_DELAY_MS;
+        if now < settled_at {
+            // Another entry may still tell what else ran at the last end.
+            return SuspectDecision::Refused(Duration::from_millis((settled_at - now) as u64));
+        }
+        let refused_until = last_end + REFUSAL_MS;
         let until = refused_until.max(self.probe_until.unwrap_or(refused_until));
         if now < until {
             return SuspectDecision::Refused(Duration::from_millis((until - now) as u64));
--- a/fleet/src/routing/crash_suspects.rs
+++ b/fleet/src/routing/crash_suspects.rs
@@ -18,6 +18,9 @@
 /// The most answered requests and parts that are remembered.
 const MAX_ANSWERED: NonZeroUsize = NonZeroUsize::new(8_192).expect("is_not_zero");
 
+/// The number of ends from which a suspect may explain a part of those under another one.
+const MIN_JOINT_ENDS: usize = 2;
+
 /// The most suspects that one message reports.
 const MAX_REPORTS: usize = 32;
 
@@ -218,12 +221,38 @@
             is_first &= key < *other;
         }
         match (is_tied, is_first) {
-            (false, _) => None,
+            (false, _) => self.joint_explanation(suspect, keys, now),
             (true, true) => Some(Explanation::Other),
             (true, false) => Some(Explanation::Tied),
         }
     }
 
+    /// Returns whether the ends under a suspect may be due to several others, by turns.
+    ///
+    /// They are if each of these is harmful and has ended a target without the suspect. Otherwise the
+    /// suspect is held back for a short time, in which the next runs of the others tell.
+    fn joint_explanation(
+        &self,
+        suspect: &CrashSuspect,
+        keys: &SuspectKeys,
+        now: i64,
+    ) -> Option<Explanation> {
+        let others: SmallVec<[&CrashSuspect; 8]> = self
+            .suspects
+            .iter()
+            .filter(|(other, _)| !keys.contains(**other))
+            .map(|(_, other_suspect)| other_suspect)
+            .filter(|other| MIN_JOINT_ENDS <= other.n_counted() && other.shares_end(suspect))
+            .collect();
+        let apart = |other: &&CrashSuspect| other.is_harmful(now) && !suspect.covers(other);
+        if suspect.is_covered_by(|| others.iter().copied().filter(apart)) {
+            return Some(Explanation::Other);
+        }
+        suspect
+            .is_covered_by(|| others.iter().copied())
+            .then_some(Explanation::Tied)
+    }
+
     /// Changes a suspect, and adds this entry's last answer.
     fn change(&mut self, key: SuspectKey, now: i64, change: impl FnOnce(&mut CrashSuspect)) {
         if !self.suspects.contains_key(&key) {
--- a/fleet/tests/crash_suspects.rs
+++ b/fleet/tests/crash_suspects.rs
@@ -160,6 +160,26 @@
     assert!(is_refused(&suspects, start + 10 * SECOND));
 }
 
+// Guards against callers that are told to stay away for long before the other entries can have told of
+// what else ran at the last end.
+#[test]
+fn refusal_is_short_until_the_other_entries_have_told_of_the_last_end() {
+    let start = Instant::now() + SECOND;
+    let mut suspects = CrashSuspects::new(start);
+    for target in 0..3 {
+        end(&mut suspects, target, start + target * SECOND);
+    }
+    let last_end = start + 2 * SECOND;
+    let refused_for = |now| match suspects.check(&request(1), now) {
+        SuspectDecision::Refused(after) => after,
+        decision => panic!("{decision:?}"),
+    };
+    let early = refused_for(last_end + SECOND / 10);
+    assert!(early <= 2 * SECOND, "{early:?}");
+    let late = refused_for(last_end + CONTACT_TIME);
+    assert!(60 * SECOND <= late, "{late:?}");
+}
+
 #[test]
 fn ends_of_one_target_that_starts_again_under_its_id_count_each() {
     let start = Instant::now() + SECOND;
@@ -245,6 +265,43 @@
     }
 }
 
+// Guards against a new popular request that ran at the ends of two harmful ones, by turns, and is
+// refused for as long as these.
+#[test]
+fn request_that_ran_beside_two_harmful_ones_is_refused_for_a_short_time_only() {
+    // Arrange
+    let (first, second, sound) = (request(1), request(2), request(3));
+    let start = Instant::now() + SECOND;
+    let mut suspects = CrashSuspects::new(start);
+    for n_end in 0..4 {
+        let at = start + n_end * SECOND;
+        let harmful = [&first, &second][n_end as usize % 2];
+        for keys in [harmful, &sound] {
+            suspects.record_end(keys, n_end, at - SECOND / 2, at);
+        }
+    }
+
+    // Act: the harmful ones come alone, as the sound one is held back, and end a target each.
+    let now = start + 4 * SECOND;
+    let decision = suspects.check(&sound, now);
+    for (n_end, keys) in [(4, &first), (5, &second)] {
+        assert_eq!(suspects.check(keys, now), SuspectDecision::Clear);
+        suspects.record_end(keys, n_end, now, now + SECOND);
+    }
+
+    // Assert
+    let SuspectDecision::Refused(after) = decision else {
+        panic!("{decision:?}");
+    };
+    assert!(after <= 6 * SECOND, "{after:?}");
+    let now = now + 2 * SECOND;
+    assert_eq!(suspects.check(&sound, now), SuspectDecision::Clear);
+    for keys in [&first, &second] {
+        let decision = suspects.check(keys, now);
+        assert!(matches!(decision, SuspectDecision::Refused(_)));
+    }
+}
+
 // Guards against a request that stays refused though the harmful one beside it comes no more.
 #[test]
 fn refusal_that_waits_for_another_request_to_tell_is_short() {
