Ask a target with a limit of nothing again each four seconds

What callers saw: after targets had named 0 for a while, nobody was served for up to ten seconds more, until a request told that the limit was gone.

--- a/fleet/src/routing/rate_buckets.rs
+++ b/fleet/src/routing/rate_buckets.rs
@@ -8,7 +8,7 @@
 
 /// The lowest rate, in requests per second: a request now and then tells whether a target with a
 /// limit of 0 still has it.
-const MIN_RATE: f64 = 0.1;
+const MIN_RATE: f64 = 0.25;
 
 /// The time in which the tokens beyond the first one are collected.
 const BURST_TIME_S: f64 = 0.5;
