Check a request that waited for room again before it is sent

A request that waits until a target's limit has room may be known to end its targets by then. Found in review; the check is the one before each retry. No test: the other tests of limits and of harmful requests pass.

--- a/fleet/src/process/call_suspects.rs
+++ b/fleet/src/process/call_suspects.rs
@@ -77,6 +77,11 @@
         suspects.check(&self.keys, Instant::now())
     }
 
+    /// Returns whether the request is not to be sent as it ends its targets.
+    pub(super) fn is_harmful(&self) -> bool {
+        matches!(self.check_suspect(), SuspectDecision::Refused(_))
+    }
+
     /// Decides the same for a request that is sent now; a probe counts as sent.
     pub(super) fn admit_suspect(&self) -> SuspectDecision {
         let decision = {
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -84,8 +84,11 @@
             }
             () = sleep_until_room(room_at) => AttemptOutcome::Silent,
         };
-        let may_retry =
-            room_at.take().is_some() || dispatches.next_step(call, outcome) == NextStep::Retry;
+        let may_retry = match room_at.take() {
+            // Its targets may have ended under it meanwhile.
+            Some(_) => !call.is_harmful(),
+            None => dispatches.next_step(call, outcome) == NextStep::Retry,
+        };
         let next = match may_retry {
             true => dispatches.begin(call).await,
             false => None,
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 use crate::request::{AttemptOutcome, CallProgress, DeniedReason, NextStep, UnknownReason};
 use crate::request::{next_step, stop_step};
-use crate::routing::{GROUP_RECOVERY_TIME, LimitNotice, SuspectDecision, SuspectKeys, TargetPick};
+use crate::routing::{GROUP_RECOVERY_TIME, LimitNotice, SuspectKeys, TargetPick};
 
 use super::call_suspects::suspect_keys;
 use super::caller_body::CallerBody;
@@ -324,7 +324,7 @@
         let is_broken = table.is_group_broken(&self.service, now);
         drop(table);
         let budget = || !is_broken && self.state.draw_retry(&self.service, now);
-        let is_harmful = matches!(self.check_suspect(), SuspectDecision::Refused(_));
+        let is_harmful = self.is_harmful();
         let step = match has_target && !is_harmful {
             true => next_step(&self.route, progress, outcome, self.time_left(), budget),
             false => stop_step(progress, outcome),
--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -161,7 +161,12 @@
             if self.dispatches.has_active_dispatch() {
                 continue;
             }
-            if self.room_at.take().is_some() || self.next_step(outcome) == NextStep::Retry {
+            let may_retry = match self.room_at.take() {
+                // Its targets may have ended under it meanwhile.
+                Some(_) => !self.call.is_harmful(),
+                None => self.next_step(outcome) == NextStep::Retry,
+            };
+            if may_retry {
                 self.begin().await;
             }
             // A silent target may still go on.
