Let no request explain the ends under a part that it has

What callers saw: sound requests that share a harmful part's other parts were refused for up to 6 s again and again, and the harmful one was sent once each 6 s.

Cause: since ends may be due to several suspects together, the requests that had the part explained its ends: each had ended a second target in its retry, which counts against the part once for each request only, so that this end seemed to be the request's own.

The new test failed (2 s, at least 60 s wanted).

Change: the ends under a part can be due to other parts only.

Result: the test passes.

--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -119,7 +119,7 @@
             }
             return;
         }
-        let is_part = matches!(self.key, SuspectKey::Part(_));
+        let is_part = self.key.is_part();
         if is_part && self.ends.iter().any(|end| end.request == new.request) {
             return;
         }
--- a/fleet/src/routing/crash_suspects.rs
+++ b/fleet/src/routing/crash_suspects.rs
@@ -221,7 +221,7 @@
             is_first &= key < *other;
         }
         match (is_tied, is_first) {
-            (false, _) => self.joint_explanation(suspect, keys, now),
+            (false, _) => self.joint_explanation(key, suspect, keys, now),
             (true, true) => Some(Explanation::Other),
             (true, false) => Some(Explanation::Tied),
         }
@@ -233,6 +233,7 @@
     /// has not. Until all of them are known to be harmful, the suspect is held back for a short time.
     fn joint_explanation(
         &self,
+        key: SuspectKey,
         suspect: &CrashSuspect,
         keys: &SuspectKeys,
         now: i64,
@@ -241,6 +242,8 @@
             .suspects
             .iter()
             .filter(|(other, _)| !keys.contains(**other))
+            // Requests end targets by the parts that they have.
+            .filter(|(other, _)| !key.is_part() || other.is_part())
             .map(|(_, other_suspect)| other_suspect)
             .filter(|other| MIN_JOINT_ENDS <= other.n_counted())
             .filter(|other| other.shares_end(suspect) && !suspect.covers(other))
--- a/fleet/src/routing/suspect_key.rs
+++ b/fleet/src/routing/suspect_key.rs
@@ -19,6 +19,13 @@
     Part(CallDigest),
 }
 
+impl SuspectKey {
+    /// Returns whether this is a part of prompts.
+    pub fn is_part(self) -> bool {
+        matches!(self, Self::Part(_))
+    }
+}
+
 /// All that is suspect of a request if a target ends while it runs the request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SuspectKeys {
--- a/fleet/tests/crash_suspects.rs
+++ b/fleet/tests/crash_suspects.rs
@@ -305,6 +305,27 @@
     }
 }
 
+// Guards against a harmful part that is let through now and then, as the requests that had it, of
+// which each ended a second target in its retry, explain its ends.
+#[test]
+fn part_of_requests_that_each_ended_two_targets_stays_refused() {
+    let start = Instant::now() + SECOND;
+    let mut suspects = CrashSuspects::new(start);
+    for n_request in 0..3 {
+        let keys = prompt(u64::from(n_request), &[7]);
+        for n_retry in 0..2 {
+            let at = start + (2 * n_request + n_retry) * SECOND / 2;
+            let target = 2 * n_request + n_retry;
+            suspects.record_end(&keys, target, at - SECOND / 20, at);
+        }
+    }
+    let SuspectDecision::Refused(after) = suspects.check(&prompt(9, &[7]), start + 6 * SECOND)
+    else {
+        panic!("sent");
+    };
+    assert!(60 * SECOND <= after, "{after:?}");
+}
+
 // Guards against a harmful request that is let through now and then, as sound ones ran at each of its
 // ends, some at one and some at another.
 #[test]
