--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -100,7 +100,7 @@
                 silent_at = Instant::now() + silence;
             }
             None => {
-                room_at = dispatches.room_at(call).filter(|_| may_retry);
+                room_at = may_retry.then(|| dispatches.room_at(call)).flatten();
                 if running.is_empty() && room_at.is_none() {
                     return Err(dispatches.stop_step(outcome));
                 }
