Hand the configuration in force on where one read brought it and an older one

Cause: one read of the log may bring a version and an older one after it. The bytes that are retained were those from before the read, so that the version which the read itself put in force was handed on by nobody.

Evidence: the logs: 7 in force at two entries, no line `configuration retained`, and an entry that hears both stays at 4. The new test failed: 7 was handed on instead of 9.

Change: the bytes are taken of each record that comes into force.

Result: the test passes.

--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -265,7 +265,7 @@
         };
         let may_replace = topic == StoreTopic::Operator
             && (copy.mirror.end().era < delta.era || !delta.records.is_empty());
-        let old_catalog = copy
+        let mut last_in_force = copy
             .mirror
             .value(self.decoders.catalog_key)
             .filter(|_| may_replace)
@@ -273,7 +273,11 @@
         match copy.mirror.apply(delta) {
             MirrorChange::Updated(records) => {
                 for record in records {
+                    let before = self.state.version();
                     let is_changed = self.apply_record(inner, topic, &record, source);
+                    if before < self.state.version() {
+                        last_in_force.clone_from(&record.value);
+                    }
                     if let Some(copy) = inner.copy_mut(topic)
                         && is_changed
                     {
@@ -286,7 +290,7 @@
             }
             MirrorChange::Incomplete | MirrorChange::Outdated => return false,
         }
-        if let Some(bytes) = old_catalog {
+        if let Some(bytes) = last_in_force {
             self.keep_catalog(inner, bytes);
         }
         true
--- a/fleet/tests/store_restored.rs
+++ b/fleet/tests/store_restored.rs
@@ -250,6 +250,17 @@
     assert_eq!(replica.catalog_bytes(), Some(b"9".to_vec()));
 }
 
+// The same where one read brings both versions.
+#[test]
+fn configuration_in_force_is_handed_on_after_an_older_one_came_with_it() {
+    let (state, replica) = replica();
+    let records = [("config", 8, "9"), ("config", 9, "7")];
+    let delta = delta(0, 10, false, &records);
+    replica.apply_from_store(StoreTopic::Operator, delta, Instant::now());
+    assert_eq!(state.version(), Some(9));
+    assert_eq!(replica.catalog_bytes(), Some(b"9".to_vec()));
+}
+
 #[test]
 fn configuration_that_is_written_again_is_the_stores_again() {
     // Arrange
