Log callers that leave before a response, and dispatches that are dropped

What callers saw: nothing.

A request that is dropped without a response is logged as 'caller left' and counted; a run whose connection the entry closes is logged as 'dispatch dropped' with its target and counted. A failed caller's connection tells what lay unread and how many requests ran on it.

A dispatch that failed now counts as ended before the check of its target, not after it, so that the line does not call it dropped.

--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -156,7 +156,7 @@
             ended = connection.as_mut() => {
                 let is_unread = activity.has_unread_body()
                     || ended.as_ref().is_err_and(hyper::Error::is_parse);
-                record_end(&state, &activity, caller, ended);
+                record_end(&state, &activity, caller, &stream, ended);
                 if is_unread {
                     discard_input(&stream).await;
                 }
@@ -241,6 +241,7 @@
     state: &EntryState,
     activity: &ConnectionActivity,
     caller: Option<SocketAddr>,
+    stream: &SharedStream,
     ended: hyper::Result<()>,
 ) {
     let n_requests = activity.n_requests();
@@ -254,7 +255,8 @@
         Err(err) => {
             let cause = std::error::Error::source(&err).map(ToString::to_string);
             info!(state.log, "caller connection failed"; "caller" => caller, "error" => %err,
-                "cause" => cause, "requests" => n_requests);
+                "cause" => cause, "requests" => n_requests, "running" => activity.n_running(),
+                "input" => ?stream.input());
             count_end(state, "failed");
         }
     }
--- a/fleet/src/process/connection_activity.rs
+++ b/fleet/src/process/connection_activity.rs
@@ -112,6 +112,11 @@
         self.progress.lock().n_requests
     }
 
+    /// Returns the number of requests whose responses have not been written.
+    pub(super) fn n_running(&self) -> usize {
+        self.progress.lock().n_running
+    }
+
     /// Returns the time since the connection was last used.
     pub(super) fn idle_time(&self) -> Duration {
         self.progress.lock().last_used_at.elapsed()
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -12,6 +12,7 @@
 mod keeper_link;
 mod leader_table;
 mod leader_task;
+mod leave_watch;
 mod limit_permits;
 mod logger;
 mod metrics;
--- a/fleet/src/process/plain_run.rs
+++ b/fleet/src/process/plain_run.rs
@@ -171,11 +171,12 @@
                 }
                 ReadError::Broken(_) => AttemptOutcome::Broken,
             };
+            guard.end();
             call.record_failure(&pick, outcome).await;
             return Err(outcome.into());
         }
     };
-    drop(guard);
+    guard.end();
     let head = response.head.clone();
     let is_delimited = response.is_delimited;
     response.keep_connection(&call.state.pool, &pick);
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -15,6 +15,7 @@
 use super::caller_body::CallerBody;
 use super::end_check::check_end;
 use super::entry_state::EntryState;
+use super::leave_watch::LeaveWatch;
 use super::request_body::{leave_body_unread, read_body};
 use super::running_guard::RunningGuard;
 use super::{plain_run, stream_run};
@@ -82,6 +83,19 @@
         let answer = LocalResponse::Denied(DeniedReason::BadRequest);
         return leave_body_unread(local_response(&state, "", answer, "no host"));
     };
+    let watch = LeaveWatch::new(&state, &head.attempt_id, received_at);
+    let response = answer(state, head, body, received_at).await;
+    watch.end();
+    response
+}
+
+/// Reads a request's body, admits and runs the request.
+async fn answer(
+    state: Arc<EntryState>,
+    head: RequestHead,
+    body: Incoming,
+    received_at: Instant,
+) -> Response<CallerBody> {
     let attempt_id = head.attempt_id.clone();
     let body = match read_body(&state, &head, body, received_at).await {
         Ok(body) => body,
@@ -190,7 +204,7 @@
         debug!(self.state.log, "dispatch"; "request" => &*self.head.attempt_id,
             "target" => &*pick.id, "running" => pick.running, "score" => pick.score,
             "left_ms" => self.time_left().as_millis() as u64);
-        let guard = RunningGuard::begin(&self.state, &pick.id);
+        let guard = RunningGuard::begin(&self.state, &pick.id, &self.head.attempt_id);
         Some(ChosenTarget { pick, guard })
     }
 
@@ -220,6 +234,7 @@
                 })
             }
             Err(failure) => {
+                guard.end();
                 self.record_limit(&pick, failure.limit);
                 if let (AttemptOutcome::NotRun, LimitNotice::Named(_)) =
                     (failure.outcome, failure.limit)
--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -115,7 +115,7 @@
             guard,
             response,
         } = run.dispatched;
-        drop(guard);
+        guard.end();
         let status = response.head.status;
         self.call
             .record_answer(&pick, status, response.is_delimited);
@@ -232,9 +232,9 @@
             if let Some(cut) = run.relay.cut() {
                 self.call.record_cut(&run.dispatched.pick, cut);
             }
-            self.call
-                .record_failure(&run.dispatched.pick, outcome)
-                .await;
+            let DispatchedCall { pick, guard, .. } = run.dispatched;
+            guard.end();
+            self.call.record_failure(&pick, outcome).await;
             self.dispatches.end(run.number, outcome);
         }
         // The pause until another target goes on says nothing of the group's speed.
@@ -319,7 +319,9 @@
         if let Some(cut) = relay.cut() {
             call.record_cut(&dispatched.pick, cut);
         }
-        call.record_failure(&dispatched.pick, outcome).await;
+        let DispatchedCall { pick, guard, .. } = dispatched;
+        guard.end();
+        call.record_failure(&pick, outcome).await;
         return Err(outcome.into());
     }
     call.record(&dispatched.pick, None);
