End the runs of a caller that leaves while bytes of it lie unread

What callers saw: nothing; targets worked on for them until the deadline, and a second run began after they had left.

Cause: the server side of a connection learns of its end only by reading, and reads nothing while bytes lie in its buffer: a line break behind the body, the next request, or the beginning of a long one.

Evidence: of the new tests, three failed before, each with a line break behind the request and a close (runs before a response, a silent stream, and a second run: 2 sends instead of 1); the two for callers that send more and stay passed.

The entry now also waits for the operating system's word that the other side has closed, which comes whatever lies unread, from when a request has been read until its response has been written. Nothing is read for that, so that a caller that sends without end stays bounded. Until its body is read, a request ends as before. An end of input counts as leaving, as it did without unread bytes.

With the change all five pass: three ways to leave, four things sent behind the request, three kinds of calls and a silent stream; 80 tests of the group pass.

--- a/fleet/src/forward/shared_stream.rs
+++ b/fleet/src/forward/shared_stream.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::prelude::*;
@@ -27,6 +27,16 @@
         &self.0
     }
 
+    /// Waits until the other side has closed or reset the stream, also while bytes of it lie unread.
+    pub async fn closed(&self) {
+        // The end of the input is reported with this interest, input that can be read is not.
+        while let Ok(ready) = self.0.ready(Interest::PRIORITY).await
+            && !ready.is_read_closed()
+        {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Returns what the operating system holds for the next read.
     pub fn input(&self) -> StreamInput {
         let mut byte = [MaybeUninit::uninit()];
--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -128,7 +128,9 @@
             let guard = activity.begin_request();
             let (state, activity) = (state.clone(), activity.clone());
             async move {
-                let running = AssertUnwindSafe(run_request(state.clone(), request));
+                let end_read = || activity.end_read();
+                let running = run_request(state.clone(), request, end_read);
+                let running = AssertUnwindSafe(running);
                 let response = match running.catch_unwind().await {
                     Ok(response) => response,
                     Err(_) => panicked_response(&state),
@@ -162,6 +164,11 @@
                 }
                 return;
             }
+            // The connection itself does not look at its input while bytes of it lie unread.
+            () = stream.closed(), if activity.owes_response() => {
+                record_leaving(&state, &activity, caller, &stream);
+                return;
+            }
             () = state.drain.closed(), if phase == EntryPhase::Serving => {
                 phase = EntryPhase::Stopping;
             }
@@ -262,6 +269,19 @@
     }
 }
 
+/// Logs and counts the end of a connection whose caller has left before its response.
+fn record_leaving(
+    state: &EntryState,
+    activity: &ConnectionActivity,
+    caller: Option<SocketAddr>,
+    stream: &SharedStream,
+) {
+    info!(state.log, "caller connection failed"; "caller" => caller.map(|at| at.to_string()),
+        "error" => "closed by the caller", "requests" => activity.n_requests(),
+        "running" => activity.n_running(), "input" => ?stream.input());
+    count_end(state, "left");
+}
+
 fn count_end(state: &EntryState, reason: &str) {
     let ends = &state.metrics.connection_ends;
     ends.with_label_values(&[reason]).inc();
--- a/fleet/src/process/connection_activity.rs
+++ b/fleet/src/process/connection_activity.rs
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub(super) struct ConnectionActivity {
     progress: Mutex<ConnectionProgress>,
-    /// Notified whenever a head begins to arrive or a response has ended.
+    /// Notified whenever a head begins to arrive, a request has been read or a response has ended.
     pub(super) changed: Notify,
 }
 
@@ -34,6 +34,8 @@
     n_requests: u64,
     n_running: usize,
     is_write_blocked: bool,
+    /// Whether the running request has been read completely.
+    is_read: bool,
     /// When the first byte of a head was read whose request has not begun.
     head_since: Option<Instant>,
     last_used_at: Instant,
@@ -62,6 +64,7 @@
             n_requests: 0,
             n_running: 0,
             is_write_blocked: false,
+            is_read: false,
             head_since: None,
             last_used_at: Instant::now(),
             idle_timeout: limits.idle_timeout,
@@ -79,10 +82,23 @@
         let mut progress = self.progress.lock();
         progress.n_requests += 1;
         progress.n_running += 1;
+        progress.is_read = false;
         progress.head_since = None;
         ResponseGuard(self.clone())
     }
 
+    /// Records that the running request has been read completely.
+    pub(super) fn end_read(&self) {
+        self.progress.lock().is_read = true;
+        self.changed.notify_one();
+    }
+
+    /// Returns whether a request has been read completely and its response has not been written.
+    pub(super) fn owes_response(&self) -> bool {
+        let progress = self.progress.lock();
+        progress.is_read && 0 < progress.n_running
+    }
+
     /// Records a use under the idle timeout in force; a shorter one than before holds only once
     /// callers know of it.
     pub(super) fn set_idle_timeout(&self, timeout: Duration, now: Instant) {
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -47,7 +47,6 @@
 pub use permit_table::{PermitAnswer, PermitSource, PermitTable};
 pub use ready_server::{serve_metrics, serve_ready};
 pub use record_decoders::Decoders;
-pub use request_run::run_request;
 pub use store_access::{
     CallError, StoreAnswer, StoreReply, StoreRequest, TargetReply, TargetRequest,
 };
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -72,10 +72,11 @@
     pub(super) response: TargetResponse,
 }
 
-/// Runs a caller's request and returns the response.
-pub async fn run_request(
+/// Runs a caller's request and returns the response; `end_read` is called once it has been read.
+pub(super) async fn run_request(
     state: Arc<EntryState>,
     request: Request<Incoming>,
+    end_read: impl FnOnce(),
 ) -> Response<CallerBody> {
     let received_at = Instant::now();
     let (parts, body) = request.into_parts();
@@ -84,7 +85,7 @@
         return leave_body_unread(local_response(&state, "", answer, "no host"));
     };
     let watch = LeaveWatch::new(&state, &head.attempt_id, received_at);
-    let response = answer(state, head, body, received_at).await;
+    let response = answer(state, head, body, received_at, end_read).await;
     watch.end();
     response
 }
@@ -95,12 +96,14 @@
     head: RequestHead,
     body: Incoming,
     received_at: Instant,
+    end_read: impl FnOnce(),
 ) -> Response<CallerBody> {
     let attempt_id = head.attempt_id.clone();
     let body = match read_body(&state, &head, body, received_at).await {
         Ok(body) => body,
         Err(refusal) => return refusal.response(&state, &attempt_id),
     };
+    end_read();
     let call = match admit_call(&state, head, body, received_at) {
         Ok(call) => call,
         Err((answer, why)) => return local_response(&state, &attempt_id, answer, why),
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -7,6 +7,8 @@
 mod ended_target;
 #[path = "forwarding/endless_target.rs"]
 mod endless_target;
+#[path = "forwarding/leaving_caller.rs"]
+mod leaving_caller;
 #[path = "forwarding/silent_target.rs"]
 mod silent_target;
 mod wire;
