Refuse a stream at once that would wait until its caller gives it up

What callers saw: with a slow rank, half of the streams got no event within 2 s, and their callers left. Where a rank's machine stood still at that moment, the targets worked on for those that had left: GONE, the incident.

Cause: all that found a slot was sent, however long the streams before it had waited for their first event. Where shedding cannot shorten the passes the limit on running streams is all slots. A rank reads about one prompt in a pass of 0.6 s, so that up to 15 streams wait at one rank and are given up together. The entry closes each at once; a target whose machine stands still learns of it when it goes on.

The change: an entry averages how long its streams to a group wait until they begin or are given up.

Why it works: what waits at a rank is at most about a pass or two of its reading, so that few are given up at the moment it stands still, and the callers of the others have their answer or their refusal. Runs at a machine that stands still cannot be ended; that remains.

--- a/fleet/src/catalog/route_spec.rs
+++ b/fleet/src/catalog/route_spec.rs
@@ -36,7 +36,22 @@
     pub weight: u32,
 }
 
+/// The shortest time without an event after which callers give up a stream.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// The number of latency objectives and of allowed pauses after which they do, if that is longer.
+const PATIENCE_OBJECTIVES: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
 impl RouteSpec {
+    /// Returns the time without an event after which callers give up a stream.
+    pub fn patience(&self) -> Duration {
+        let pause = self.pause.unwrap_or_default();
+        MIN_PATIENCE
+            .max(self.objective * PATIENCE_OBJECTIVES)
+            .max(pause * PATIENCE_PAUSES)
+    }
+
     /// Returns the service for a random number from `0.0..1.0`; `None` where all weights are zero.
     pub fn pick_service(&self, random: f64) -> Option<&Arc<str>> {
         let total: u32 = self.backends.iter().map(|backend| backend.weight).sum();
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -29,6 +29,7 @@
 mod request_body;
 mod request_run;
 mod running_guard;
+mod start_guard;
 mod store_access;
 mod store_replica;
 mod store_tasks;
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -7,10 +7,11 @@
 use crate::forward::StreamEvent;
 use crate::prelude::*;
 use crate::request::{NextStep, UnknownReason};
-use crate::routing::{AdmitDecision, GROUP_RECOVERY_TIME};
+use crate::routing::{AdmitDecision, GROUP_RECOVERY_TIME, StartEnd};
 
 use super::caller_body::{CallerBody, StreamPart};
 use super::request_run::CallContext;
+use super::start_guard::StartGuard;
 use super::stream_source::{SourceEnd, StreamSource};
 
 /// The number of events buffered for a slow caller.
@@ -20,22 +21,35 @@
 /// refused.
 const ADMIT_WAIT_FRACTION: f64 = 0.125;
 
+/// Why a stream is refused that gets no slot.
+const FULL_REASON: &str = "no room in the group, or it does not serve";
+
+/// Why a stream is refused that would begin too late.
+const SLOW_REASON: &str = "streams wait too long for their first event";
+
 /// Runs a call answered by a stream of events.
 pub(super) async fn run(call: CallContext) -> Response<CallerBody> {
-    if let Err(answer) = admit(&call).await {
-        return call.local_response(answer, "no room in the group, or it does not serve");
+    if let Err((after, why)) = admit(&call).await {
+        let answer = LocalResponse::Refused(NotRunProof::never_sent(), after);
+        return call.local_response(answer, why);
     }
     // Targets may have ended under the request while this attempt waited.
     if let Some(refusal) = call.refusal(call.admit_suspect()) {
         return refusal;
     }
     let call = Arc::new(call);
+    let start = StartGuard::begin(&call);
     let mut source = StreamSource::new(call.clone()).await;
     let first = tokio::select! {
         biased;
         first = source.next() => Some(first),
         () = call.answer_due() => None,
     };
+    start.end(match &first {
+        Some(Ok(_) | Err(SourceEnd::Complete)) => StartEnd::Begun,
+        Some(Err(SourceEnd::Broken(_))) => StartEnd::Failed,
+        None => StartEnd::GivenUp,
+    });
     let first = match (first, source.take_failure()) {
         (Some(Err(SourceEnd::Broken(_))) | None, Some((head, body))) => {
             return call.target_response(head, body);
@@ -56,8 +70,9 @@
     response
 }
 
-/// Waits a short time for a free slot in the group, or returns a refusal.
-async fn admit(call: &CallContext) -> Result<(), LocalResponse> {
+/// Waits a short time for a free slot in the group, or returns when a refused caller should retry, and
+/// why it is refused.
+async fn admit(call: &CallContext) -> Result<(), (Duration, &'static str)> {
     let state = &call.state;
     let Some(catalog) = state.catalog.load_full() else {
         return Ok(());
@@ -83,21 +98,14 @@
             AdmitDecision::Admit => return Ok(()),
             AdmitDecision::Full(retry_after) => (wait_until, retry_after),
             AdmitDecision::Forming(until) => (until.min(call.deadline), GROUP_RECOVERY_TIME),
-            AdmitDecision::Broken(retry_after) => {
-                return Err(LocalResponse::Refused(
-                    NotRunProof::never_sent(),
-                    retry_after,
-                ));
-            }
+            AdmitDecision::Slow(retry_after) => return Err((retry_after, SLOW_REASON)),
+            AdmitDecision::Broken(retry_after) => return Err((retry_after, FULL_REASON)),
         };
         if tokio::time::timeout_at(wait_until, slot_freed)
             .await
             .is_err()
         {
-            return Err(LocalResponse::Refused(
-                NotRunProof::never_sent(),
-                retry_after,
-            ));
+            return Err((retry_after, FULL_REASON));
         }
     }
 }
--- a/fleet/src/routing/group_limit.rs
+++ b/fleet/src/routing/group_limit.rs
@@ -2,6 +2,8 @@
 
 use crate::prelude::*;
 
+use super::start_limit::StartLimit;
+
 /// The weight of a new sample in the moving average of pauses between events.
 const PAUSE_WEIGHT: f64 = 0.04;
 
@@ -41,6 +43,8 @@
     updated_at: Option<Instant>,
     demand: f64,
     demand_at: Option<Instant>,
+    /// The streams of this entry that wait for their first event.
+    pub starts: StartLimit,
 }
 
 /// The load of a group of ranks, as known to an entry.
@@ -66,6 +70,9 @@
     Admit,
     /// The group is at its limit; holds the time after which the caller should retry.
     Full(Duration),
+    /// The stream would not begin before its caller gives up; holds the time after which the caller
+    /// should retry.
+    Slow(Duration),
     /// The group does not serve; holds the time after which the caller should retry.
     Broken(Duration),
     /// The group forms again, probably by the given time.
@@ -146,6 +153,9 @@
 
     /// Admits a stream within this entry's share, or while the group has room beyond it.
     pub fn admit(&self, load: &GroupLoad, now: Instant) -> AdmitDecision {
+        if let Some(after) = self.starts.full_for(now) {
+            return AdmitDecision::Slow(after);
+        }
         let limit = self.limit(load.slots);
         let within_share = f64::from(load.own + 1) <= self.own_share(load, now);
         let group_has_room = f64::from(load.running + 1) <= SHARED_LIMIT_RATIO * limit;
--- a/fleet/tests/forwarding/leaving_caller.rs
+++ b/fleet/tests/forwarding/leaving_caller.rs
@@ -198,3 +198,40 @@
         assert!(answer.contains(&event(N_EVENTS)), "{behind:?}: {answer}");
     }
 }
+
+// Guards against streams sent to a group whose earlier streams were given up before their first event;
+// at a rank that stands still their runs would go on (GONE).
+#[tokio::test]
+async fn stream_is_refused_at_once_while_others_wait_in_vain() {
+    // Arrange
+    let silent = || vec![Reply::Silence; 8];
+    let targets = [
+        ScriptedTarget::start(silent()).await,
+        ScriptedTarget::start(silent()).await,
+    ];
+    let entry = Entry::with_route(stream_route(), 0.0, &[&targets[0], &targets[1]]).await;
+    entry.form_group(stream_route());
+    let give_up = |id| entry.call_and_leave(id, Duration::from_millis(1_200));
+    tokio::join!(give_up("r1"), give_up("r2"), give_up("r3"));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let n_sent = || {
+        targets
+            .iter()
+            .map(|target| target.requests().len())
+            .sum::<usize>()
+    };
+    let n_before = n_sent();
+
+    // Act
+    let mut waiting = entry.connect().await;
+    waiting.send(&kept_request("r4")).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let since = Instant::now();
+    let refused = entry.call("r5").await;
+
+    // Assert
+    assert_eq!((n_before, n_sent()), (3, 4), "one may always wait");
+    assert_eq!(refused.status, 503, "{}", refused.head);
+    assert!(since.elapsed() < Duration::from_millis(200));
+    assert!(refused.head.contains("retry-after: 1."), "{}", refused.head);
+}
