Test that runs end in whatever state their callers leave

Beside two silent runs, with a stated failure held, with an answer that is not read and at a stopping entry, each with a line break behind the request; and a caller that leaves within its body, whose request is sent nowhere. Close, reset and end of input each.

Not covered: waits for room at a limit and for a group that forms.

--- a/fleet/tests/forwarding/leaving_caller.rs
+++ b/fleet/tests/forwarding/leaving_caller.rs
@@ -235,3 +235,113 @@
     assert!(since.elapsed() < Duration::from_millis(200));
     assert!(refused.head.contains("retry-after: 1."), "{}", refused.head);
 }
+
+/// What a request waits for when its caller leaves.
+#[derive(Clone, Copy, Debug)]
+enum State {
+    SecondRun,
+    HeldFailure,
+    UnreadAnswer,
+    StoppingEntry,
+}
+
+/// Starts an entry and brings a request of a caller into a state; returns what the caller has open.
+async fn request_in(state: State, targets: &[ScriptedTarget; 2]) -> (Entry, TcpStream) {
+    let kind = match state {
+        State::UnreadAnswer => CallKind::ResumableStream,
+        _ => CallKind::Safe,
+    };
+    let route = RouteSpec {
+        timeout: Duration::from_secs(2),
+        ..route(kind)
+    };
+    let entry = Entry::with_route(route, 1_000.0, &[&targets[0], &targets[1]]).await;
+    entry.disfavour(1);
+    if matches!(state, State::StoppingEntry) {
+        entry.stop_since(Duration::from_secs(1));
+    }
+    let mut stream = entry.open().await;
+    SockRef::from(&stream).set_recv_buffer_size(4_096).unwrap();
+    stream
+        .write_all((kept_request("r1") + "\r\n").as_bytes())
+        .await
+        .unwrap();
+    let pause = match state {
+        State::SecondRun => 1_000,
+        _ => 200,
+    };
+    tokio::time::sleep(Duration::from_millis(pause)).await;
+    (entry, stream)
+}
+
+fn replies_in(state: State, n_target: usize) -> Vec<Reply> {
+    match state {
+        State::HeldFailure if n_target == 0 => {
+            vec![Reply::whole("500 Internal Server Error", "no")]
+        }
+        State::SecondRun | State::HeldFailure | State::StoppingEntry => vec![Reply::Silence],
+        State::UnreadAnswer => {
+            let start = "HTTP/1.1 200 OK\r\nx-seal: s1\r\n\r\n";
+            let piece = format!("data: {}\n\n", "x".repeat(8_000));
+            vec![Reply::Flood(start.to_owned(), piece, 2_000)]
+        }
+    }
+}
+
+// Guards against targets that work on for a caller that has left while its request waits for something
+// else than its target's first byte (GONE).
+#[tokio::test]
+async fn run_ends_in_whatever_state_its_caller_leaves() {
+    let states = [
+        State::SecondRun,
+        State::HeldFailure,
+        State::UnreadAnswer,
+        State::StoppingEntry,
+    ];
+    for state in states {
+        for way in WAYS {
+            let targets = [
+                ScriptedTarget::start(replies_in(state, 0)).await,
+                ScriptedTarget::start(replies_in(state, 1)).await,
+            ];
+            let (entry, stream) = request_in(state, &targets).await;
+            assert!(0 < entry.n_busy_targets(), "{state:?} {way:?}");
+            let _stream = leave(stream, way);
+            let since = Instant::now();
+            while 0 < entry.n_busy_targets() {
+                assert!(
+                    since.elapsed() < END_TIME,
+                    "still at work: {state:?} {way:?}"
+                );
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let n_sent = || {
+                targets
+                    .iter()
+                    .map(|target| target.requests().len())
+                    .sum::<usize>()
+            };
+            let n_before = n_sent();
+            tokio::time::sleep(END_TIME).await;
+            assert_eq!(n_sent(), n_before, "sent later: {state:?} {way:?}");
+        }
+    }
+}
+
+// Guards against a request that is sent although its caller left before its body had arrived (GONE).
+#[tokio::test]
+async fn request_whose_caller_leaves_within_its_body_is_not_sent() {
+    for way in WAYS {
+        let target = silent_target().await;
+        let entry = Entry::start(CallKind::Safe, &[&target]).await;
+        let mut stream = entry.open().await;
+        let head = kept_request("r1").replace("GET", "POST");
+        let head = head.trim_end().to_owned() + "\r\ncontent-length: 600\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&[b'x'; 300]).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let _stream = leave(stream, way);
+        tokio::time::sleep(END_TIME).await;
+        assert_eq!(target.requests().len(), 0, "{way:?}");
+    }
+}
