Let comfreyd notice callers that leave while bytes of them lie unread

What callers saw: nothing; engines worked on for callers of comfreyd that had left, until the whole answer was there.

The server side of an HTTP/1 connection learns of its end only by reading, and reads nothing while bytes lie behind the request.

Evidence: the new test with the real daemons failed before, "Close, 2 bytes behind: not 0 at work" after 5 s. The guard for a caller that sends more and stays passed.

The stream that can be watched while it is read moves from the fleet to the shared connection module, as does the body that holds a guard. From when a handler has read a request until its response ends, the server also waits for the operating system's word that the peer has closed. HTTP/2 connections are read all the time, as before.

Both tests pass; all tests of comfreyhead and of the fleet do.

--- a/fleet/src/forward/head_meter.rs
+++ b/fleet/src/forward/head_meter.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
+use comfreyhead::connection::SharedStream;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -13,7 +14,6 @@
 use crate::prelude::*;
 
 use super::byte_budget::{CutScope, ReadCut};
-use super::shared_stream::SharedStream;
 
 /// The limit on one response head, in bytes: twice what callers may send in theirs by default.
 const MAX_HEAD_BYTES: usize = 32 << 10;
--- a/fleet/src/forward/mod.rs
+++ b/fleet/src/forward/mod.rs
@@ -7,7 +7,6 @@
 mod prompt_parts;
 mod request_head;
 mod response_head;
-mod shared_stream;
 mod stream_relay;
 mod target_call;
 mod target_check;
@@ -16,13 +15,13 @@
 pub use byte_budget::{
     BodyBuffer, ByteBudget, ByteLease, CutScope, ReadCut, ReadError, SMALL_READ,
 };
+pub use comfreyhead::connection::{SharedStream, StreamInput};
 pub use event_parser::{EventParser, StreamEvent};
 pub use head_meter::{BoundedClient, HeadMeter, MeteredStream, bounded_handshake};
 pub use header_names::{HeaderNames, strip_hop_headers};
 pub use prompt_parts::PromptParts;
 pub use request_head::RequestHead;
 pub use response_head::ResponseHead;
-pub use shared_stream::{SharedStream, StreamInput};
 pub use stream_relay::{RelayEnd, StreamRelay};
 pub use target_call::{BodyChunk, CallFailure, TargetCall, TargetResponse, call_target};
 pub use target_check::TargetCheck;
--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -4,6 +4,7 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
+use comfreyhead::connection::{SharedStream, StreamInput};
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use parking_lot::Mutex;
@@ -13,7 +14,6 @@
 use crate::prelude::*;
 
 use super::head_meter::{HeadMeter, bounded_handshake};
-use super::shared_stream::{SharedStream, StreamInput};
 use super::target_check::TargetCheck;
 
 /// The longest time for a connection to be established.
--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -7,6 +7,7 @@
 use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use comfreyhead::connection::{GuardedBody, SharedStream, StreamInput};
 use futures::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,12 +16,9 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::catalog::CallerLimits;
-use crate::forward::{SharedStream, StreamInput};
 use crate::prelude::*;
 
-use super::connection_activity::{
-    CallerStream, CloseStep, ConnectionActivity, EntryPhase, RunningBody,
-};
+use super::connection_activity::{CallerStream, CloseStep, ConnectionActivity, EntryPhase};
 use super::entry_state::EntryState;
 use super::request_body::BodyUnread;
 use super::request_run::{panicked_response, run_request};
@@ -139,7 +137,7 @@
                     activity.leave_body_unread();
                 }
                 activity.set_idle_timeout(caller_limits(&state).idle_timeout, Instant::now());
-                Ok::<_, Infallible>(response.map(|body| RunningBody::new(body, guard)))
+                Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
             }
         })
     };
--- a/fleet/src/process/connection_activity.rs
+++ b/fleet/src/process/connection_activity.rs
@@ -4,17 +4,14 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use hyper::body::{Body, Frame, SizeHint};
+use comfreyhead::connection::SharedStream;
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
 use crate::catalog::CallerLimits;
-use crate::forward::SharedStream;
 use crate::prelude::*;
 
-use super::caller_body::CallerBody;
-
 /// The time beyond the idle timeout for which a request that is on its way is awaited.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
@@ -209,42 +206,6 @@
     }
 }
 
-/// The body of a response, which counts as running until it is dropped.
-#[derive(Debug)]
-pub(super) struct RunningBody {
-    body: CallerBody,
-    _guard: ResponseGuard,
-}
-
-impl RunningBody {
-    pub(super) fn new(body: CallerBody, guard: ResponseGuard) -> Self {
-        Self {
-            body,
-            _guard: guard,
-        }
-    }
-}
-
-impl Body for RunningBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// A caller's stream, whose reads and writes are recorded.
 #[derive(Debug)]
 pub(super) struct CallerStream {
--- a/fleet/src/process/peer_pull.rs
+++ b/fleet/src/process/peer_pull.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 
+use comfreyhead::connection::SharedStream;
 use derive_more::Display;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::forward::{BodyBuffer, ByteBudget, ReadCut, ReadError, SharedStream, bounded_handshake};
+use crate::forward::{BodyBuffer, ByteBudget, ReadCut, ReadError, bounded_handshake};
 use crate::mirror::MAX_COPY_BYTES;
 use crate::prelude::*;
 
--- a/src/connection/http_server.rs
+++ b/src/connection/http_server.rs
@@ -4,18 +4,22 @@
 use std::net::SocketAddr;
 
 use http::{Request, Response};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
-use slog::{Logger, debug, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::prelude::*;
 
+use super::guarded_body::GuardedBody;
+use super::owed_responses::OwedResponses;
 use super::reply::ResponseBody;
+use super::shared_stream::SharedStream;
 
 /// The timeout for reading the head of an HTTP/1 request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -33,6 +37,9 @@
 
 /// Serves connections until `stop` is cancelled, then lets requests in progress finish.
 ///
+/// Each request has an [`OwedResponse`](super::OwedResponse) among its extensions, by which the handler
+/// tells that it has read the body. A connection whose peer has closed it ends at once from then on.
+///
 /// Returns after every connection has closed.
 pub async fn serve<H, F>(listener: TcpListener, stop: CancellationToken, log: Logger, handler: H)
 where
@@ -55,18 +62,37 @@
         };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
-        let service = service_fn(move |request| {
+        let stream = SharedStream::new(stream);
+        let owed = Arc::new(OwedResponses::default());
+        let owed_here = Arc::clone(&owed);
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            let owed = owed_here.begin();
+            if request.body().is_end_stream() {
+                owed.end_read();
+            }
+            request.extensions_mut().insert(owed.clone());
             let response = handler(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            async move {
+                let response = response.await;
+                let guard = |body| GuardedBody::new(body, owed).boxed_unsync();
+                Ok::<_, Infallible>(response.map(guard))
+            }
         });
         let connection = server()
-            .serve_connection_with_upgrades(TokioIo::new(stream), service)
+            .serve_connection_with_upgrades(TokioIo::new(stream.clone()), service)
             .into_owned();
         let connection = graceful.watch(connection);
         let log = log.clone();
         tokio::spawn(async move {
-            if let Err(err) = connection.await {
-                debug!(log, "connection ended early"; "error" => %err);
+            tokio::select! {
+                biased;
+                ended = connection => if let Err(err) = ended {
+                    debug!(log, "connection ended early"; "error" => %err);
+                },
+                () = owed.abandoned(&stream) => {
+                    let peer = stream.get().peer_addr().ok();
+                    info!(log, "caller left"; "peer" => ?peer, "input" => ?stream.input());
+                }
             }
         });
     }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -5,8 +5,11 @@
 mod control_pool;
 mod control_rpc;
 mod control_server;
+mod guarded_body;
 mod http_server;
+mod owed_responses;
 mod reply;
+mod shared_stream;
 mod step_rpc;
 mod work_message;
 
@@ -18,8 +21,11 @@
     VersionNotice, VersionPull,
 };
 pub use control_server::serve_control;
+pub use guarded_body::GuardedBody;
 pub use http_server::{bind, serve};
+pub use owed_responses::OwedResponse;
 pub use reply::{BodyError, ResponseBody, empty_reply, json_reply, read_body, stream_reply};
+pub use shared_stream::{SharedStream, StreamInput};
 pub use step_rpc::{MapRequest, PlanReport, StepEnvelope, StepRecipient};
 pub use work_message::{
     CANCEL_PATH, FinalLoad, LossReason, ORDER_PATH, OrderDispatch, RESUME_PATH, ResumeFailure,
--- a/src/process/entry/caller_api.rs
+++ b/src/process/entry/caller_api.rs
@@ -1,13 +1,14 @@
 //! The API for callers: routing of calls, authentication and error responses.
 
+use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use slog::info;
 
 use crate::connection::{
-    BodyError, CallerError, OUTCOME_HEADER, ResponseBody, bearer_token, json_reply, outcome_value,
-    read_body,
+    BodyError, CallerError, OUTCOME_HEADER, OwedResponse, ResponseBody, bearer_token, json_reply,
+    outcome_value, read_body,
 };
 use crate::prelude::*;
 use crate::process::routing::{LimitDecision, RefusalReason, WorkCost};
@@ -113,11 +114,11 @@
 /// Reads the body of a request as a JSON object, for no longer than the caller waits.
 pub(super) async fn read_json_object(
     process: &EntryProcess,
-    headers: &HeaderMap,
+    head: &Parts,
     body: Incoming,
 ) -> Result<(Value, bytes::Bytes), CallerError> {
     let limit = process.settings.limits.max_body_bytes;
-    let time = answer_timeout(headers, MAX_BODY_MS);
+    let time = answer_timeout(&head.headers, MAX_BODY_MS);
     let read = tokio::time::timeout(time, read_body(body, limit)).await;
     let refuse = |status, code, message: String| {
         info!(process.log, "body refused"; "code" => code, "reason" => &message);
@@ -139,6 +140,9 @@
             return Err(refuse(status, "body_too_slow", message));
         }
     };
+    if let Some(owed) = head.extensions.get::<OwedResponse>() {
+        owed.end_read();
+    }
     let invalid =
         |message: String| CallerError::not_run(StatusCode::BAD_REQUEST, "invalid_json", message);
     let value: Value = serde_json::from_slice(&bytes)
--- a/src/process/entry/model_api.rs
+++ b/src/process/entry/model_api.rs
@@ -38,7 +38,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, CallerError> {
     let (head, body) = request.into_parts();
-    let (body, _) = read_json_object(process, &head.headers, body).await?;
+    let (body, _) = read_json_object(process, &head, body).await?;
     let mode = match body["stream"] {
         Value::Bool(true) => DeliveryMode::Stream,
         _ => DeliveryMode::Whole,
--- a/src/process/entry/service_api.rs
+++ b/src/process/entry/service_api.rs
@@ -57,7 +57,7 @@
             CallerError::not_run(StatusCode::NOT_FOUND, "no_such_call", message)
         })?;
     let (head, body) = request.into_parts();
-    let (body, _) = read_json_object(process, &head.headers, body).await?;
+    let (body, _) = read_json_object(process, &head, body).await?;
     let (service, call) = (ServiceName::from(service), Arc::from(call));
     let service_call = ServiceCall {
         service,
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -228,6 +228,12 @@
         self.shared.state.lock().started.clone()
     }
 
+    /// Returns the number of requests that run or wait.
+    pub fn n_open(&self) -> usize {
+        let state = self.shared.state.lock();
+        state.running.len() + state.waiting.len()
+    }
+
     /// Returns the number of crashes.
     pub fn n_crashes(&self) -> u64 {
         self.shared.state.lock().n_crashes
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod faults;
 mod fleet;
+mod leaving;
 mod limits;
 mod operators;
 mod orders;
