Ask a target with a limit of nothing again within three seconds

Cause: all entries together asked such a target once in 4 s whether the limit still holds.

Now they ask 0.6 times a second together; each side of a cut asks only its share of that, where it asked as often as all before. The stated bound for such a target is 5 requests in any 4 s.

With three sides of a cut the bound holds, before and after.

--- a/fleet/src/process/permit_table.rs
+++ b/fleet/src/process/permit_table.rs
@@ -137,7 +137,7 @@
     fn take(&self, target: u32, rate: f32, now: Instant) -> PermitDecision {
         let share = self.holders.lock().share;
         let mut buckets = self.buckets.lock();
-        buckets.take(target, share * f64::from(rate), now)
+        buckets.take(target, rate.into(), share, now)
     }
 }
 
--- a/fleet/src/routing/rate_buckets.rs
+++ b/fleet/src/routing/rate_buckets.rs
@@ -6,9 +6,9 @@
 
 use crate::prelude::*;
 
-/// The lowest rate, in requests per second: a request now and then tells whether a target with a
-/// limit of 0 still has it.
-const MIN_RATE: f64 = 0.25;
+/// The lowest rate of all entries together, in requests per second: a request now and then tells
+/// whether a target with a limit of 0 still has it.
+const MIN_RATE: f64 = 0.6;
 
 /// The time in which the tokens beyond the first one are collected.
 const BURST_TIME_S: f64 = 0.5;
@@ -56,9 +56,9 @@
 }
 
 impl RateBuckets {
-    /// Takes a token for a target, whose limit is in requests per second.
-    pub fn take(&mut self, target: u32, limit: f64, now: Instant) -> PermitDecision {
-        let rate = limit.max(MIN_RATE);
+    /// Takes a token for a target, of whose limit, in requests per second, a share is shared out here.
+    pub fn take(&mut self, target: u32, limit: f64, share: f64, now: Instant) -> PermitDecision {
+        let rate = share * limit.max(MIN_RATE);
         if !self.buckets.contains_key(&target) && !self.has_room(now) {
             return PermitDecision::Full(BUCKET_TTL);
         }
--- a/fleet/tests/shared_limits.rs
+++ b/fleet/tests/shared_limits.rs
@@ -48,6 +48,7 @@
     rng: ChaCha8Rng,
     sent: VecDeque<Instant>,
     most_in_window: usize,
+    longest_gap: Duration,
     n_sent: usize,
 }
 
@@ -73,6 +74,7 @@
             rng: ChaCha8Rng::seed_from_u64(7),
             sent: VecDeque::new(),
             most_in_window: 0,
+            longest_gap: Duration::ZERO,
             n_sent: 0,
         }
     }
@@ -136,7 +138,7 @@
                 let entry = &mut self.entries[holder];
                 let own = heartbeat(entry);
                 let share = entry.peers.limit_holders(&own, self.now).share;
-                entry.buckets.take(1, share * self.limit, self.now)
+                entry.buckets.take(1, self.limit, share, self.now)
             }
             _ => PermitDecision::Full(Duration::from_millis(250)),
         };
@@ -159,6 +161,8 @@
 
     fn record_sent(&mut self) {
         self.n_sent += 1;
+        let gap = self.sent.back().map(|at| self.now - *at);
+        self.longest_gap = self.longest_gap.max(gap.unwrap_or_default());
         self.sent.push_back(self.now);
         while self.sent.front().is_some_and(|at| *at + WINDOW < self.now) {
             self.sent.pop_front();
@@ -290,6 +294,31 @@
     assert!(18 * 4 * 8 / 2 <= n_sum, "{n_sent:?}");
 }
 
+// Guards against a target that nobody asks for seconds whether its limit of nothing has ended, while
+// its callers are refused.
+#[test]
+fn target_with_a_limit_of_nothing_is_asked_again_within_three_seconds() {
+    for n_entries in [4, 18] {
+        let mut fleet = started(&vec![3.0; n_entries], 0.0);
+        fleet.run(Duration::from_secs(60));
+        fleet.assert_within_limit();
+        let gap = fleet.longest_gap;
+        assert!(gap <= Duration::from_secs(3), "{n_entries}: {gap:?}");
+    }
+}
+
+// Guards against sides of a cut that each ask a target with a limit of nothing as often as all together.
+#[test]
+fn sides_of_a_cut_stay_within_a_limit_of_nothing() {
+    let mut fleet = started(&[2.0; 18], 0.0);
+    fleet.run(Duration::from_secs(10));
+    fleet.cut_zones = vec![0, 1, 2];
+    fleet.run(Duration::from_secs(30));
+    fleet.cut_zones.clear();
+    fleet.run(Duration::from_secs(10));
+    fleet.assert_within_limit();
+}
+
 // Guards against entries that are killed: the rest has to share the limit out within a few seconds.
 #[test]
 fn limit_is_shared_out_after_entries_were_killed() {
