Test callers that leave while their request waits for room or for a group

Listed in the postmortem of GONE as states without a test: a retry that waits for room at a limit, and a stream that waits for its group to form. Each caller sends a line break behind its request and closes, resets, ends its side or stays.

The callers that stay show that the request waits and is sent in the end.

--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -9,6 +9,8 @@
 mod endless_target;
 #[path = "forwarding/leaving_caller.rs"]
 mod leaving_caller;
+#[path = "forwarding/leaving_waits.rs"]
+mod leaving_waits;
 #[path = "forwarding/silent_target.rs"]
 mod silent_target;
 mod wire;
--- a/fleet/tests/forwarding/leaving_caller.rs
+++ b/fleet/tests/forwarding/leaving_caller.rs
@@ -13,7 +13,7 @@
 };
 
 /// The time within which the run of a caller that has left ends.
-const END_TIME: Duration = Duration::from_millis(500);
+pub const END_TIME: Duration = Duration::from_millis(500);
 
 /// What a caller sends behind its request before it leaves.
 const SENT_BEHIND: [Behind; 4] = [
@@ -24,7 +24,7 @@
 ];
 
 /// How a caller leaves.
-const WAYS: [Way; 3] = [Way::Close, Way::Reset, Way::EndInput];
+pub const WAYS: [Way; 3] = [Way::Close, Way::Reset, Way::EndInput];
 
 #[derive(Clone, Copy, Debug)]
 enum Behind {
@@ -35,7 +35,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Way {
+pub enum Way {
     Close,
     Reset,
     EndInput,
@@ -57,7 +57,7 @@
 }
 
 /// Leaves; returns what keeps the caller's own side open.
-fn leave(stream: TcpStream, way: Way) -> Option<TcpStream> {
+pub fn leave(stream: TcpStream, way: Way) -> Option<TcpStream> {
     match way {
         Way::Close => None,
         Way::Reset => {
--- a/fleet/tests/wire/silence.rs
+++ b/fleet/tests/wire/silence.rs
@@ -6,6 +6,7 @@
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::process::EntryState;
 use comfreyhead_fleet::roster::RosterChange;
+use comfreyhead_fleet::routing::{LimitNotice, RankStatus};
 
 use super::{Entry, ScriptedTarget, catalog, route, target_entry};
 
@@ -60,6 +61,43 @@
         });
     }
 
+    /// Lets the group break and begin to form again; a rank of it was missing for a while.
+    pub async fn begin_forming(&self) {
+        let ip = [127, 0, 0, 1].into();
+        let report = |size| {
+            let status = RankStatus {
+                open: false,
+                epoch: 1,
+                size,
+            };
+            let mut table = self.state.table.lock();
+            table.record_report(ip, status, Instant::now());
+        };
+        {
+            let mut table = self.state.table.lock();
+            let group = table.group_mut(&"svc".into());
+            group.record_refusal(&"t0".into(), Instant::now());
+            group.record_refusal(&"t1".into(), Instant::now());
+            table.next_asked(Instant::now());
+        }
+        tokio::time::sleep(Duration::from_millis(350)).await;
+        report(2);
+        report(1);
+    }
+
+    /// Lets the group serve again.
+    pub fn end_forming(&self) {
+        report_progress(&self.state);
+        self.state.slot_freed.notify_waiters();
+    }
+
+    /// Lets a target name a limit, in requests per second.
+    pub fn limit(&self, n_target: usize, rate: f32) {
+        let mut table = self.state.table.lock();
+        let id = format!("t{n_target}");
+        table.observe_limit(&id, LimitNotice::Named(rate), Instant::now());
+    }
+
     /// Lets the entry stop as if it had begun to so long ago.
     pub fn stop_since(&self, time: Duration) {
         self.state.drain.begin(Instant::now() - time);
