--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,7 +5,10 @@
 
 mod client;
 mod entry;
+mod foreign_entries;
+mod header_limit;
 mod net;
+mod reader_cut;
 mod record;
 mod server;
 mod start_beside_leaving;
@@ -58,6 +61,9 @@
         if setup.has_trouble { "with" } else { "without" }
     ));
     let verdict = match case.as_str() {
+        "foreign-entries" => foreign_entries::play(&setup),
+        "header-limit" => header_limit::play(&setup),
+        "reader-cut" => reader_cut::play(&setup),
         "start-beside-leaving" => start_beside_leaving::play(&setup),
         other => Verdict::CouldNotRun(format!("no case {other}")),
     };
