Review, case 3: a removal is taken for a lapse after the reader has moved

Once the reader of the store is not the representative of its data centre, an entry of another one may believe for a moment that the store was lost, and keeps a removed target for two seconds more.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,7 @@
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
 folder=$(mktemp -d) || exit 2
-target/review/standin reader-cut review/3/record.txt "$folder"
+target/review/standin reader-moved review/3/record.txt "$folder"
 result=$?
 rm -rf "$folder"
 case $result in 0 | 1) exit "$result" ;; *) exit 2 ;; esac
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod header_limit;
 mod net;
 mod reader_cut;
+mod reader_moved;
 mod record;
 mod server;
 mod start_beside_leaving;
@@ -63,6 +64,7 @@
     let verdict = match case.as_str() {
         "foreign-entries" => foreign_entries::play(&setup),
         "header-limit" => header_limit::play(&setup),
+        "reader-moved" => reader_moved::play(&setup),
         "reader-cut" => reader_cut::play(&setup),
         "start-beside-leaving" => start_beside_leaving::play(&setup),
         other => Verdict::CouldNotRun(format!("no case {other}")),
