Answer positions before a whole read with the whole copy

Cause: a copy filled by a whole read of the store knows the keys that are left, not the removals before. It answered "from offset N on" for any N all the same, and the entry that pulled moved its end behind removals that it never saw. An entry that started and became the reader confirmed the others' copies in the same way.

Change: a copy knows the offset from which on it lacks no removal and answers an earlier position as complete. Heartbeats bear the span of each copy behind the encoded message, where an earlier version ignores it; a confirmation counts only where no offset lies between a copy's end and the sender's span. An entry neither pulls from nor relies on a peer that states no span, and reads the store itself.

Why it works: whoever pulls now either has followed every record up to where the answer begins, or learns all keys that are left; whoever skips a read has no gap to the copy that it trusts.

--- a/fleet/src/mirror/keyed_mirror.rs
+++ b/fleet/src/mirror/keyed_mirror.rs
@@ -7,10 +7,15 @@
 use super::store_era::{StoreEra, StorePosition};
 
 /// A local copy of one keyed topic: the newest record of each key up to an offset of one era.
+///
+/// A whole read of the store shows no removals, only the keys that are left. The copy therefore
+/// holds the removals from an offset on, `history_start`, and answers a position before that with
+/// all its records.
 #[derive(Debug, Default)]
 pub struct KeyedMirror {
     era: StoreEra,
     end: u64,
+    history_start: u64,
     records: HashMap<String, (u64, Option<Vec<u8>>)>,
 }
 
@@ -23,6 +28,11 @@
         }
     }
 
+    /// Returns the offset from which on the copy lacks no removal.
+    pub fn history_start(&self) -> u64 {
+        self.history_start
+    }
+
     /// Returns the value of a key.
     pub fn value(&self, key: &str) -> Option<&[u8]> {
         self.records.get(key)?.1.as_deref()
@@ -49,6 +59,9 @@
         let mut newer = Vec::new();
         if delta.complete && self.end <= delta.end {
             newer.extend(self.tombstones_of_missing_keys(&delta));
+            if self.end < delta.end {
+                self.history_start = delta.end;
+            }
         }
         newer.extend(delta.records);
         newer.retain(|record| self.store_if_newer(record));
@@ -66,6 +79,7 @@
         let is_first = self.records.is_empty();
         let old_era = std::mem::replace(&mut self.era, delta.era);
         self.end = delta.end;
+        self.history_start = delta.end;
         self.records.clear();
         for record in delta.records.iter().chain(&dropped) {
             self.store_if_newer(record);
@@ -80,9 +94,9 @@
     }
 
     /// Returns the newest records that were written at or after a position; the whole copy if the
-    /// position is of another era.
+    /// position is of another era, or lies before the removals that the copy holds.
     pub fn since(&self, from: StorePosition) -> MirrorDelta {
-        let is_complete = from.era != self.era;
+        let is_complete = from.era != self.era || from.offset < self.history_start;
         let records = self
             .records
             .iter()
--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -9,6 +9,8 @@
 use crate::prelude::*;
 use crate::routing::{LimitReport, PermitDecision, ResultCounts, SuspectReport};
 
+use super::copy_span::CopySpans;
+
 /// A datagram from one process to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -125,6 +127,10 @@
     pub demand: Vec<(u32, f32)>,
     /// The recent results of the targets at which requests failed.
     pub results: Vec<(u32, ResultCounts)>,
+    /// The spans of the sender's copies; `None` from an earlier version, whose copies may lack
+    /// removals anywhere. They follow the encoded message, where that version ignores them.
+    #[serde(skip)]
+    pub spans: Option<CopySpans>,
 }
 
 /// How far a process has read a topic, and how recently the store confirmed it.
@@ -171,12 +177,22 @@
 impl PeerMessage {
     /// Encodes the message as a datagram.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).expect("peer messages are always serializable")
+        let mut bytes = postcard::to_allocvec(self).expect("peer messages are always serializable");
+        if let Self::Beat(heartbeat) = self
+            && let Some(spans) = heartbeat.spans
+        {
+            bytes = postcard::to_extend(&spans, bytes).expect("spans are always serializable");
+        }
+        bytes
     }
 
     /// Decodes a datagram; `None` where it holds no valid message.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        let (mut message, rest) = postcard::take_from_bytes(bytes).ok()?;
+        if let Self::Beat(heartbeat) = &mut message {
+            heartbeat.spans = postcard::from_bytes(rest).ok();
+        }
+        Some(message)
     }
 }
 
--- a/fleet/src/peers/mod.rs
+++ b/fleet/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between processes, and the load, demand and store positions known of other entries.
 
+mod copy_span;
 mod limit_holders;
 mod message;
 mod peer_copy;
@@ -8,6 +9,7 @@
 mod relay_batches;
 mod zone_heartbeat;
 
+pub use copy_span::{CopySpan, CopySpans};
 pub use limit_holders::{LimitHolder, LimitHolders};
 pub use message::{
     PeerHeartbeat, PeerMessage, PeerRecord, PermitQuery, PermitReply, RankDetails, RankQuery,
--- a/fleet/src/peers/peer_table.rs
+++ b/fleet/src/peers/peer_table.rs
@@ -138,23 +138,35 @@
         })
     }
 
-    /// Returns the latest time at which a peer that has read the era `era` or a later one confirmed
-    /// a topic with the store.
+    /// Returns the latest time at which a peer that has read the era `era` or a later one read a
+    /// topic from the store.
     pub fn confirmed_at(&self, topic: StoreTopic, era: StoreEra, now: Instant) -> Option<Instant> {
         self.recent_heartbeats(now)
-            .filter_map(|(_, at, heartbeat)| {
-                let position = heartbeat.position(topic)?;
-                let is_known = era <= position.changed_end.era && position.age_ms < u32::MAX;
-                let age = Duration::from_millis(u64::from(position.age_ms));
-                is_known.then(|| at.checked_sub(age))?
-            })
+            .filter_map(|(_, at, heartbeat)| heartbeat.read_at(topic, era, at))
+            .max()
+    }
+
+    /// Returns the latest time at which a peer confirmed with the store that a copy which ends at
+    /// `end`, or which has all records of that peer, is up to date.
+    pub fn confirmed_copy_at(
+        &self,
+        topic: StoreTopic,
+        era: StoreEra,
+        end: StorePosition,
+        now: Instant,
+    ) -> Option<Instant> {
+        self.recent_heartbeats(now)
+            .filter(|(_, _, heartbeat)| heartbeat.covers(topic, end))
+            .filter_map(|(_, at, heartbeat)| heartbeat.read_at(topic, era, at))
             .max()
     }
 
     /// Returns any peer that has read an era of the targets' topic.
     pub fn recent_peer(&self, era: StoreEra, now: Instant) -> Option<SocketAddr> {
         self.recent_heartbeats(now)
-            .find(|(_, _, heartbeat)| heartbeat.targets.changed_end.era == era)
+            .find(|(_, _, heartbeat)| {
+                heartbeat.spans.is_some() && heartbeat.targets.changed_end.era == era
+            })
             .map(|(address, _, _)| address)
     }
 
@@ -167,7 +179,7 @@
     }
 
     /// Returns the peer that has read furthest in a topic, and its end, where that lies beyond
-    /// `end`.
+    /// `end`. Peers of an earlier version do not count: their answers may lack removals.
     pub fn ahead_of(
         &self,
         topic: StoreTopic,
@@ -175,6 +187,7 @@
         now: Instant,
     ) -> Option<(SocketAddr, StorePosition)> {
         self.recent_heartbeats(now)
+            .filter(|(_, _, heartbeat)| heartbeat.spans.is_some())
             .filter_map(|(address, _, heartbeat)| {
                 Some((address, heartbeat.position(topic)?.changed_end))
             })
@@ -204,4 +217,20 @@
             StoreTopic::Peers => None,
         }
     }
+
+    /// Returns whether what the sender states of a topic holds for a copy that ends at `end`.
+    pub fn covers(&self, topic: StoreTopic, end: StorePosition) -> bool {
+        let span = self.spans.and_then(|spans| spans.span(topic));
+        span.zip(self.position(topic))
+            .is_some_and(|(span, position)| span.covers(&position, end))
+    }
+
+    /// Returns the latest time at which an entry read the era `era` of a topic or a later one from
+    /// the store, as stated in a heartbeat that arrived at a time.
+    fn read_at(&self, topic: StoreTopic, era: StoreEra, arrived_at: Instant) -> Option<Instant> {
+        let position = self.position(topic)?;
+        let is_known = era <= position.changed_end.era && position.age_ms < u32::MAX;
+        let age = Duration::from_millis(u64::from(position.age_ms));
+        is_known.then(|| arrived_at.checked_sub(age))?
+    }
 }
--- a/fleet/src/peers/reader_choice.rs
+++ b/fleet/src/peers/reader_choice.rs
@@ -1,6 +1,6 @@
 //! The choice of the entry that reads the store for the others.
 
-use crate::mirror::StoreEra;
+use crate::mirror::{StoreEra, StorePosition};
 use crate::prelude::*;
 
 use super::message::StoreTopic;
@@ -28,6 +28,8 @@
     /// The newest era of the store that this entry knows of; peers that still hold copies of an
     /// older one do not reach the store.
     pub era: StoreEra,
+    /// The end of this entry's copy.
+    pub end: StorePosition,
     /// The last time at which this entry read the topic itself.
     pub own_read_at: Option<Instant>,
     /// A random number from `0.0..1.0` that spreads the reads of entries with stale copies.
@@ -57,7 +59,8 @@
         let reads = heartbeat
             .position(input.topic)
             .is_some_and(|at| at.age_ms < READER_TIMEOUT_MS && input.era <= at.changed_end.era);
-        heartbeat.sender < input.own && reads && !heartbeat.draining
+        let covers = heartbeat.covers(input.topic, input.end);
+        heartbeat.sender < input.own && reads && covers && !heartbeat.draining
     });
     let reaches_store =
         own_age.is_some_and(|age| age < Duration::from_millis(u64::from(READER_TIMEOUT_MS)));
@@ -65,7 +68,7 @@
         return ReaderChoice::Reader;
     }
     let confirmed_at = peers
-        .confirmed_at(input.topic, input.era, now)
+        .confirmed_copy_at(input.topic, input.era, input.end, now)
         .max(input.own_read_at);
     let max_age = match input.topic {
         StoreTopic::Targets => MAX_TARGETS_AGE,
--- a/fleet/src/peers/zone_heartbeat.rs
+++ b/fleet/src/peers/zone_heartbeat.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::mirror::StorePosition;
 use crate::prelude::*;
 use crate::routing::ResultCounts;
 
@@ -56,11 +57,17 @@
     /// Returns the own position in a topic, with the latest confirmation of the data centre.
     ///
     /// A confirmation by another entry also holds for the own copy where that entry has read the
-    /// same era and knew of no later change.
+    /// same era, knew of no later change, and lacks no change from the end of the own copy on.
     fn zone_position(&self, topic: StoreTopic, own: &PeerHeartbeat, now: Instant) -> TopicPosition {
         let own_position = own.position(topic).unwrap_or_default();
+        let own_span = own.spans.and_then(|spans| spans.span(topic));
+        let own_end = StorePosition {
+            era: own_position.changed_end.era,
+            offset: own_span.unwrap_or_default().end,
+        };
         let ages = self
             .zone_heartbeats(own, now)
+            .filter(|(_, heartbeat)| heartbeat.covers(topic, own_end))
             .filter_map(|(at, heartbeat)| {
                 let position = heartbeat.position(topic)?;
                 let elapsed = now.saturating_duration_since(at).as_millis();
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -185,6 +185,7 @@
         running,
         demand,
         results,
+        spans: Some(replica.spans()),
     }
 }
 
--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -9,7 +9,7 @@
 use crate::mirror::{
     MirrorChange, MirrorDelta, MirrorRecord, ReplacedCopy, StoreEra, StorePosition,
 };
-use crate::peers::{PeerCopy, PeerTable, StoreTopic, TopicPosition};
+use crate::peers::{CopySpans, PeerCopy, PeerTable, StoreTopic, TopicPosition};
 use crate::prelude::*;
 use crate::roster::RosterChange;
 
@@ -101,10 +101,19 @@
         inner
             .copy(topic)
             .map_or_else(TopicPosition::default, |copy| {
-                TopicPosition::new(copy.changed_end, copy.read_at, now)
+                TopicPosition::new(copy.changed_end(), copy.read_at, now)
             })
     }
 
+    /// Returns the parts of the topics' histories that this process holds.
+    pub fn spans(&self) -> CopySpans {
+        let inner = self.inner.lock();
+        CopySpans {
+            operator: inner.operator.span(),
+            targets: inner.targets.span(),
+        }
+    }
+
     /// Returns the records of a topic that are at least as new as a position, for a peer.
     pub fn since(&self, topic: StoreTopic, from: StorePosition) -> PeerCopy {
         let inner = self.inner.lock();
@@ -117,7 +126,7 @@
         };
         PeerCopy {
             delta: copy.mirror.since(from),
-            changed_end: copy.changed_end,
+            changed_end: copy.changed_end(),
             departed,
         }
     }
@@ -192,7 +201,7 @@
         }
         if let Some(copy) = inner.copy_mut(topic) {
             // The copies are the same up to here, whichever records changed something in each.
-            copy.changed_end = copy.changed_end.max(peer_copy.changed_end);
+            copy.advance_to(peer_copy.changed_end);
         }
         for incarnation in &peer_copy.departed {
             let change = inner.roster.depart(incarnation, now);
@@ -232,13 +241,15 @@
     pub fn tick(&self, now: Instant) {
         let mut inner = self.inner.lock();
         self.update_store_status(&mut inner, now);
-        let operator_end = inner.operator.changed_end;
+        let operator_end = inner.operator.changed_end();
+        let copy_end = inner.operator.mirror.end();
         let peers = &inner.peers;
         let is_behind = peers
             .ahead_of(StoreTopic::Operator, operator_end, now)
             .is_some()
             || peers.newer_version(self.state.version(), now).is_some();
-        if let Some(at) = peers.confirmed_at(StoreTopic::Operator, self.era(), now)
+        let confirmed_at = peers.confirmed_copy_at(StoreTopic::Operator, self.era(), copy_end, now);
+        if let Some(at) = confirmed_at
             && !is_behind
         {
             self.confirm_catalog(&inner, at);
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -45,6 +45,7 @@
             topic,
             own: config.own_hash(),
             era: replica.era(),
+            end: position,
             own_read_at: replica.read_at(topic),
             jitter: state.random_fraction(),
         };
--- a/fleet/src/process/topic_copy.rs
+++ b/fleet/src/process/topic_copy.rs
@@ -1,6 +1,7 @@
 //! An entry's copy of one topic.
 
 use crate::mirror::{KeyedMirror, MirrorRecord, StorePosition};
+use crate::peers::CopySpan;
 use crate::prelude::*;
 
 /// An entry's copy of one topic.
@@ -8,13 +9,30 @@
 pub(super) struct TopicCopy {
     /// The newest record of each key.
     pub(super) mirror: KeyedMirror,
-    /// The position after the last record that changed something.
-    pub(super) changed_end: StorePosition,
+    changed_end: StorePosition,
     /// The time of this process's last read of the store.
     pub(super) read_at: Option<Instant>,
 }
 
 impl TopicCopy {
+    /// Returns the position after the last record that changed something.
+    pub(super) fn changed_end(&self) -> StorePosition {
+        self.changed_end
+    }
+
+    /// Returns the offsets between which the copy holds every change.
+    pub(super) fn span(&self) -> CopySpan {
+        CopySpan {
+            start: self.mirror.history_start(),
+            end: self.mirror.end().offset,
+        }
+    }
+
+    /// Moves the end of the changes to that of a peer whose copy has been applied.
+    pub(super) fn advance_to(&mut self, peer_end: StorePosition) {
+        self.changed_end = self.changed_end.max(peer_end);
+    }
+
     /// Moves the end of the changes behind a record of the copy's era.
     pub(super) fn advance(&mut self, offset: u64) {
         let end = StorePosition {
--- a/fleet/tests/endless_peer.rs
+++ b/fleet/tests/endless_peer.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use comfreyhead_fleet::mirror::{MirrorDelta, MirrorRecord, StorePosition};
-use comfreyhead_fleet::peers::{PeerCopy, PeerHeartbeat, PeerMessage, TopicPosition};
+use comfreyhead_fleet::peers::{CopySpans, PeerCopy, PeerHeartbeat, PeerMessage, TopicPosition};
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::process::{
     CallError, Decoders, EntryConfig, ProcessBounds, StoreAnswer, run_entry,
@@ -42,6 +42,7 @@
         running: vec![(1, 1)],
         demand: Vec::new(),
         results: Vec::new(),
+        spans: Some(CopySpans::default()),
     }
 }
 
--- a/fleet/tests/entry_state.rs
+++ b/fleet/tests/entry_state.rs
@@ -8,8 +8,8 @@
     KeyedMirror, MirrorChange, MirrorDelta, MirrorRecord, StoreEra, StorePosition,
 };
 use comfreyhead_fleet::peers::{
-    PeerHeartbeat, PeerMessage, PeerTable, ReaderChoice, ReaderInput, StoreTopic, TopicPosition,
-    choose_reader,
+    CopySpans, PeerHeartbeat, PeerMessage, PeerTable, ReaderChoice, ReaderInput, StoreTopic,
+    TopicPosition, choose_reader,
 };
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::roster::{RosterChange, TargetRoster};
@@ -93,6 +93,7 @@
         running: vec![(7, 2)],
         demand: vec![(9, 4.5)],
         results: Vec::new(),
+        spans: Some(CopySpans::default()),
     }
 }
 
@@ -249,6 +250,7 @@
         topic: StoreTopic::Targets,
         own,
         era: StoreEra::default(),
+        end: at(3),
         own_read_at: read_ms.map(|ms| now.checked_sub(Duration::from_millis(ms)).unwrap()),
         jitter: 0.0,
     };
--- a/fleet/tests/large_fleet.rs
+++ b/fleet/tests/large_fleet.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use comfreyhead_fleet::mirror::{StoreEra, StorePosition};
-use comfreyhead_fleet::peers::{PeerHeartbeat, PeerTable, StoreTopic, TopicPosition};
+use comfreyhead_fleet::peers::{CopySpans, PeerHeartbeat, PeerTable, StoreTopic, TopicPosition};
 use comfreyhead_fleet::prelude::*;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -28,6 +28,7 @@
         running: vec![(1, 2), (u32::from(entry) + 100, 1)],
         demand: vec![(9, 1.5)],
         results: Vec::new(),
+        spans: Some(CopySpans::default()),
     }
 }
 
--- a/fleet/tests/many_senders.rs
+++ b/fleet/tests/many_senders.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use comfreyhead_fleet::mirror::StorePosition;
-use comfreyhead_fleet::peers::{PeerHeartbeat, PeerTable, StoreTopic, TopicPosition};
+use comfreyhead_fleet::peers::{CopySpans, PeerHeartbeat, PeerTable, StoreTopic, TopicPosition};
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::routing::{LoadView, PeerLoad};
 
@@ -32,6 +32,7 @@
         running: vec![(1, 1)],
         demand: Vec::new(),
         results: Vec::new(),
+        spans: Some(CopySpans::default()),
     }
 }
 
--- a/fleet/tests/shared_limits.rs
+++ b/fleet/tests/shared_limits.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use comfreyhead_fleet::peers::{LimitHolder, PeerHeartbeat, PeerTable};
+use comfreyhead_fleet::peers::{CopySpans, LimitHolder, PeerHeartbeat, PeerTable};
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::routing::{PermitDecision, RateBuckets};
 use rand::{RngExt, SeedableRng};
@@ -212,6 +212,7 @@
         running: Vec::new(),
         demand: Vec::new(),
         results: Vec::new(),
+        spans: Some(CopySpans::default()),
     }
 }
 
--- a/fleet/tests/store_outage.rs
+++ b/fleet/tests/store_outage.rs
@@ -8,7 +8,7 @@
 use comfreyhead_fleet::catalog::RouteCatalog;
 use comfreyhead_fleet::forward::HeaderNames;
 use comfreyhead_fleet::mirror::{MirrorDelta, MirrorRecord, StoreEra, StorePosition};
-use comfreyhead_fleet::peers::{PeerCopy, PeerHeartbeat, StoreTopic, TopicPosition};
+use comfreyhead_fleet::peers::{CopySpans, PeerCopy, PeerHeartbeat, StoreTopic, TopicPosition};
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::process::{Decoders, EntryState, ProcessBounds, StoreReplica};
 use comfreyhead_fleet::routing::BudgetSettings;
@@ -113,6 +113,7 @@
         running: Vec::new(),
         demand: Vec::new(),
         results: Vec::new(),
+        spans: Some(CopySpans::default()),
     }
 }
 
--- a/fleet/tests/store_restored.rs
+++ b/fleet/tests/store_restored.rs
@@ -13,13 +13,14 @@
     KeyedMirror, MirrorChange, MirrorDelta, MirrorRecord, StoreEra, StorePosition,
 };
 use comfreyhead_fleet::peers::{
-    PeerHeartbeat, PeerTable, ReaderChoice, ReaderInput, StoreTopic, TopicPosition, choose_reader,
+    CopySpans, PeerHeartbeat, PeerTable, ReaderChoice, ReaderInput, StoreTopic, TopicPosition,
+    choose_reader,
 };
 use comfreyhead_fleet::prelude::*;
 use comfreyhead_fleet::process::{EntryState, StoreReplica};
 use comfreyhead_fleet::roster::{DepartedTarget, RosterChange, TargetRoster};
 
-use fixtures::{replica, target};
+use fixtures::{decode_target, replica};
 
 /// The time in which live targets write their records again.
 const RESTORE_TIME: Duration = Duration::from_secs(2);
@@ -54,6 +55,10 @@
     }
 }
 
+fn target(id: &str, state: &str) -> TargetEntry {
+    decode_target(id, format!("{state} 80").as_bytes()).unwrap()
+}
+
 fn is_routable(state: &EntryState, id: &str) -> bool {
     let excluded = [];
     let picks = (0..32).filter_map(|_| {
@@ -182,6 +187,7 @@
         running: Vec::new(),
         demand: Vec::new(),
         results: Vec::new(),
+        spans: Some(CopySpans::default()),
     };
     let mut peers = PeerTable::default();
     peers.record_heartbeat(([127, 0, 0, 1], 1).into(), heartbeat, now);
@@ -189,6 +195,7 @@
         topic: StoreTopic::Targets,
         own: 5,
         era: StoreEra(1),
+        end: at(1, 4),
         own_read_at: Some(now),
         jitter: 0.0,
     };
--- a/fleet/tests/store_restored/fixtures.rs
+++ b/fleet/tests/store_restored/fixtures.rs
@@ -22,7 +22,7 @@
 }
 
 /// Decodes a target from "STATE PORT".
-fn decode_target(id: &str, bytes: &[u8]) -> Result<TargetEntry, String> {
+pub fn decode_target(id: &str, bytes: &[u8]) -> Result<TargetEntry, String> {
     let text = std::str::from_utf8(bytes).map_err(|err| err.to_string())?;
     let (state, port) = text.split_once(' ').ok_or("no port")?;
     Ok(TargetEntry {
@@ -36,10 +36,6 @@
     })
 }
 
-pub fn target(id: &str, state: &str) -> TargetEntry {
-    decode_target(id, format!("{state} 80").as_bytes()).unwrap()
-}
-
 /// An entry's replica without its tasks.
 pub fn replica() -> (Arc<EntryState>, StoreReplica) {
     let name = |name| HeaderName::from_static(name);
