Tell of removals that a whole read of several pages missed

A copy stated the position behind the last record that it knew, which a later page may have brought from beyond the copy's end; a removal read later between the two moved nothing. And a removal of a key that the copy lacked counted as no change, so that entries which still held the target were not told.

Evidence: the two new tests fail without the change, each without its part.

Change: the stated position lies within what has been read, and every removal counts as a change.

--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -285,7 +285,9 @@
             MirrorChange::Updated(records) => {
                 for record in records {
                     let before = self.state.version();
-                    let is_changed = self.apply_record(inner, topic, &record, source);
+                    // A removal counts also where this copy did not hold the key, as others may.
+                    let is_changed =
+                        self.apply_record(inner, topic, &record, source) || record.value.is_none();
                     if before < self.state.version() {
                         last_in_force.clone_from(&record.value);
                     }
--- a/fleet/src/process/topic_copy.rs
+++ b/fleet/src/process/topic_copy.rs
@@ -16,8 +16,11 @@
 
 impl TopicCopy {
     /// Returns the position after the last record that changed something.
+    ///
+    /// A whole read may return records from beyond its end, which lacks others from there. These
+    /// count only once the copy reaches them.
     pub(super) fn changed_end(&self) -> StorePosition {
-        self.changed_end
+        self.changed_end.min(self.mirror.end())
     }
 
     /// Returns the offsets between which the copy holds every change.
--- a/fleet/tests/restarted_entry.rs
+++ b/fleet/tests/restarted_entry.rs
@@ -20,6 +20,7 @@
 use comfreyhead_fleet::prelude::*;
 use proptest::prelude::*;
 
+use fixtures::replica;
 use model::{Fleet, Step};
 
 const TOPIC: StoreTopic = StoreTopic::Targets;
@@ -136,6 +137,40 @@
     assert!(between.complete && !after.complete);
 }
 
+/// Guards against positions that lie beyond what a whole read of several pages has seen.
+#[test]
+fn record_from_beyond_the_end_of_a_whole_read_counts_once_it_is_reached() {
+    // Arrange: the second page was read later, when "b" had been written at 8.
+    let (_, replica) = replica();
+    let now = Instant::now();
+    let pages = delta(5, true, &[("a", 1, "ready 81"), ("b", 8, "ready 82")]);
+
+    // Act
+    replica.apply_from_store(TOPIC, pages, now);
+    let early = replica.position(TOPIC, now).changed_end;
+    let rest = delta(9, false, &[("a", 6, ""), ("b", 8, "ready 82")]);
+    replica.apply_from_store(TOPIC, rest, now);
+
+    // Assert: a peer that has the position of the first read is told of the removal.
+    assert_eq!(early, at(5));
+    assert_eq!(replica.position(TOPIC, now).changed_end, at(9));
+}
+
+/// Guards against a removal that others are not told of, as the reader's whole read lacked the key.
+#[test]
+fn removal_of_a_key_that_the_copy_lacks_counts_as_a_change() {
+    // Arrange: "a" left between the first page, which ends at 5, and the page that would hold it.
+    let (_, replica) = replica();
+    let now = Instant::now();
+    replica.apply_from_store(TOPIC, delta(5, true, &[("b", 2, "ready 82")]), now);
+
+    // Act
+    replica.apply_from_store(TOPIC, delta(8, false, &[("a", 7, "")]), now);
+
+    // Assert
+    assert_eq!(replica.position(TOPIC, now).changed_end, at(8));
+}
+
 /// Guards against trust in a reader that has just started: what was removed before its first read
 /// is told by nobody.
 #[test]
