Count the store as lost only after a failed call of this process

Cause: the entry that speaks for a data centre states no confirmation while it is behind its reader. An entry of another data centre that heard only of this one was left with its own last read, many seconds old, took the store for lost, and took the removal in its next read for a lapse, with two seconds of grace.

Of the new tests of store_outage, three fail without the failed call, one without the reads that are remembered; the one of large_fleet fails without the confirmation that is kept.

Change: the store is lost only where a call of this process failed after the latest read that it knows of, by itself or any peer. A read once known stays known, and a peer that does not confirm at the moment withdraws nothing.

The tests of outages set the age of the last read alone, which stands for an outage no more: a process that stands still, or that hears nobody, has that, too. They now also record the call that fails, and check all that they did; four new ones check that age and silence alone bring no grace.

--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -207,4 +207,16 @@
                 .unwrap_or(u32::MAX),
         }
     }
+
+    /// Keeps the confirmation that the same sender stated some time ago, if it is later. A sender
+    /// that cannot vouch for its position at the moment does not withdraw what it knew; one whose
+    /// position has gone back has started anew.
+    pub(super) fn keep_confirmation(&mut self, before: &Self, elapsed: Duration) {
+        let is_same_copy = before.changed_end.era == self.changed_end.era
+            && before.changed_end <= self.changed_end;
+        if is_same_copy && before.age_ms < u32::MAX {
+            let elapsed_ms = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
+            self.age_ms = self.age_ms.min(before.age_ms.saturating_add(elapsed_ms));
+        }
+    }
 }
--- a/fleet/src/peers/peer_table.rs
+++ b/fleet/src/peers/peer_table.rs
@@ -61,7 +61,7 @@
     pub fn record_heartbeat(
         &mut self,
         address: SocketAddr,
-        heartbeat: PeerHeartbeat,
+        mut heartbeat: PeerHeartbeat,
         now: Instant,
     ) {
         if !self.rows.contains_key(&address) && MAX_SENDERS <= self.rows.len() {
@@ -75,6 +75,15 @@
         if row.zone.as_deref() != Some(&heartbeat.zone) {
             row.zone = Some(heartbeat.zone.as_str().into());
         }
+        if let Some((at, before)) = &row.last_heartbeat {
+            let elapsed = now.saturating_duration_since(*at);
+            heartbeat
+                .operator
+                .keep_confirmation(&before.operator, elapsed);
+            heartbeat
+                .targets
+                .keep_confirmation(&before.targets, elapsed);
+        }
         row.last_heartbeat = Some((now, heartbeat));
     }
 
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -7,16 +7,18 @@
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::{Notify, watch};
 
 use crate::forward::{ByteBudget, HeaderNames, TargetPool};
 use crate::prelude::*;
+use crate::roster::RosterChange;
 use crate::routing::{BudgetSettings, CrashSuspects, RetryBudget, RoutingTable};
 
 use super::drain::DrainState;
 use super::metrics::EntryMetrics;
 use super::permit_table::PermitTable;
+use super::record_decoders::RecordSource;
 
 /// The tables that the tasks of an entry share.
 ///
@@ -167,6 +169,28 @@
             && 0 < self.table.lock().n_usable()
     }
 
+    /// Applies a change of the roster to the routing table; returns whether there was one.
+    pub(super) fn apply_roster_change(
+        &self,
+        change: &RosterChange,
+        source: RecordSource,
+        offset: u64,
+    ) -> bool {
+        let log = &self.log;
+        match change {
+            RosterChange::Same => return false,
+            RosterChange::Changed(entry) => info!(log, "target changed"; "target" => &*entry.id,
+                "service" => &*entry.service, "address" => %entry.address,
+                "draining" => entry.draining, "offset" => offset, "source" => %source),
+            RosterChange::Removed(_) | RosterChange::Lapsing(..) => {
+                info!(log, "target removed"; "change" => ?change, "offset" => offset,
+                    "source" => %source)
+            }
+        }
+        self.table.lock().apply(change);
+        true
+    }
+
     fn with_budget<T>(
         &self,
         service: &Arc<str>,
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -32,6 +32,7 @@
 mod start_guard;
 mod store_access;
 mod store_replica;
+mod store_status;
 mod store_tasks;
 mod stream_run;
 mod stream_source;
--- a/fleet/src/process/replica_tables.rs
+++ b/fleet/src/process/replica_tables.rs
@@ -4,6 +4,7 @@
 use crate::prelude::*;
 use crate::roster::TargetRoster;
 
+use super::store_status::StoreStatus;
 use super::topic_copy::TopicCopy;
 
 /// The tables of a store replica, behind its lock.
@@ -13,10 +14,7 @@
     pub(super) targets: TopicCopy,
     pub(super) roster: TargetRoster,
     pub(super) peers: PeerTable,
-    pub(super) store_lost: bool,
-    /// The latest time at which this entry or any peer is known to have read the store.
-    pub(super) store_known_at: Option<Instant>,
-    pub(super) store_regained_at: Option<Instant>,
+    pub(super) status: StoreStatus,
     /// When this entry first learned of the present era; `None` in a store's first era.
     pub(super) era_seen_at: Option<Instant>,
     /// The configuration in force, while the copy of the store holds an older one.
--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -16,10 +16,7 @@
 use super::entry_state::EntryState;
 use super::record_decoders::{Decoders, RecordSource, peer_records};
 use super::replica_tables::ReplicaTables;
-
-/// The age of the last read of the store by this entry or any peer from which the store counts as
-/// lost.
-const STORE_LOST_AGE: Duration = Duration::from_millis(1_600);
+use super::store_status::StatusChange;
 
 /// How long after the store is regained, or has come back from an older copy, its records may lack
 /// live targets, which write them again within this time.
@@ -171,9 +168,8 @@
         self.observe_era_at(&mut inner, delta.era, now);
         // Detects an outage that no tick has seen, before this read ends it.
         self.update_store_status(&mut inner, now);
-        if topic == StoreTopic::Targets && inner.store_lost {
-            // The records that lapsed in the outage disappear in this read.
-            inner.store_regained_at = Some(now);
+        if topic == StoreTopic::Targets {
+            inner.status.record_answer(now);
         }
         if !self.apply(&mut inner, topic, delta, RecordSource::Store) {
             return false;
@@ -188,6 +184,11 @@
         true
     }
 
+    /// Records that a call of this process to the store, made at a time, failed.
+    pub fn record_failed_call(&self, at: Instant) {
+        self.inner.lock().status.record_failure(at);
+    }
+
     /// Applies records that were pulled from a peer.
     pub fn apply_from_peer(&self, topic: StoreTopic, peer_copy: PeerCopy) {
         let now = Instant::now();
@@ -205,7 +206,11 @@
         }
         for incarnation in &peer_copy.departed {
             let change = inner.roster.depart(incarnation, now);
-            self.apply_roster_change(&change, RecordSource::Peer, peer_copy.changed_end.offset);
+            self.state.apply_roster_change(
+                &change,
+                RecordSource::Peer,
+                peer_copy.changed_end.offset,
+            );
         }
     }
 
@@ -346,7 +351,8 @@
                     let is_known = inner.roster.contains(&entry);
                     let change = inner.roster.restore(entry);
                     n_ignored += u32::from(!is_known && change == RosterChange::Same);
-                    self.apply_roster_change(&change, source, record.offset);
+                    self.state
+                        .apply_roster_change(&change, source, record.offset);
                 }
                 None => {
                     self.apply_record(inner, topic, record, source);
@@ -441,7 +447,8 @@
         let change = match entry {
             Some(Ok(entry)) => {
                 let released = inner.roster.release_address(&entry, now);
-                self.apply_roster_change(&released, source, record.offset);
+                self.state
+                    .apply_roster_change(&released, source, record.offset);
                 inner.roster.insert(entry)
             }
             Some(Err(reason)) => {
@@ -449,65 +456,32 @@
                     "offset" => record.offset, "reason" => reason);
                 inner.roster.remove(&record.key, now)
             }
-            None => match inner.store_regained_at.max(inner.era_seen_at) {
+            None => match inner.status.regained_at().max(inner.era_seen_at) {
                 Some(back_at) if now < back_at + STORE_RECOVERY_TIME => {
                     inner.roster.remove_lapsed(&record.key, back_at, now)
                 }
                 _ => inner.roster.remove(&record.key, now),
             },
         };
-        self.apply_roster_change(&change, source, record.offset)
-    }
-
-    /// Applies a change of the roster to the routing table; returns whether there was one.
-    fn apply_roster_change(
-        &self,
-        change: &RosterChange,
-        source: RecordSource,
-        offset: u64,
-    ) -> bool {
-        let log = &self.state.log;
-        match change {
-            RosterChange::Same => return false,
-            RosterChange::Changed(entry) => info!(log, "target changed"; "target" => &*entry.id,
-                "service" => &*entry.service, "address" => %entry.address,
-                "draining" => entry.draining, "offset" => offset, "source" => %source),
-            RosterChange::Removed(_) | RosterChange::Lapsing(..) => {
-                info!(log, "target removed"; "change" => ?change, "offset" => offset,
-                    "source" => %source)
-            }
-        }
-        self.state.table.lock().apply(change);
-        true
+        self.state
+            .apply_roster_change(&change, source, record.offset)
     }
 
-    /// Records whether this entry or any peer has read the store recently, and when it was regained
-    /// after an outage.
+    /// Updates whether the store is away.
     fn update_store_status(&self, inner: &mut ReplicaTables, now: Instant) {
         let log = &self.state.log;
         let peers_at = inner
             .peers
             .confirmed_at(StoreTopic::Targets, self.era(), now);
-        let Some(known_at) = peers_at.max(inner.targets.read_at) else {
-            return;
-        };
-        let is_lost = known_at + STORE_LOST_AGE <= now;
-        // Detects an outage that ended between two updates.
-        let was_lost = inner.store_lost
-            || inner
-                .store_known_at
-                .is_some_and(|before| before + STORE_LOST_AGE <= known_at);
-        inner.store_known_at = inner.store_known_at.max(Some(known_at));
-        match (inner.store_lost, is_lost) {
-            (false, true) => {
-                warn!(log, "store lost"; "age_ms" => (now - known_at).as_millis() as u64);
-            }
-            (_, false) if was_lost => {
-                inner.store_regained_at = Some(now);
-                info!(log, "store regained");
+        match inner
+            .status
+            .update(peers_at.max(inner.targets.read_at), now)
+        {
+            Some(StatusChange::Lost(age)) => {
+                warn!(log, "store lost"; "age_ms" => age.as_millis() as u64);
             }
-            _ => {}
+            Some(StatusChange::Regained) => info!(log, "store regained"),
+            None => {}
         }
-        inner.store_lost = is_lost;
     }
 }
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -94,6 +94,10 @@
             Ok(StoreReply::Written) => {}
             Err(err) => {
                 record_failure(&state, label, err);
+                // A reply that is no use comes from a store that is there.
+                if !matches!(err, CallError::TooLong(_) | CallError::Malformed) {
+                    replica.record_failed_call(now);
+                }
                 tokio::time::sleep(pause.mul_f64(0.75 + 0.5 * state.random_fraction())).await;
                 pause = (pause * 2).min(FAILURE_BACKOFF.1);
             }
--- a/fleet/tests/large_fleet.rs
+++ b/fleet/tests/large_fleet.rs
@@ -112,6 +112,39 @@
     assert!(table.represents_zone(&heartbeat(1, 1), now));
 }
 
+/// Guards against reads of the store by all entries of a data centre, each time that the one that
+/// speaks for another does not vouch for its copy.
+#[test]
+fn confirmation_stays_while_its_sender_is_behind_and_ends_as_it_starts_anew() {
+    // Arrange
+    let now = Instant::now();
+    let later = now + Duration::from_millis(250);
+    let position = |offset, age_ms| TopicPosition {
+        changed_end: StorePosition {
+            era: StoreEra::default(),
+            offset,
+        },
+        age_ms,
+    };
+    let confirmed_at =
+        |table: &PeerTable| table.confirmed_at(StoreTopic::Targets, StoreEra::default(), later);
+    let mut speaker = heartbeat(1, 0);
+    let mut table = PeerTable::default();
+
+    // Act, assert
+    speaker.targets = position(40, 100);
+    table.record_heartbeat(address(1, 0), speaker.clone(), now);
+    speaker.targets = position(40, u32::MAX);
+    table.record_heartbeat(address(1, 0), speaker.clone(), later);
+    assert_eq!(
+        confirmed_at(&table),
+        now.checked_sub(Duration::from_millis(100))
+    );
+    speaker.targets = position(0, u32::MAX);
+    table.record_heartbeat(address(1, 0), speaker, later);
+    assert_eq!(confirmed_at(&table), None);
+}
+
 #[test]
 fn confirmation_by_a_neighbour_counts_where_it_knows_of_no_later_change() {
     // Arrange
--- a/fleet/tests/store_outage.rs
+++ b/fleet/tests/store_outage.rs
@@ -125,7 +125,7 @@
     picks.any(|pick| &*pick.id == id)
 }
 
-/// A replica whose last read of the store was an outage ago.
+/// A replica whose last read of the store was an outage ago, and which failed to reach it since.
 fn replica_after_outage(
     outage: Duration,
     tick: OutageTick,
@@ -138,6 +138,7 @@
         .expect("a time after the start");
     replica.apply_from_store(StoreTopic::Targets, delta(9, true, records), last_read_at);
     std::thread::sleep(outage - age);
+    replica.record_failed_call(last_read_at + SOUND_AGE);
     match tick {
         OutageTick::Seen => replica.tick(Instant::now()),
         OutageTick::Unseen => {}
@@ -224,6 +225,7 @@
     replica.apply_from_store(topic, delta(4, false, &[("gone", 3, "")]), now);
     let is_gone_at_once = !is_routable(&state, "gone");
 
+    replica.record_failed_call(now + Duration::from_secs(2));
     replica.tick(now + Duration::from_secs(3));
     let lapsed = [("gone", 5, ""), ("live", 6, "")];
     replica.apply_from_store(topic, delta(7, false, &lapsed), Instant::now());
@@ -261,6 +263,119 @@
     }
 }
 
+/// A replica that has read nothing for many seconds, as another entry reads for it, and the time.
+fn replica_that_relies_on_a_peer(records: &[(&str, u64, &str)]) -> (Arc<EntryState>, StoreReplica) {
+    let (state, replica) = replica();
+    let long_ago = Instant::now() - Duration::from_secs(20);
+    replica.apply_from_store(StoreTopic::Targets, delta(3, true, records), long_ago);
+    let heard = reader_heartbeat(position(3));
+    replica.with_peers(|peers| peers.record_heartbeat(PEER.into(), heard, Instant::now()));
+    replica.tick(Instant::now());
+    (state, replica)
+}
+
+/// The address of the peer that others rely on.
+const PEER: ([u8; 4], u16) = ([127, 0, 0, 2], 1);
+
+fn position(offset: u64) -> StorePosition {
+    StorePosition {
+        era: StoreEra(0),
+        offset,
+    }
+}
+
+/// Guards against a removal that is taken for a lapse, as the entry that speaks for another data
+/// centre does not vouch for its copy while it is behind the reader there.
+#[test]
+fn target_leaves_at_once_beside_a_peer_that_does_not_confirm() {
+    let topic = StoreTopic::Targets;
+    let known = [("gone", 1, "ready 81"), ("live", 2, "ready 82")];
+    for removed_by in ["store", "peer"] {
+        let (state, replica) = replica_that_relies_on_a_peer(&known);
+        let mut unconfirmed = reader_heartbeat(position(3));
+        unconfirmed.targets.age_ms = u32::MAX;
+        let now = Instant::now();
+        replica.with_peers(|peers| peers.record_heartbeat(PEER.into(), unconfirmed, now));
+        replica.tick(now);
+
+        let removed = delta(4, false, &[("gone", 3, "")]);
+        match removed_by {
+            "store" => {
+                replica.apply_from_store(topic, removed, now);
+            }
+            _ => replica.apply_from_peer(
+                topic,
+                PeerCopy {
+                    delta: removed,
+                    changed_end: position(4),
+                    departed: Vec::new(),
+                },
+            ),
+        }
+
+        assert!(!is_routable(&state, "gone"), "{removed_by}");
+        assert!(is_routable(&state, "live"), "{removed_by}");
+    }
+}
+
+/// Guards against the silence of peers that is taken for an outage of the store.
+#[test]
+fn target_leaves_at_once_after_a_silence_without_a_failed_call() {
+    let topic = StoreTopic::Targets;
+    for tick in [OutageTick::Seen, OutageTick::Unseen] {
+        let (state, replica) = replica();
+        let known = [("gone", 1, "ready 81"), ("live", 2, "ready 82")];
+        let long_ago = Instant::now() - Duration::from_secs(5);
+        replica.apply_from_store(topic, delta(3, true, &known), long_ago);
+        if matches!(tick, OutageTick::Seen) {
+            replica.tick(Instant::now());
+        }
+
+        let removed = delta(4, false, &[("gone", 3, "")]);
+        replica.apply_from_store(topic, removed, Instant::now());
+
+        assert!(!is_routable(&state, "gone"), "{tick:?}");
+        assert!(is_routable(&state, "live"), "{tick:?}");
+    }
+}
+
+/// Guards against an outage that is only that of the own way to the store.
+#[test]
+fn target_leaves_at_once_where_only_the_own_calls_fail() {
+    let topic = StoreTopic::Targets;
+    let known = [("gone", 1, "ready 81"), ("live", 2, "ready 82")];
+    let (state, replica) = replica_that_relies_on_a_peer(&known);
+    replica.record_failed_call(Instant::now());
+    replica.tick(Instant::now());
+
+    let removed = PeerCopy {
+        delta: delta(4, false, &[("gone", 3, "")]),
+        changed_end: position(4),
+        departed: Vec::new(),
+    };
+    replica.apply_from_peer(topic, removed);
+
+    assert!(!is_routable(&state, "gone"));
+    assert!(is_routable(&state, "live"));
+}
+
+/// Guards against an outage that is dated by this entry's own last read, once the peer that has read
+/// since is silent.
+#[test]
+fn reads_of_a_peer_that_fell_silent_still_count() {
+    let topic = StoreTopic::Targets;
+    let known = [("gone", 1, "ready 81"), ("live", 2, "ready 82")];
+    let (state, replica) = replica_that_relies_on_a_peer(&known);
+    let now = Instant::now();
+    replica.record_failed_call(now - Duration::from_secs(5));
+    replica.tick(now + Duration::from_millis(1_300));
+
+    replica.apply_from_store(topic, delta(4, false, &[("gone", 3, "")]), now);
+
+    assert!(!is_routable(&state, "gone"));
+    assert!(is_routable(&state, "live"));
+}
+
 /// Guards against a grace for a removal that a peer read from a sound store.
 #[test]
 fn target_that_a_peer_saw_removed_from_a_sound_store_leaves_at_once() {
