Read the configuration in time while its reader is cut off

Cause: another entry's last read counted for 1.9 s, and up to 2.47 s by chance, before the check, the read, the heartbeat and the pull, where the bound of all is 2.0 s. Nor would a shorter age have done: the reader confirmed its copy every 1.2 s only. A wait confirmed the time at which its answer was handled, not that at which the store answered, and a reader whose reads failed counted as one for 2.5 s.

Change: one age for both topics, 1.1 to 1.32 s, and a confirmation every 0.45 s. A wait in vain confirms its end by the store's count, any other read when it was sent. An entry whose last read failed says so, and the next one takes over at once.

--- a/fleet/src/peers/copy_span.rs
+++ b/fleet/src/peers/copy_span.rs
@@ -1,4 +1,4 @@
-//! The part of a topic's history that a copy holds.
+//! The part of a topic's history that a copy holds, and whether its holder reads on.
 
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +13,8 @@
     pub start: u64,
     /// The offset after the last record read.
     pub end: u64,
+    /// Whether the last read of the store by this entry failed.
+    pub fails: bool,
 }
 
 /// The spans of an entry's copies.
--- a/fleet/src/peers/mod.rs
+++ b/fleet/src/peers/mod.rs
@@ -17,5 +17,5 @@
 };
 pub use peer_copy::PeerCopy;
 pub use peer_table::{HeartbeatReceivers, PeerRow, PeerTable};
-pub use reader_choice::{ReaderChoice, ReaderInput, choose_reader};
+pub use reader_choice::{ReaderChoice, ReaderInput, choose_reader, confirmed_until};
 pub use relay_batches::relay_batches;
--- a/fleet/src/peers/peer_table.rs
+++ b/fleet/src/peers/peer_table.rs
@@ -234,6 +234,13 @@
             .is_some_and(|(span, position)| span.covers(&position, end))
     }
 
+    /// Returns whether the sender says that it fails to read a topic. One that speaks for its data
+    /// centre says how old the confirmation there is instead.
+    pub fn fails(&self, topic: StoreTopic) -> bool {
+        let span = self.spans.and_then(|spans| spans.span(topic));
+        !self.for_zone && span.is_some_and(|span| span.fails)
+    }
+
     /// Returns the latest time at which an entry read the era `era` of a topic or a later one from
     /// the store, as stated in a heartbeat that arrived at a time.
     fn read_at(&self, topic: StoreTopic, era: StoreEra, arrived_at: Instant) -> Option<Instant> {
--- a/fleet/src/peers/reader_choice.rs
+++ b/fleet/src/peers/reader_choice.rs
@@ -3,16 +3,16 @@
 use crate::mirror::{StoreEra, StorePosition};
 use crate::prelude::*;
 
-use super::message::StoreTopic;
+use super::message::{PeerHeartbeat, StoreTopic};
 use super::peer_table::PeerTable;
 
-/// The age of the targets' records at which an entry reads the store itself, whichever entry is
-/// chosen. Together with the time of a read it stays within the bound on how long a leaving target
-/// is still sent requests.
-const MAX_TARGETS_AGE: Duration = Duration::from_millis(1_000);
+/// The age of a copy at which an entry reads the store itself, whichever entry is chosen. With the
+/// spread, the check and the read it stays within the bounds on configurations and on targets that
+/// leave; without them it is longer than a confirmation takes through two data centres.
+const MAX_COPY_AGE: Duration = Duration::from_millis(1_100);
 
-/// The age of the configuration at which an entry reads the store itself.
-const MAX_OPERATOR_AGE: Duration = Duration::from_millis(1_900);
+/// The random part of that age, as a fraction: entries that find their copies old do not all read.
+const AGE_SPREAD: f64 = 0.2;
 
 /// The age of the last confirmed read, in milliseconds, at which an entry no longer counts as a
 /// reader.
@@ -49,34 +49,54 @@
 
 /// Chooses whether an entry reads a topic.
 ///
-/// The reader is the entry with the lowest name hash of those that reach the store. Any other entry
-/// reads as well once its copy is too old, for example behind a network partition.
+/// The reader is the entry with the lowest name hash of those that reach the store. Where it says
+/// that it fails, the next one takes over at once. Any other entry reads as well once its copy is too
+/// old, for example behind a network partition.
 pub fn choose_reader(input: &ReaderInput, peers: &PeerTable, now: Instant) -> ReaderChoice {
-    let own_age = input
-        .own_read_at
-        .map(|at| now.saturating_duration_since(at));
-    let has_lower_reader = peers.recent_heartbeats(now).any(|(_, _, heartbeat)| {
+    let (failing, sound): (Vec<&PeerHeartbeat>, Vec<&PeerHeartbeat>) = peers
+        .recent_heartbeats(now)
+        .map(|(_, _, heartbeat)| heartbeat)
+        .filter(|heartbeat| heartbeat.sender < input.own && !heartbeat.draining)
+        .partition(|heartbeat| heartbeat.fails(input.topic));
+    let has_lower_reader = sound.iter().any(|heartbeat| {
         let reads = heartbeat
             .position(input.topic)
             .is_some_and(|at| at.age_ms < READER_TIMEOUT_MS && input.era <= at.changed_end.era);
-        let covers = heartbeat.covers(input.topic, input.end);
-        heartbeat.sender < input.own && reads && covers && !heartbeat.draining
+        reads && heartbeat.covers(input.topic, input.end)
     });
+    let own_age = input
+        .own_read_at
+        .map(|at| now.saturating_duration_since(at));
     let reaches_store =
         own_age.is_some_and(|age| age < Duration::from_millis(u64::from(READER_TIMEOUT_MS)));
-    if !has_lower_reader && reaches_store {
+    let takes_over = !failing.is_empty() && sound.is_empty();
+    if takes_over || (!has_lower_reader && reaches_store) {
         return ReaderChoice::Reader;
     }
     let confirmed_at = peers
         .confirmed_copy_at(input.topic, input.era, input.end, now)
         .max(input.own_read_at);
-    let max_age = match input.topic {
-        StoreTopic::Targets => MAX_TARGETS_AGE,
-        StoreTopic::Operator | StoreTopic::Peers => MAX_OPERATOR_AGE,
-    };
-    let limit = max_age.mul_f64(1.0 + 0.3 * input.jitter);
+    let limit = MAX_COPY_AGE.mul_f64(1.0 + AGE_SPREAD * input.jitter);
     match confirmed_at {
         Some(at) if now < at + limit => ReaderChoice::Skip,
         _ => ReaderChoice::Stale,
     }
 }
+
+/// Returns the time up to which a read shows all that was written, by when it was sent, how long it
+/// waits for records, how many it found, and when its answer was handled.
+///
+/// Only a read that has waited in vain shows more than what was there when it was sent. When its
+/// answer was handled says nothing: the process may have stood still in between.
+pub fn confirmed_until(
+    asked_at: Instant,
+    wait: Duration,
+    n_records: usize,
+    answered_at: Instant,
+) -> Instant {
+    let waited_until = asked_at + wait;
+    match n_records == 0 && waited_until <= answered_at {
+        true => waited_until,
+        false => asked_at,
+    }
+}
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -7,10 +7,11 @@
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
 
 use crate::forward::{ByteBudget, HeaderNames, TargetPool};
+use crate::mirror::MirrorRecord;
 use crate::prelude::*;
 use crate::roster::RosterChange;
 use crate::routing::{BudgetSettings, CrashSuspects, RetryBudget, RoutingTable};
@@ -18,7 +19,7 @@
 use super::drain::DrainState;
 use super::metrics::EntryMetrics;
 use super::permit_table::PermitTable;
-use super::record_decoders::RecordSource;
+use super::record_decoders::{Decoders, RecordSource};
 
 /// The tables that the tasks of an entry share.
 ///
@@ -169,6 +170,40 @@
             && 0 < self.table.lock().n_usable()
     }
 
+    /// Puts a configuration in force if it is newer; returns whether the record is a valid one.
+    pub(super) fn apply_catalog(
+        &self,
+        record: &MirrorRecord,
+        source: RecordSource,
+        decoders: &Decoders,
+    ) -> bool {
+        let log = &self.log;
+        let Some(bytes) = record
+            .value
+            .as_ref()
+            .filter(|_| record.key == decoders.catalog_key)
+        else {
+            return false;
+        };
+        let catalog = match (decoders.catalog)(bytes) {
+            Ok(catalog) => catalog,
+            Err(reason) => {
+                warn!(log, "unreadable record"; "topic" => "operator", "key" => &record.key,
+                    "offset" => record.offset, "reason" => reason);
+                return false;
+            }
+        };
+        let current = self.version();
+        if current.is_some_and(|current| catalog.version <= current) {
+            return true;
+        }
+        info!(log, "configuration in force"; "version" => catalog.version, "source" => %source,
+            "offset" => record.offset, "before" => current);
+        self.metrics.version.set(catalog.version as i64);
+        self.catalog.store(Some(Arc::new(catalog)));
+        true
+    }
+
     /// Applies a change of the roster to the routing table; returns whether there was one.
     pub(super) fn apply_roster_change(
         &self,
--- a/fleet/src/process/metrics.rs
+++ b/fleet/src/process/metrics.rs
@@ -5,10 +5,16 @@
     TextEncoder,
 };
 
+use crate::prelude::*;
+
 /// The upper bounds of the latency buckets, in seconds; they cover the latency objectives of plain
 /// calls and streams, and their deadlines.
 const LATENCY_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
+/// The upper bounds of the buckets of ages and delays of copies, in seconds; they cover the bounds on
+/// configurations and on targets that leave.
+const AGE_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 4.0];
+
 /// Counters and latency histograms of an entry.
 #[derive(Clone, Debug)]
 pub struct EntryMetrics {
@@ -21,6 +27,11 @@
     pub latency: HistogramVec,
     /// The connections of callers that ended, by reason.
     pub connection_ends: IntCounterVec,
+    /// The time since the store held nothing newer than a copy, by topic, in seconds.
+    copy_ages: HistogramVec,
+    /// The longest time that a change may have taken from the store to this entry, by topic, in
+    /// seconds.
+    change_delays: HistogramVec,
     /// Calls to the platform's store by topic and result.
     pub store_calls: IntCounterVec,
     /// The configuration version in force.
@@ -70,15 +81,14 @@
                 .expect("metrics_differ");
             gauge
         };
-        let options = HistogramOpts::new(
-            "comfrey_answer_seconds",
-            "Time to an answer or a first event",
-        );
-        let options = options.buckets(LATENCY_BUCKETS.to_vec());
-        let latency = HistogramVec::new(options, &["kind"]).expect("metric_names_are_valid");
-        registry
-            .register(Box::new(latency.clone()))
-            .expect("metrics_differ");
+        let histograms = |name: &str, help: &str, label: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let histograms = HistogramVec::new(options, &[label]).expect("metric_names_are_valid");
+            registry
+                .register(Box::new(histograms.clone()))
+                .expect("metrics_differ");
+            histograms
+        };
         let target_ends = IntCounter::new("comfrey_target_ends", "Runs during which targets ended");
         let target_ends = target_ends.expect("metric_names_are_valid");
         registry
@@ -111,11 +121,40 @@
                 &["result", "source"],
             ),
             crash_suspects: gauge("comfrey_crash_suspects", "Requests that may end targets"),
-            latency,
+            latency: histograms(
+                "comfrey_answer_seconds",
+                "Time to an answer or a first event",
+                "kind",
+                &LATENCY_BUCKETS,
+            ),
+            copy_ages: histograms(
+                "comfrey_copy_age_seconds",
+                "Time since the store held nothing newer than a copy",
+                "topic",
+                &AGE_BUCKETS,
+            ),
+            change_delays: histograms(
+                "comfrey_change_delay_seconds",
+                "Longest time that a change may have taken from the store",
+                "topic",
+                &AGE_BUCKETS,
+            ),
             registry,
         }
     }
 
+    /// Records the time since a copy of a topic was confirmed.
+    pub fn observe_age(&self, topic: &str, age: Duration) {
+        let ages = self.copy_ages.with_label_values(&[topic]);
+        ages.observe(age.as_secs_f64());
+    }
+
+    /// Records that a copy of a topic has changed, this long after it was last confirmed.
+    pub fn observe_change(&self, topic: &str, delay: Duration) {
+        let delays = self.change_delays.with_label_values(&[topic]);
+        delays.observe(delay.as_secs_f64());
+    }
+
     /// Counts an input that exceeded a limit.
     pub fn count_cut(&self, sender: &str) {
         self.cut_reads.with_label_values(&[sender]).inc();
--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -16,6 +16,7 @@
 use super::entry_state::EntryState;
 use super::record_decoders::{Decoders, RecordSource, peer_records};
 use super::replica_tables::ReplicaTables;
+use super::store_access::CallError;
 use super::store_status::StatusChange;
 
 /// How long after the store is regained, or has come back from an older copy, its records may lack
@@ -175,7 +176,9 @@
             return false;
         }
         if let Some(copy) = inner.copy_mut(topic) {
-            copy.read_at = Some(copy.read_at.map_or(asked_at, |at| at.max(asked_at)));
+            copy.read_fails = false;
+            copy.read_at = copy.read_at.max(Some(asked_at));
+            copy.confirmed_at = copy.confirmed_at.max(copy.read_at);
         }
         self.update_store_status(&mut inner, now);
         if topic == StoreTopic::Operator {
@@ -184,9 +187,16 @@
         true
     }
 
-    /// Records that a call of this process to the store, made at a time, failed.
-    pub fn record_failed_call(&self, at: Instant) {
-        self.inner.lock().status.record_failure(at);
+    /// Records that a read of the store by this process, made at a time, failed.
+    pub fn record_failed_read(&self, topic: StoreTopic, at: Instant, err: CallError) {
+        let mut inner = self.inner.lock();
+        if let Some(copy) = inner.copy_mut(topic) {
+            copy.read_fails = true;
+        }
+        // A reply that is no use comes from a store that is there.
+        if !matches!(err, CallError::TooLong(_) | CallError::Malformed) {
+            inner.status.record_failure(at);
+        }
     }
 
     /// Applies records that were pulled from a peer.
@@ -224,7 +234,8 @@
             offset: inner.operator.mirror.end().offset,
             value: Some(bytes),
         };
-        self.apply_catalog(&record, RecordSource::Peer);
+        self.state
+            .apply_catalog(&record, RecordSource::Peer, &self.decoders);
         if before < self.state.version() {
             inner.retained_catalog = record.value;
         }
@@ -246,16 +257,15 @@
     pub fn tick(&self, now: Instant) {
         let mut inner = self.inner.lock();
         self.update_store_status(&mut inner, now);
-        let operator_end = inner.operator.changed_end();
-        let copy_end = inner.operator.mirror.end();
-        let peers = &inner.peers;
-        let is_behind = peers
-            .ahead_of(StoreTopic::Operator, operator_end, now)
-            .is_some()
-            || peers.newer_version(self.state.version(), now).is_some();
-        let confirmed_at = peers.confirmed_copy_at(StoreTopic::Operator, self.era(), copy_end, now);
-        if let Some(at) = confirmed_at
-            && !is_behind
+        for topic in [StoreTopic::Operator, StoreTopic::Targets] {
+            self.confirm_copy(&mut inner, topic, now);
+        }
+        let is_newest = inner
+            .peers
+            .newer_version(self.state.version(), now)
+            .is_none();
+        if let Some(at) = inner.operator.confirmed_at
+            && is_newest
         {
             self.confirm_catalog(&inner, at);
         }
@@ -267,6 +277,24 @@
         self.state.metrics.targets.set(n_usable as i64);
     }
 
+    /// Takes over the latest confirmation of a copy by a peer, unless a peer is ahead of it.
+    fn confirm_copy(&self, inner: &mut ReplicaTables, topic: StoreTopic, now: Instant) {
+        let Some(copy) = inner.copy(topic) else {
+            return;
+        };
+        let peers = &inner.peers;
+        let is_behind = peers.ahead_of(topic, copy.changed_end(), now).is_some();
+        let by_peers = peers.confirmed_copy_at(topic, self.era(), copy.mirror.end(), now);
+        let confirmed_at = copy.confirmed_at.max(by_peers.filter(|_| !is_behind));
+        if let Some(at) = confirmed_at {
+            let age = now.saturating_duration_since(at);
+            self.state.metrics.observe_age(topic.label(), age);
+        }
+        if let Some(copy) = inner.copy_mut(topic) {
+            copy.confirmed_at = confirmed_at;
+        }
+    }
+
     /// Applies records to a topic's copy and to the tables that depend on it; returns whether the
     /// copy is up to date with them.
     fn apply(
@@ -288,6 +316,8 @@
             .map(<[u8]>::to_vec);
         match copy.mirror.apply(delta) {
             MirrorChange::Updated(records) => {
+                let confirmed_at = copy.confirmed_at;
+                let mut n_changed = 0;
                 for record in records {
                     let before = self.state.version();
                     // A removal counts also where this copy did not hold the key, as others may.
@@ -300,8 +330,14 @@
                         && is_changed
                     {
                         copy.advance(record.offset);
+                        n_changed += 1;
                     }
                 }
+                if let Some(at) = confirmed_at.filter(|_| 0 < n_changed) {
+                    self.state
+                        .metrics
+                        .observe_change(topic.label(), at.elapsed());
+                }
             }
             MirrorChange::Replaced(replaced) => {
                 self.apply_replaced(inner, topic, &replaced, source);
@@ -382,7 +418,7 @@
     ) -> bool {
         match topic {
             StoreTopic::Operator => {
-                let is_valid = self.apply_catalog(record, source);
+                let is_valid = self.state.apply_catalog(record, source, &self.decoders);
                 if inner.retained_catalog.is_some() && self.is_in_force(record) {
                     inner.retained_catalog = None;
                 }
@@ -402,35 +438,6 @@
         record.key == self.decoders.catalog_key && version == self.state.version()
     }
 
-    /// Puts a configuration in force if it is newer; returns whether the record is a valid one.
-    fn apply_catalog(&self, record: &MirrorRecord, source: RecordSource) -> bool {
-        let log = &self.state.log;
-        let Some(bytes) = record
-            .value
-            .as_ref()
-            .filter(|_| record.key == self.decoders.catalog_key)
-        else {
-            return false;
-        };
-        let catalog = match (self.decoders.catalog)(bytes) {
-            Ok(catalog) => catalog,
-            Err(reason) => {
-                warn!(log, "unreadable record"; "topic" => "operator", "key" => &record.key,
-                    "offset" => record.offset, "reason" => reason);
-                return false;
-            }
-        };
-        let current = self.state.version();
-        if current.is_some_and(|current| catalog.version <= current) {
-            return true;
-        }
-        info!(log, "configuration in force"; "version" => catalog.version, "source" => %source,
-            "offset" => record.offset, "before" => current);
-        self.state.metrics.version.set(catalog.version as i64);
-        self.state.catalog.store(Some(Arc::new(catalog)));
-        true
-    }
-
     /// Applies a target's record; returns whether it changed the roster.
     fn apply_target(
         &self,
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -3,7 +3,9 @@
 use slog::{info, warn};
 
 use crate::mirror::StoreEra;
-use crate::peers::{PeerRecord, ReaderChoice, ReaderInput, StoreTopic, choose_reader};
+use crate::peers::{
+    PeerRecord, ReaderChoice, ReaderInput, StoreTopic, choose_reader, confirmed_until,
+};
 use crate::prelude::*;
 
 use super::entry_run::EntryConfig;
@@ -11,11 +13,9 @@
 use super::store_access::{CallError, StoreAnswer, StoreReply, StoreRequest};
 use super::store_replica::StoreReplica;
 
-/// The pause after a successful read that does not wait for new records.
-const TARGETS_READ_PERIOD: Duration = Duration::from_millis(450);
-
-/// How long a read of the configuration waits for a new record.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1_200);
+/// The pause after a successful read that does not wait for new records, and the longest time
+/// between two confirmations by one that does.
+const READ_PERIOD: Duration = Duration::from_millis(450);
 
 /// How often an entry that does not read checks whether it should.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -54,8 +54,10 @@
             tokio::time::sleep(CHECK_PERIOD).await;
             continue;
         }
-        let wait = match topic {
-            StoreTopic::Operator if choice == ReaderChoice::Reader => OPERATOR_WAIT,
+        let is_waiting = topic == StoreTopic::Operator && choice == ReaderChoice::Reader;
+        // What is left until the next confirmation is due: a record may have ended the last wait.
+        let wait = match input.own_read_at {
+            Some(at) if is_waiting => (at + READ_PERIOD).saturating_duration_since(now),
             _ => Duration::ZERO,
         };
         let request = match needs_newest {
@@ -75,16 +77,12 @@
             .inc();
         match result {
             Ok(StoreReply::Records(delta)) => {
-                // A read that waited for records confirms the state at its end, not its start.
-                let asked_at = if wait.is_zero() {
-                    now
-                } else {
-                    now.max(Instant::now() - MAX_READ_LAG)
-                };
-                needs_newest = !replica.apply_from_store(topic, delta, asked_at);
+                let n_records = delta.records.len();
+                let confirmed_at = confirmed_until(now, wait, n_records, Instant::now());
+                needs_newest = !replica.apply_from_store(topic, delta, confirmed_at);
                 pause = FAILURE_BACKOFF.0;
-                if wait.is_zero() {
-                    tokio::time::sleep(TARGETS_READ_PERIOD).await;
+                if !is_waiting {
+                    tokio::time::sleep(READ_PERIOD).await;
                 }
             }
             Ok(StoreReply::Expired) => {
@@ -94,10 +92,7 @@
             Ok(StoreReply::Written) => {}
             Err(err) => {
                 record_failure(&state, label, err);
-                // A reply that is no use comes from a store that is there.
-                if !matches!(err, CallError::TooLong(_) | CallError::Malformed) {
-                    replica.record_failed_call(now);
-                }
+                replica.record_failed_read(topic, now, err);
                 tokio::time::sleep(pause.mul_f64(0.75 + 0.5 * state.random_fraction())).await;
                 pause = (pause * 2).min(FAILURE_BACKOFF.1);
             }
@@ -113,9 +108,6 @@
     }
 }
 
-/// How far the end of a waiting read may lag behind the store.
-const MAX_READ_LAG: Duration = Duration::from_millis(50);
-
 /// The time over which entries spread the calls by which they register again after the store came
 /// back from an older copy.
 const REGISTER_SPREAD: Duration = Duration::from_millis(2_000);
--- a/fleet/src/process/topic_copy.rs
+++ b/fleet/src/process/topic_copy.rs
@@ -12,6 +12,10 @@
     changed_end: StorePosition,
     /// The time of this process's last read of the store.
     pub(super) read_at: Option<Instant>,
+    /// Whether this process's last try to read the store failed.
+    pub(super) read_fails: bool,
+    /// The latest time at which the store held nothing newer, as this process or a peer read.
+    pub(super) confirmed_at: Option<Instant>,
 }
 
 impl TopicCopy {
@@ -28,6 +32,7 @@
         CopySpan {
             start: self.mirror.history_start(),
             end: self.mirror.end().offset,
+            fails: self.read_fails,
         }
     }
 
--- a/fleet/tests/restarted_entry.rs
+++ b/fleet/tests/restarted_entry.rs
@@ -185,7 +185,11 @@
         own_read_at: None,
         jitter: 0.0,
     };
-    let span = CopySpan { start: 20, end: 25 };
+    let span = CopySpan {
+        start: 20,
+        end: 25,
+        fails: false,
+    };
     let fresh = peers_of(heartbeat(15, Some(span)), later);
 
     let behind = choose_reader(&input(18), &fresh, later);
@@ -222,7 +226,11 @@
 /// Guards against datagrams that one of two versions cannot read while both run.
 #[test]
 fn heartbeats_are_read_by_both_versions() {
-    let span = CopySpan { start: 20, end: 25 };
+    let span = CopySpan {
+        start: 20,
+        end: 25,
+        fails: false,
+    };
     let with_spans = PeerMessage::Beat(heartbeat(9, Some(span)));
     let without = PeerMessage::Beat(heartbeat(9, None));
 
--- a/fleet/tests/store_outage.rs
+++ b/fleet/tests/store_outage.rs
@@ -10,7 +10,7 @@
 use comfreyhead_fleet::mirror::{MirrorDelta, MirrorRecord, StoreEra, StorePosition};
 use comfreyhead_fleet::peers::{CopySpans, PeerCopy, PeerHeartbeat, StoreTopic, TopicPosition};
 use comfreyhead_fleet::prelude::*;
-use comfreyhead_fleet::process::{Decoders, EntryState, ProcessBounds, StoreReplica};
+use comfreyhead_fleet::process::{CallError, Decoders, EntryState, ProcessBounds, StoreReplica};
 use comfreyhead_fleet::routing::BudgetSettings;
 use http::HeaderName;
 use slog::{Discard, Logger, o};
@@ -138,7 +138,11 @@
         .expect("a time after the start");
     replica.apply_from_store(StoreTopic::Targets, delta(9, true, records), last_read_at);
     std::thread::sleep(outage - age);
-    replica.record_failed_call(last_read_at + SOUND_AGE);
+    replica.record_failed_read(
+        StoreTopic::Targets,
+        last_read_at + SOUND_AGE,
+        CallError::Silent,
+    );
     match tick {
         OutageTick::Seen => replica.tick(Instant::now()),
         OutageTick::Unseen => {}
@@ -225,7 +229,11 @@
     replica.apply_from_store(topic, delta(4, false, &[("gone", 3, "")]), now);
     let is_gone_at_once = !is_routable(&state, "gone");
 
-    replica.record_failed_call(now + Duration::from_secs(2));
+    replica.record_failed_read(
+        StoreTopic::Targets,
+        now + Duration::from_secs(2),
+        CallError::Silent,
+    );
     replica.tick(now + Duration::from_secs(3));
     let lapsed = [("gone", 5, ""), ("live", 6, "")];
     replica.apply_from_store(topic, delta(7, false, &lapsed), Instant::now());
@@ -345,7 +353,7 @@
     let topic = StoreTopic::Targets;
     let known = [("gone", 1, "ready 81"), ("live", 2, "ready 82")];
     let (state, replica) = replica_that_relies_on_a_peer(&known);
-    replica.record_failed_call(Instant::now());
+    replica.record_failed_read(StoreTopic::Targets, Instant::now(), CallError::Silent);
     replica.tick(Instant::now());
 
     let removed = PeerCopy {
@@ -367,7 +375,11 @@
     let known = [("gone", 1, "ready 81"), ("live", 2, "ready 82")];
     let (state, replica) = replica_that_relies_on_a_peer(&known);
     let now = Instant::now();
-    replica.record_failed_call(now - Duration::from_secs(5));
+    replica.record_failed_read(
+        StoreTopic::Targets,
+        now - Duration::from_secs(5),
+        CallError::Silent,
+    );
     replica.tick(now + Duration::from_millis(1_300));
 
     replica.apply_from_store(topic, delta(4, false, &[("gone", 3, "")]), now);
