--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -404,7 +404,9 @@
             .filter(|row| &*row.entry.service == service)
         {
             if row.is_usable() {
-                load.slots += row.limit.usable_slots(row.entry.slots, run_s);
+                let slots = row.limit.usable_slots(row.entry.slots, run_s);
+                // A record of another writer may state any number.
+                load.slots = load.slots.saturating_add(slots);
             }
             load.own += row.own;
             load.running += row.own + self.view.running_at(row.hash, now);
--- a/fleet/tests/target_limits.rs
+++ b/fleet/tests/target_limits.rs
@@ -165,6 +165,24 @@
     assert_eq!(limit(&table, "t"), Some(2.0));
 }
 
+// Guards against a sum that overflows beside records of another writer.
+#[test]
+fn slots_of_a_group_are_summed_up_to_the_largest_number() {
+    let now = Instant::now();
+    let mut table = table_of(&["sound"]);
+    for id in ["odd", "odder"] {
+        let entry = TargetEntry {
+            slots: u32::MAX,
+            ..target(id, 1)
+        };
+        table.apply(&RosterChange::Changed(entry));
+    }
+
+    let load = table.group_load("svc", now);
+
+    assert_eq!(load.slots, u32::MAX);
+}
+
 // Guards against a group that is given as many streams as before, which the targets without a limit
 // then have to take.
 #[test]
