Believe responses without an id on new connections only

Other operators' clients were told "not run" of requests that ran, or such a request ran twice, after a faulty server had written an earlier refusal once more on a kept connection.

Cause: a response counted as that of the request that waits unless it bore another id. A refusal without an id, as it answers a health check, was believed: an unsafe call was refused while its target ran it, or was sent to a second one. An answer of failure or a signed one without an id was passed on.

Evidence: four of the five tests of repeated_refusal fail without the change. The fifth keeps true refusals on new connections believed.

Change: a response without an id counts only as the first on its connection; any other is a broken answer, after which the request may have run. Requests without an id go out on new connections.

Why it works: targets echo the id that they get, and nothing else can be due on a connection on which nothing else was sent.

--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -1,7 +1,7 @@
 //! One dispatch of a request to a target.
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 
@@ -113,13 +113,17 @@
 
 /// Sends a request to a target and returns its response with the head read.
 ///
-/// The error tells whether the target may have run the request.
+/// The error tells whether the target may have run the request. One without an id goes out on a new
+/// connection, as its response cannot be told from an earlier one.
 pub async fn call_target(
     call: &TargetCall<'_>,
     pool: &TargetPool,
     names: &HeaderNames,
 ) -> Result<TargetResponse, CallFailure> {
-    let mut idle_connection = pool.take_idle(call.pick.address, Instant::now());
+    let mut idle_connection = match call.head.headers.contains_key(&names.attempt_id) {
+        true => pool.take_idle(call.pick.address, Instant::now()),
+        false => None,
+    };
     let mut request = build_request(call, names);
     loop {
         let mut connection = match idle_connection.take() {
@@ -129,6 +133,7 @@
                 .await
                 .ok_or(AttemptOutcome::NotSent)?,
         };
+        let is_first = !std::mem::replace(&mut connection.is_used, true);
         connection.meter.begin();
         let sending = connection.sender.try_send_request(request);
         let response = match tokio::time::timeout(call.time_left, sending).await {
@@ -154,7 +159,10 @@
             },
         };
         connection.meter.end();
-        return read_head(response, connection, call, names);
+        if !answers_request(response.headers(), &call.head.headers, names, is_first) {
+            return Err(AttemptOutcome::Unknown.into());
+        }
+        return read_head(response, connection, names);
     }
 }
 
@@ -180,21 +188,28 @@
     request
 }
 
+/// Returns whether a response answers the request that waits, and not an earlier one: it bears the
+/// id of the request, or it bears none and nothing else was sent on the connection.
+fn answers_request(
+    response: &HeaderMap,
+    request: &HeaderMap,
+    names: &HeaderNames,
+    is_first: bool,
+) -> bool {
+    let sent = request.get(&names.attempt_id);
+    let mut echoed = response.get_all(&names.attempt_id).iter().peekable();
+    match echoed.peek() {
+        Some(_) => echoed.all(|id| Some(id) == sent),
+        None => is_first,
+    }
+}
+
 fn read_head(
     response: http::Response<Incoming>,
     connection: PooledConnection,
-    call: &TargetCall<'_>,
     names: &HeaderNames,
 ) -> Result<TargetResponse, CallFailure> {
     let (parts, body) = response.into_parts();
-    let echoed = parts
-        .headers
-        .get(&names.attempt_id)
-        .and_then(|value| value.to_str().ok());
-    let answers_other_request = echoed.is_some_and(|id| id != &*call.head.attempt_id);
-    if answers_other_request {
-        return Err(AttemptOutcome::Unknown.into());
-    }
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptOutcome::NotRun.into());
     }
@@ -231,20 +246,20 @@
 /// Returns whether a response comes from the target itself.
 ///
 /// A target signs its successful responses, and encodes no bodies, as callers request no encoding.
-fn is_target_response(status: StatusCode, headers: &http::HeaderMap, names: &HeaderNames) -> bool {
+fn is_target_response(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> bool {
     let is_unencoded = !headers.contains_key(http::header::CONTENT_ENCODING);
     let is_signed = headers.contains_key(&names.signature);
     is_unencoded && (is_signed || !status.is_success()) && !status.is_informational()
 }
 
-fn limit_notice(headers: &http::HeaderMap, names: &HeaderNames) -> LimitNotice {
+fn limit_notice(headers: &HeaderMap, names: &HeaderNames) -> LimitNotice {
     let value = headers.get(&names.limit);
     value.map_or(LimitNotice::Absent, |value| {
         LimitNotice::parse(value.as_bytes())
     })
 }
 
-fn keep_alive_timeout(headers: &http::HeaderMap) -> Option<Duration> {
+fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = value
         .split(',')
--- a/fleet/src/forward/target_pool.rs
+++ b/fleet/src/forward/target_pool.rs
@@ -52,6 +52,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// The limit on the head of the next response.
     pub meter: HeadMeter,
+    /// Whether a request was sent on it before, so that a response to an earlier one may follow.
+    pub is_used: bool,
     task: AbortHandle,
     stream: SharedStream,
 }
@@ -174,6 +176,7 @@
     Ok(PooledConnection {
         sender,
         meter,
+        is_used: false,
         task: task.abort_handle(),
         stream,
     })
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -11,6 +11,8 @@
 mod leaving_caller;
 #[path = "forwarding/leaving_waits.rs"]
 mod leaving_waits;
+#[path = "forwarding/repeated_refusal.rs"]
+mod repeated_refusal;
 #[path = "forwarding/silent_target.rs"]
 mod silent_target;
 mod wire;
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod caller_connection;
+mod echo;
 mod flood;
 mod silence;
 
@@ -26,6 +27,7 @@
 
 pub use answer::{Answer, read_answer};
 pub use caller_connection::{hold, kept_request, runtime_apart};
+use echo::{attempt_id, with_id};
 use flood::{FloodCount, write_flood};
 pub use silence::stream_route;
 
@@ -38,6 +40,8 @@
     /// Writes bytes and keeps the connection, or closes it after `connection: close` or after a
     /// content length of 9, by which a test marks a truncated response.
     Raw(String),
+    /// Writes bytes as they are, without the id of the request, and keeps the connection.
+    WithoutId(String),
     /// Writes bytes and resets the connection.
     Reset(String),
     /// Closes the connection without a response.
@@ -144,6 +148,11 @@
         self.script.lock().unwrap().push(reply);
     }
 
+    /// Replaces what is left of the script.
+    pub fn replace(&self, script: Vec<Reply>) {
+        *self.script.lock().unwrap() = script;
+    }
+
     /// Returns the number of connections so far.
     pub fn n_connections(&self) -> usize {
         self.n_connections.load(Ordering::Relaxed)
@@ -202,9 +211,11 @@
                 script.remove(0)
             }
         };
+        let id = attempt_id(&head);
         match reply {
+            Reply::WithoutId(text) => stream.write_all(text.as_bytes()).await?,
             Reply::Raw(text) => {
-                stream.write_all(text.as_bytes()).await?;
+                stream.write_all(with_id(&text, id).as_bytes()).await?;
                 if text.contains("connection: close") || text.contains("content-length: 9") {
                     return Ok(());
                 }
@@ -222,18 +233,18 @@
                 return Ok(());
             }
             Reply::RawThenLate(first, time, second) => {
-                stream.write_all(first.as_bytes()).await?;
+                stream.write_all(with_id(&first, id).as_bytes()).await?;
                 tokio::time::sleep(time).await;
                 stream.write_all(second.as_bytes()).await?;
             }
             Reply::Late(time, text) => {
                 tokio::time::sleep(time).await;
-                stream.write_all(text.as_bytes()).await?;
+                stream.write_all(with_id(&text, id).as_bytes()).await?;
             }
             Reply::SilentOnce(time) => {
                 let last_id = head.split_once("last-event-id: ");
                 let last_id = last_id.and_then(|(_, rest)| rest.lines().next()?.parse().ok());
-                stream_with_silence(&mut stream, last_id.unwrap_or(0), time).await?;
+                stream_with_silence(&mut stream, id, last_id.unwrap_or(0), time).await?;
             }
             Reply::End(text, time) => {
                 stream.write_all(text.as_bytes()).await?;
@@ -257,11 +268,12 @@
 
 async fn stream_with_silence(
     stream: &mut TcpStream,
+    id: &str,
     last_id: u64,
     silence: Duration,
 ) -> std::io::Result<()> {
     let head = "HTTP/1.1 200 OK\r\nx-seal: s1\r\ntransfer-encoding: chunked\r\n\r\n";
-    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(with_id(head, id).as_bytes()).await?;
     for id in last_id + 1..=N_EVENTS {
         if id == last_id + 2 {
             tokio::time::sleep(silence).await;
