Take nothing into a resumed stream that does not continue it

What callers saw: nothing that was reported here. Other operators' clients found the text of an error in the middle of a stream that had broken off, or such a stream ended as if it were complete.

Cause: a response that takes the place of another in mid-stream had to show nothing. An event with a wrong id was rejected; one without an id, text up to a blank line, which counted as a comment, and an end without events were taken as they came, if the answer was a signed success.

What a caller gets from its beginning is passed on as before.

--- a/fleet/src/forward/event_parser.rs
+++ b/fleet/src/forward/event_parser.rs
@@ -29,6 +29,12 @@
         let mut lines = self.bytes.split(|&byte| byte == b'\n');
         lines.any(|line| line.starts_with(b"data"))
     }
+
+    /// Returns whether each of its lines is a comment.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|&byte| byte == b'\n');
+        lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+    }
 }
 
 impl EventParser {
--- a/fleet/src/forward/mod.rs
+++ b/fleet/src/forward/mod.rs
@@ -22,7 +22,7 @@
 pub use prompt_parts::PromptParts;
 pub use request_head::RequestHead;
 pub use response_head::ResponseHead;
-pub use stream_relay::{RelayEnd, StreamRelay};
+pub use stream_relay::{RelayEnd, RelayStart, StreamRelay};
 pub use target_call::{BodyChunk, CallFailure, TargetCall, TargetResponse, call_target};
 pub use target_check::TargetCheck;
 pub use target_pool::{PooledConnection, TargetPool};
--- a/fleet/src/forward/stream_relay.rs
+++ b/fleet/src/forward/stream_relay.rs
@@ -29,9 +29,31 @@
     /// The comments since the last event. They show no progress, so they go out with the next one.
     comments: BytesMut,
     last_id: Option<u64>,
+    /// Whether nothing of the response shows yet that it continues the stream.
+    is_unproven: bool,
     has_ended: bool,
 }
 
+/// Where in a stream a response begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayStart {
+    /// At its own beginning, after the last event that the caller had before, if any: the caller gets
+    /// the response as it is.
+    Own(Option<u64>),
+    /// After an event of another response, whose place it takes.
+    After(u64),
+}
+
+impl RelayStart {
+    /// Returns the id of the last event that the caller has received.
+    pub fn last_id(self) -> Option<u64> {
+        match self {
+            Self::Own(id) => id,
+            Self::After(id) => Some(id),
+        }
+    }
+}
+
 /// How one target's part of a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RelayEnd {
@@ -42,15 +64,16 @@
 }
 
 impl StreamRelay {
-    /// Creates a relay that continues after the last event that the caller has received.
-    pub fn new(last_id: Option<u64>, budget: &Arc<ByteBudget>) -> Self {
+    /// Creates a relay of a response that begins somewhere in a stream.
+    pub fn new(start: RelayStart, budget: &Arc<ByteBudget>) -> Self {
         Self {
             budget: budget.clone(),
             lease: ByteLease::new(budget, SMALL_READ),
             cut: None,
             parser: EventParser::default(),
             comments: BytesMut::new(),
-            last_id,
+            last_id: start.last_id(),
+            is_unproven: matches!(start, RelayStart::After(_)),
             has_ended: false,
         }
     }
@@ -72,6 +95,10 @@
     ) -> Result<StreamEvent, RelayEnd> {
         loop {
             match self.parser.next_event() {
+                // Anything but a comment may be the text of an error.
+                Some(event) if self.is_unproven && event.id.is_none() && !event.is_comment() => {
+                    return Err(RelayEnd::Broken(AttemptOutcome::Unknown));
+                }
                 Some(comment) if comment.id.is_none() && !comment.has_data() => {
                     self.keep_comment(&comment.bytes)?;
                     continue;
@@ -84,7 +111,7 @@
                 None => {}
             }
             if self.has_ended {
-                return self.response_end();
+                return self.response_end(response);
             }
             self.check_buffer().map_err(|cut| self.end_cut(cut))?;
             match response.next_chunk().await {
@@ -161,13 +188,17 @@
             return Err(RelayEnd::Broken(AttemptOutcome::Unknown));
         }
         self.last_id = event.id.or(self.last_id);
+        self.is_unproven = false;
         Ok(event)
     }
 
-    fn response_end(&mut self) -> Result<StreamEvent, RelayEnd> {
+    fn response_end(&mut self, response: &TargetResponse) -> Result<StreamEvent, RelayEnd> {
         if self.parser.has_incomplete_event() {
             return Err(RelayEnd::Broken(AttemptOutcome::Broken));
         }
+        if self.is_unproven && !response.head.is_event_stream() {
+            return Err(RelayEnd::Broken(AttemptOutcome::Unknown));
+        }
         if self.comments.is_empty() {
             return Err(RelayEnd::Complete);
         }
--- a/fleet/src/process/stream_source.rs
+++ b/fleet/src/process/stream_source.rs
@@ -4,7 +4,7 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 
-use crate::forward::{RelayEnd, ResponseHead, StreamEvent, StreamRelay};
+use crate::forward::{RelayEnd, RelayStart, ResponseHead, StreamEvent, StreamRelay};
 use crate::prelude::*;
 use crate::request::{AttemptOutcome, DispatchNumber, NextStep, UnknownReason};
 
@@ -196,7 +196,11 @@
             self.room_at = self.dispatches.room_at(&self.call);
             return;
         };
-        let starting = start(self.call.clone(), number, target, self.last_id);
+        let from = match self.last_id {
+            Some(id) if self.has_begun => RelayStart::After(id),
+            last_id => RelayStart::Own(last_id),
+        };
+        let starting = start(self.call.clone(), number, target, from);
         self.starting.push(Box::pin(starting));
     }
 
@@ -287,9 +291,9 @@
     call: Arc<CallContext>,
     number: DispatchNumber,
     target: ChosenTarget,
-    last_id: Option<u64>,
+    from: RelayStart,
 ) -> StartResult {
-    match attempt_start(&call, target, last_id).await {
+    match attempt_start(&call, target, from).await {
         Ok((dispatched, relay, first)) => Ok((
             StreamRun {
                 number,
@@ -305,15 +309,15 @@
 async fn attempt_start(
     call: &CallContext,
     target: ChosenTarget,
-    last_id: Option<u64>,
+    from: RelayStart,
 ) -> Result<(DispatchedCall, StreamRelay, Result<StreamEvent, RelayEnd>), AttemptError> {
-    let mut dispatched = call.dispatch(target, last_id).await?;
+    let mut dispatched = call.dispatch(target, from.last_id()).await?;
     if !dispatched.response.head.status.is_success() {
         // An answer outside 2xx has no events, so that it is complete as it is.
         let answer = read_response(call, dispatched).await?;
         return Err(AttemptError::Failure(answer));
     }
-    let mut relay = StreamRelay::new(last_id, &call.state.buffers);
+    let mut relay = StreamRelay::new(from, &call.state.buffers);
     let first = relay.next_event(&mut dispatched.response).await;
     if let Err(RelayEnd::Broken(outcome)) = first {
         if let Some(cut) = relay.cut() {
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -13,6 +13,8 @@
 mod leaving_waits;
 #[path = "forwarding/repeated_refusal.rs"]
 mod repeated_refusal;
+#[path = "forwarding/resumed_stream.rs"]
+mod resumed_stream;
 #[path = "forwarding/silent_target.rs"]
 mod silent_target;
 mod wire;
