Check the limit on heads as they are read

Cause: the limit was read once, as a connection was accepted, and given to hyper as the size of its read buffer, which cannot be changed.

Evidence: raised_limit_holds_on_open_connections and head_over_the_limit_in_force_is_refused fail on the code before.

Change: the stream that hyper reads from counts the bytes of the head that arrives and reads up to the limit in force; a head that reaches it incomplete is answered 431. No read is long enough to make hyper double its buffer, so that 1 MiB as its own limit costs no memory.

--- a/fleet/src/process/caller_server.rs
+++ b/fleet/src/process/caller_server.rs
@@ -15,7 +15,6 @@
 use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::catalog::CallerLimits;
 use crate::prelude::*;
 
 use super::connection_activity::{CallerStream, CloseStep, ConnectionActivity, EntryPhase};
@@ -23,9 +22,9 @@
 use super::request_body::BodyUnread;
 use super::request_run::{panicked_response, run_request};
 
-/// The lower bound of the limit on a connection's read buffer, in bytes: hyper accepts no smaller
-/// limit, and a larger one costs memory on small VMs.
-const MIN_READ_BUFFER: usize = 8_192;
+/// The longest head under any configuration, in bytes. The limit in force is checked as a head is
+/// read, as it may change while a connection is open.
+const MAX_HEAD_LEN: usize = 1 << 20;
 
 /// The time after which a connection is looked at again that was due to be closed and has input.
 const INPUT_PERIOD: Duration = Duration::from_millis(1);
@@ -33,6 +32,13 @@
 /// Why a connection is closed whose head takes too long to arrive.
 const HEADER_TIMEOUT_REASON: &str = "header timeout";
 
+/// Why a connection is closed whose head is longer than allowed.
+const LONG_HEAD_REASON: &str = "head too long";
+
+/// The response to a head that is longer than allowed.
+const LONG_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// The response to a head that takes too long to arrive: the status promises that nothing ran.
 const HEADER_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -118,8 +124,7 @@
     let _ = stream.set_nodelay(true);
     let caller = stream.peer_addr().ok();
     let stream = SharedStream::new(stream);
-    let limits = caller_limits(&state);
-    let activity = Arc::new(ConnectionActivity::new(&limits));
+    let activity = Arc::new(ConnectionActivity::new(&state.caller_limits()));
     let service = {
         let (state, activity) = (state.clone(), activity.clone());
         service_fn(move |request| {
@@ -136,14 +141,14 @@
                 if response.extensions().get::<BodyUnread>().is_some() {
                     activity.leave_body_unread();
                 }
-                activity.set_idle_timeout(caller_limits(&state).idle_timeout, Instant::now());
+                activity.set_idle_timeout(state.caller_limits().idle_timeout, Instant::now());
                 Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
             }
         })
     };
-    let caller_stream = CallerStream::new(stream.clone(), activity.clone());
+    let caller_stream = CallerStream::new(stream.clone(), activity.clone(), state.clone());
     let connection = http1::Builder::new()
-        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER))
+        .max_buf_size(MAX_HEAD_LEN)
         .serve_connection(TokioIo::new(caller_stream), service);
     let mut connection = pin!(connection);
     let mut phase = EntryPhase::Serving;
@@ -179,13 +184,15 @@
             set_user_timeout(&stream, &state);
         }
         let now = Instant::now();
-        let reason = match activity.close_step(now, &caller_limits(&state), phase) {
+        let reason = match activity.close_step(now, &state.caller_limits(), phase) {
             CloseStep::LookAt(at) => {
                 look_at = at;
                 continue;
             }
             CloseStep::Close(reason) => reason,
-            CloseStep::RefuseHead => HEADER_TIMEOUT_REASON,
+            CloseStep::RefuseLateHead => HEADER_TIMEOUT_REASON,
+            // What is left of it lies unread.
+            CloseStep::RefuseLongHead => break LONG_HEAD_REASON,
         };
         if stream.input() != StreamInput::Bytes {
             break reason;
@@ -205,17 +212,21 @@
     stream: &SharedStream,
     reason: &str,
 ) {
-    let is_refused = reason == HEADER_TIMEOUT_REASON;
-    let input = if is_refused { "part of a head" } else { "none" };
+    let refusal = match reason {
+        HEADER_TIMEOUT_REASON => Some(("408", HEADER_TIMEOUT_RESPONSE)),
+        LONG_HEAD_REASON => Some(("431", LONG_HEAD_RESPONSE)),
+        _ => None,
+    };
+    let input = refusal.map_or("none", |_| "part of a head");
     info!(state.log, "caller connection closed"; "caller" => caller.map(|at| at.to_string()),
         "reason" => reason, "input" => input, "requests" => activity.n_requests(),
         "idle_ms" => activity.idle_time().as_millis() as u64);
     count_end(state, reason);
-    if is_refused {
+    if let Some((status, response)) = refusal {
         let requests = &state.metrics.requests;
-        requests.with_label_values(&["own", "408"]).inc();
+        requests.with_label_values(&["own", status]).inc();
         // Fails only where the caller has gone.
-        let _ = stream.get().try_write(HEADER_TIMEOUT_RESPONSE);
+        let _ = stream.get().try_write(response);
         discard_input(stream).await;
     }
 }
@@ -297,11 +308,3 @@
     // Without the option, the connection is kept for longer.
     let _ = socket.set_tcp_user_timeout(Some(timeout.max(MIN_USER_TIMEOUT)));
 }
-
-fn caller_limits(state: &EntryState) -> CallerLimits {
-    state
-        .catalog
-        .load()
-        .as_ref()
-        .map_or_else(CallerLimits::default, |catalog| catalog.limits)
-}
--- a/fleet/src/process/connection_activity.rs
+++ b/fleet/src/process/connection_activity.rs
@@ -6,12 +6,21 @@
 
 use comfreyhead::connection::SharedStream;
 use parking_lot::Mutex;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::sync::Notify;
 
 use crate::catalog::CallerLimits;
 use crate::prelude::*;
 
+use super::entry_state::EntryState;
+
+/// The most bytes that are read at a time: with as many as its buffer holds, hyper would double it,
+/// which costs memory on small VMs.
+const MAX_READ_LEN: usize = 16_383;
+
+/// The lower bound of the limit on heads, in bytes: a first read may bring as many at once.
+const MIN_HEAD_LIMIT: usize = 8_192;
+
 /// The time beyond the idle timeout for which a request that is on its way is awaited.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
@@ -35,6 +44,9 @@
     is_read: bool,
     /// When the first byte of a head was read whose request has not begun.
     head_since: Option<Instant>,
+    /// The bytes read since then.
+    head_len: usize,
+    is_head_too_long: bool,
     last_used_at: Instant,
     /// The idle timeout on which the caller may rely since the last use.
     idle_timeout: Duration,
@@ -49,7 +61,9 @@
     /// Nothing is in progress; close it.
     Close(&'static str),
     /// A head has taken too long to arrive.
-    RefuseHead,
+    RefuseLateHead,
+    /// A head is longer than the configuration in force allows.
+    RefuseLongHead,
     /// Look again at this time, or when something changes.
     LookAt(Instant),
 }
@@ -63,6 +77,8 @@
             is_write_blocked: false,
             is_read: false,
             head_since: None,
+            head_len: 0,
+            is_head_too_long: false,
             last_used_at: Instant::now(),
             idle_timeout: limits.idle_timeout,
             known_from: None,
@@ -81,6 +97,7 @@
         progress.n_running += 1;
         progress.is_read = false;
         progress.head_since = None;
+        progress.head_len = 0;
         ResponseGuard(self.clone())
     }
 
@@ -149,11 +166,14 @@
         if is_busy {
             return CloseStep::LookAt(now + IDLE_SLACK);
         }
+        if progress.is_head_too_long {
+            return CloseStep::RefuseLongHead;
+        }
         if let Some(since) = progress.head_since {
             let head_end = since + limits.header_timeout;
             return match now < head_end {
                 true => CloseStep::LookAt(head_end),
-                false => CloseStep::RefuseHead,
+                false => CloseStep::RefuseLateHead,
             };
         }
         match entry {
@@ -163,10 +183,29 @@
         }
     }
 
+    /// Returns how many bytes may be read next, under a limit on heads: none once a head that is not
+    /// complete has reached it.
+    fn read_len(&self, head_limit: usize) -> usize {
+        let mut progress = self.progress.lock();
+        if 0 < progress.n_running {
+            return MAX_READ_LEN;
+        }
+        let left = head_limit.saturating_sub(progress.head_len);
+        if left == 0 && !progress.is_head_too_long {
+            progress.is_head_too_long = true;
+            drop(progress);
+            self.changed.notify_one();
+        }
+        left.min(MAX_READ_LEN)
+    }
+
     fn record_read(&self, bytes: &[u8]) {
         let mut progress = self.progress.lock();
         let now = Instant::now();
         progress.last_used_at = now;
+        if progress.n_running == 0 {
+            progress.head_len += bytes.len();
+        }
         // Some callers end a body with a line break that belongs to no request.
         let has_text = bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
         if progress.n_running == 0 && progress.head_since.is_none() && has_text {
@@ -206,16 +245,26 @@
     }
 }
 
-/// A caller's stream, whose reads and writes are recorded.
+/// A caller's stream, whose reads and writes are recorded, and whose heads are read up to the limit
+/// in force.
 #[derive(Debug)]
 pub(super) struct CallerStream {
-    stream: SharedStream,
+    stream: Take<SharedStream>,
     activity: Arc<ConnectionActivity>,
+    state: Arc<EntryState>,
 }
 
 impl CallerStream {
-    pub(super) fn new(stream: SharedStream, activity: Arc<ConnectionActivity>) -> Self {
-        Self { stream, activity }
+    pub(super) fn new(
+        stream: SharedStream,
+        activity: Arc<ConnectionActivity>,
+        state: Arc<EntryState>,
+    ) -> Self {
+        Self {
+            stream: stream.take(0),
+            activity,
+            state,
+        }
     }
 }
 
@@ -225,6 +274,13 @@
         context: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let limit = self.state.caller_limits().header_bytes;
+        let len = self.activity.read_len(limit.max(MIN_HEAD_LIMIT));
+        if len == 0 {
+            // The connection is closed as the activity has changed.
+            return Poll::Pending;
+        }
+        self.stream.set_limit(len as u64);
         let n_before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buf);
         let read = &buf.filled()[n_before..];
@@ -249,7 +305,8 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        let stream = self.stream.get_mut();
+        let polled = Pin::new(stream).poll_write_vectored(context, slices);
         self.activity.record_write(polled.is_pending());
         polled
     }
@@ -259,10 +316,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        Pin::new(self.stream.get_mut()).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(self.stream.get_mut()).poll_shutdown(context)
     }
 }
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
 
+use crate::catalog::CallerLimits;
 use crate::forward::{ByteBudget, HeaderNames, TargetPool};
 use crate::mirror::MirrorRecord;
 use crate::prelude::*;
@@ -143,6 +144,14 @@
         self.catalog.load().as_ref().map(|catalog| catalog.version)
     }
 
+    /// Returns the limits on what callers may send, by the configuration in force.
+    pub fn caller_limits(&self) -> CallerLimits {
+        let catalog = self.catalog.load();
+        catalog
+            .as_ref()
+            .map_or_else(CallerLimits::default, |catalog| catalog.limits)
+    }
+
     /// Returns whether the configuration was confirmed recently enough to deny a request by it.
     pub fn is_confirmed(&self, now: Instant) -> bool {
         self.confirmed_at
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -7,6 +7,8 @@
 mod ended_target;
 #[path = "forwarding/endless_target.rs"]
 mod endless_target;
+#[path = "forwarding/head_limits.rs"]
+mod head_limits;
 #[path = "forwarding/leaving_caller.rs"]
 mod leaving_caller;
 #[path = "forwarding/leaving_waits.rs"]
