Let the statement of a failed read lapse

What callers saw: nothing. An entry whose read had failed said so for good if another one took over, as it then did not read any more. Those after it in order that heard its heartbeat, and no sound one before it, would have read the store each time.

Evidence: failed_read_is_stated_while_the_entry_may_go_on_trying; on the commit before, the flag had no end.

Change: a failed read is stated for 2.5 s, longer than an entry that goes on trying pauses.

--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -185,7 +185,7 @@
         running,
         demand,
         results,
-        spans: Some(replica.spans()),
+        spans: Some(replica.spans(now)),
     }
 }
 
--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -104,11 +104,11 @@
     }
 
     /// Returns the parts of the topics' histories that this process holds.
-    pub fn spans(&self) -> CopySpans {
+    pub fn spans(&self, now: Instant) -> CopySpans {
         let inner = self.inner.lock();
         CopySpans {
-            operator: inner.operator.span(),
-            targets: inner.targets.span(),
+            operator: inner.operator.span(now),
+            targets: inner.targets.span(now),
         }
     }
 
@@ -176,7 +176,7 @@
             return false;
         }
         if let Some(copy) = inner.copy_mut(topic) {
-            copy.read_fails = false;
+            copy.read_failed_at = None;
             copy.read_at = copy.read_at.max(Some(asked_at));
             copy.confirmed_at = copy.confirmed_at.max(copy.read_at);
         }
@@ -191,7 +191,7 @@
     pub fn record_failed_read(&self, topic: StoreTopic, at: Instant, err: CallError) {
         let mut inner = self.inner.lock();
         if let Some(copy) = inner.copy_mut(topic) {
-            copy.read_fails = true;
+            copy.read_failed_at = Some(at);
         }
         // A reply that is no use comes from a store that is there.
         if !matches!(err, CallError::TooLong(_) | CallError::Malformed) {
--- a/fleet/src/process/topic_copy.rs
+++ b/fleet/src/process/topic_copy.rs
@@ -4,6 +4,9 @@
 use crate::peers::CopySpan;
 use crate::prelude::*;
 
+/// How long a failed read counts: longer than an entry that goes on trying pauses.
+const FAILURE_MEMORY: Duration = Duration::from_millis(2_500);
+
 /// An entry's copy of one topic.
 #[derive(Debug, Default)]
 pub(super) struct TopicCopy {
@@ -12,8 +15,8 @@
     changed_end: StorePosition,
     /// The time of this process's last read of the store.
     pub(super) read_at: Option<Instant>,
-    /// Whether this process's last try to read the store failed.
-    pub(super) read_fails: bool,
+    /// When this process last failed to read the store, if it has not read it since.
+    pub(super) read_failed_at: Option<Instant>,
     /// The latest time at which the store held nothing newer, as this process or a peer read.
     pub(super) confirmed_at: Option<Instant>,
 }
@@ -27,12 +30,14 @@
         self.changed_end.min(self.mirror.end())
     }
 
-    /// Returns the offsets between which the copy holds every change.
-    pub(super) fn span(&self) -> CopySpan {
+    /// Returns the offsets between which the copy holds every change, and whether this process fails
+    /// to read on: one that does not try any more says no more of the store.
+    pub(super) fn span(&self, now: Instant) -> CopySpan {
+        let failed_at = self.read_failed_at;
         CopySpan {
             start: self.mirror.history_start(),
             end: self.mirror.end().offset,
-            fails: self.read_fails,
+            fails: failed_at.is_some_and(|at| now < at + FAILURE_MEMORY),
         }
     }
 
--- a/fleet/tests/restarted_entry/model.rs
+++ b/fleet/tests/restarted_entry/model.rs
@@ -283,6 +283,6 @@
         running: Vec::new(),
         demand: Vec::new(),
         results: Vec::new(),
-        spans: Some(replica.spans()),
+        spans: Some(replica.spans(now)),
     }
 }
--- a/fleet/tests/store_outage.rs
+++ b/fleet/tests/store_outage.rs
@@ -413,3 +413,24 @@
     assert!(!is_routable(&state, "gone"));
     assert!(is_routable(&state, "live"));
 }
+
+/// Guards against an entry that counts as failing for good, as it does not read any more: those after
+/// it would read the store each time that they hear of it.
+#[test]
+fn failed_read_is_stated_while_the_entry_may_go_on_trying() {
+    let (_, replica) = replica();
+    let now = Instant::now();
+    let fails = |after_ms| {
+        let spans = replica.spans(now + Duration::from_millis(after_ms));
+        spans.targets.fails
+    };
+
+    replica.record_failed_read(StoreTopic::Targets, now, CallError::Silent);
+    let (at_once, later) = (fails(0), (fails(2_400), fails(2_600)));
+    replica.record_failed_read(StoreTopic::Targets, now, CallError::Silent);
+    replica.apply_from_store(StoreTopic::Targets, delta(3, true, &[]), now);
+
+    assert!(at_once);
+    assert_eq!(later, (true, false));
+    assert!(!fails(0), "the last read succeeded");
+}
