Read the store where a peer's newer copy does not come

Cause: the reader's confirmations counted for copies that were known to be behind it. All entries of a data centre pull a large version at once from the one or two that have it, the pulls end after 0.6 s, silent, and begin again together, while nobody reads the store.

Evidence: entry_that_is_behind_reads_by_itself_unless_pulls_bring_what_is_new and copy_is_behind_from_when_a_peer_was_ahead_and_nothing_came fail without their parts.

Change: an entry notes since when peers have been ahead while nothing new came, and reads the store itself after 0.7 s, one pull at its longest.

--- a/fleet/src/peers/reader_choice.rs
+++ b/fleet/src/peers/reader_choice.rs
@@ -14,6 +14,9 @@
 /// The random part of that age, as a fraction: entries that find their copies old do not all read.
 const AGE_SPREAD: f64 = 0.2;
 
+/// How long a copy may be behind a peer's that is not pulled: longer than one pull takes at most.
+const MAX_LAG: Duration = Duration::from_millis(700);
+
 /// The age of the last confirmed read, in milliseconds, at which an entry no longer counts as a
 /// reader.
 const READER_TIMEOUT_MS: u32 = 2_500;
@@ -32,6 +35,8 @@
     pub end: StorePosition,
     /// The last time at which this entry read the topic itself.
     pub own_read_at: Option<Instant>,
+    /// Since when peers have been ahead of this entry's copy while nothing new came.
+    pub behind_since: Option<Instant>,
     /// A random number from `0.0..1.0` that spreads the reads of entries with stale copies.
     pub jitter: f64,
 }
@@ -51,7 +56,7 @@
 ///
 /// The reader is the entry with the lowest name hash of those that reach the store. Where it says
 /// that it fails, the next one takes over at once. Any other entry reads as well once its copy is too
-/// old, for example behind a network partition.
+/// old, for example behind a network partition, or known to be behind and not pulled in time.
 pub fn choose_reader(input: &ReaderInput, peers: &PeerTable, now: Instant) -> ReaderChoice {
     let (failing, sound): (Vec<&PeerHeartbeat>, Vec<&PeerHeartbeat>) = peers
         .recent_heartbeats(now)
@@ -73,6 +78,12 @@
     if takes_over || (!has_lower_reader && reaches_store) {
         return ReaderChoice::Reader;
     }
+    if input
+        .behind_since
+        .is_some_and(|since| since + MAX_LAG <= now)
+    {
+        return ReaderChoice::Stale;
+    }
     let confirmed_at = peers
         .confirmed_copy_at(input.topic, input.era, input.end, now)
         .max(input.own_read_at);
--- a/fleet/src/process/replica_tables.rs
+++ b/fleet/src/process/replica_tables.rs
@@ -1,5 +1,6 @@
 //! The tables of a store replica.
 
+use crate::mirror::StoreEra;
 use crate::peers::{PeerTable, StoreTopic};
 use crate::prelude::*;
 use crate::roster::TargetRoster;
@@ -39,4 +40,27 @@
             StoreTopic::Peers => None,
         }
     }
+
+    /// Takes over the latest confirmation of a topic's copy by a peer, unless a peer is ahead of it;
+    /// returns the latest one.
+    pub(super) fn confirm_copy(
+        &mut self,
+        topic: StoreTopic,
+        era: StoreEra,
+        now: Instant,
+    ) -> Option<Instant> {
+        let copy = self.copy(topic)?;
+        let is_behind = self
+            .peers
+            .ahead_of(topic, copy.changed_end(), now)
+            .is_some();
+        let end = copy.mirror.end();
+        let confirmed_at = self.peers.confirmed_copy_at(topic, era, end, now);
+        let copy = self.copy_mut(topic)?;
+        match is_behind {
+            true => copy.fall_behind(now),
+            false => copy.confirm(confirmed_at),
+        }
+        copy.confirmed_at
+    }
 }
--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -92,6 +92,14 @@
         self.inner.lock().copy(topic).and_then(|copy| copy.read_at)
     }
 
+    /// Returns since when peers have been ahead of a topic's copy while nothing new came.
+    pub fn behind_since(&self, topic: StoreTopic) -> Option<Instant> {
+        self.inner
+            .lock()
+            .copy(topic)
+            .and_then(|copy| copy.behind_since)
+    }
+
     /// Returns up to where this process has applied a topic, and the age of its last read of the
     /// store.
     pub fn position(&self, topic: StoreTopic, now: Instant) -> TopicPosition {
@@ -176,9 +184,7 @@
             return false;
         }
         if let Some(copy) = inner.copy_mut(topic) {
-            copy.read_failed_at = None;
-            copy.read_at = copy.read_at.max(Some(asked_at));
-            copy.confirmed_at = copy.confirmed_at.max(copy.read_at);
+            copy.record_read(asked_at);
         }
         self.update_store_status(&mut inner, now);
         if topic == StoreTopic::Operator {
@@ -213,6 +219,7 @@
         if let Some(copy) = inner.copy_mut(topic) {
             // The copies are the same up to here, whichever records changed something in each.
             copy.advance_to(peer_copy.changed_end);
+            copy.behind_since = None;
         }
         for incarnation in &peer_copy.departed {
             let change = inner.roster.depart(incarnation, now);
@@ -258,7 +265,10 @@
         let mut inner = self.inner.lock();
         self.update_store_status(&mut inner, now);
         for topic in [StoreTopic::Operator, StoreTopic::Targets] {
-            self.confirm_copy(&mut inner, topic, now);
+            if let Some(at) = inner.confirm_copy(topic, self.era(), now) {
+                let age = now.saturating_duration_since(at);
+                self.state.metrics.observe_age(topic.label(), age);
+            }
         }
         let is_newest = inner
             .peers
@@ -277,24 +287,6 @@
         self.state.metrics.targets.set(n_usable as i64);
     }
 
-    /// Takes over the latest confirmation of a copy by a peer, unless a peer is ahead of it.
-    fn confirm_copy(&self, inner: &mut ReplicaTables, topic: StoreTopic, now: Instant) {
-        let Some(copy) = inner.copy(topic) else {
-            return;
-        };
-        let peers = &inner.peers;
-        let is_behind = peers.ahead_of(topic, copy.changed_end(), now).is_some();
-        let by_peers = peers.confirmed_copy_at(topic, self.era(), copy.mirror.end(), now);
-        let confirmed_at = copy.confirmed_at.max(by_peers.filter(|_| !is_behind));
-        if let Some(at) = confirmed_at {
-            let age = now.saturating_duration_since(at);
-            self.state.metrics.observe_age(topic.label(), age);
-        }
-        if let Some(copy) = inner.copy_mut(topic) {
-            copy.confirmed_at = confirmed_at;
-        }
-    }
-
     /// Applies records to a topic's copy and to the tables that depend on it; returns whether the
     /// copy is up to date with them.
     fn apply(
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -47,6 +47,7 @@
             era: replica.era(),
             end: position,
             own_read_at: replica.read_at(topic),
+            behind_since: replica.behind_since(topic),
             jitter: state.random_fraction(),
         };
         let choice = replica.with_peers(|peers| choose_reader(&input, peers, now));
--- a/fleet/src/process/topic_copy.rs
+++ b/fleet/src/process/topic_copy.rs
@@ -17,6 +17,8 @@
     pub(super) read_at: Option<Instant>,
     /// When this process last failed to read the store, if it has not read it since.
     pub(super) read_failed_at: Option<Instant>,
+    /// Since when peers have been ahead and nothing new came from them or the store.
+    pub(super) behind_since: Option<Instant>,
     /// The latest time at which the store held nothing newer, as this process or a peer read.
     pub(super) confirmed_at: Option<Instant>,
 }
@@ -46,6 +48,24 @@
         self.changed_end = self.changed_end.max(peer_end);
     }
 
+    /// Records a read of the store that shows all that was written up to a time.
+    pub(super) fn record_read(&mut self, at: Instant) {
+        self.read_failed_at = None;
+        self.read_at = self.read_at.max(Some(at));
+        self.confirm(Some(at));
+    }
+
+    /// Records that the copy holds all that was written up to a time.
+    pub(super) fn confirm(&mut self, at: Option<Instant>) {
+        self.behind_since = None;
+        self.confirmed_at = self.confirmed_at.max(at);
+    }
+
+    /// Records that a peer is ahead of the copy.
+    pub(super) fn fall_behind(&mut self, now: Instant) {
+        self.behind_since.get_or_insert(now);
+    }
+
     /// Moves the end of the changes behind a record of the copy's era.
     pub(super) fn advance(&mut self, offset: u64) {
         let end = StorePosition {
--- a/fleet/tests/cut_reader.rs
+++ b/fleet/tests/cut_reader.rs
@@ -86,15 +86,19 @@
     peers: &PeerTable,
     now: Instant,
 ) -> ReaderChoice {
-    let input = ReaderInput {
+    choose_reader(&input(own, jitter, topic, now), peers, now)
+}
+
+fn input(own: u64, jitter: f64, topic: StoreTopic, now: Instant) -> ReaderInput {
+    ReaderInput {
         topic,
         own,
         era: StoreEra::default(),
         end: StorePosition::default(),
         own_read_at: now.checked_sub(Duration::from_secs(20)),
+        behind_since: None,
         jitter,
-    };
-    choose_reader(&input, peers, now)
+    }
 }
 
 /// Guards against keys, routes and targets that stay in use beyond the bound, as the last read of a
@@ -170,3 +174,27 @@
     assert_eq!(confirmed_until(asked_at, wait, 2, late), asked_at);
     assert_eq!(confirmed_until(asked_at, wait, 0, asked_at), asked_at);
 }
+
+/// Guards against an entry that waits for pulls which fail, as all pull a large version at once,
+/// while the reader's confirmations count for a copy that is behind.
+#[test]
+fn entry_that_is_behind_reads_by_itself_unless_pulls_bring_what_is_new() {
+    let now = Instant::now();
+    let table = peers(&[heartbeat(1, Duration::from_millis(10))], now);
+    let behind_for = |millis| ReaderInput {
+        behind_since: now.checked_sub(Duration::from_millis(millis)),
+        ..input(5, 0.0, StoreTopic::Operator, now)
+    };
+    // A heartbeat, the update at the next own one, one pull, the check, the read.
+    let longest = HEARTBEAT * 2 + Duration::from_millis(700) + CHECK + SLOWEST_ANSWER;
+
+    assert_eq!(
+        choose_reader(&behind_for(600), &table, now),
+        ReaderChoice::Skip
+    );
+    assert_eq!(
+        choose_reader(&behind_for(700), &table, now),
+        ReaderChoice::Stale
+    );
+    assert!(longest + ROOM <= BOUND);
+}
--- a/fleet/tests/entry_state.rs
+++ b/fleet/tests/entry_state.rs
@@ -252,6 +252,7 @@
         era: StoreEra::default(),
         end: at(3),
         own_read_at: read_ms.map(|ms| now.checked_sub(Duration::from_millis(ms)).unwrap()),
+        behind_since: None,
         jitter: 0.0,
     };
 
--- a/fleet/tests/restarted_entry.rs
+++ b/fleet/tests/restarted_entry.rs
@@ -183,6 +183,7 @@
         era: StoreEra::default(),
         end: at(end),
         own_read_at: None,
+        behind_since: None,
         jitter: 0.0,
     };
     let span = CopySpan {
@@ -212,6 +213,7 @@
         era: StoreEra::default(),
         end: at(18),
         own_read_at: None,
+        behind_since: None,
         jitter: 0.0,
     };
 
--- a/fleet/tests/restarted_entry/model.rs
+++ b/fleet/tests/restarted_entry/model.rs
@@ -228,6 +228,7 @@
             era: replica.era(),
             end: replica.next_position(TOPIC),
             own_read_at,
+            behind_since: replica.behind_since(TOPIC),
             jitter: 0.0,
         };
         replica.with_peers(|peers| choose_reader(&input, peers, Instant::now()))
--- a/fleet/tests/store_outage.rs
+++ b/fleet/tests/store_outage.rs
@@ -434,3 +434,33 @@
     assert_eq!(later, (true, false));
     assert!(!fails(0), "the last read succeeded");
 }
+
+/// Guards against pulls that count as failed while each brings a part of many changes.
+#[test]
+fn copy_is_behind_from_when_a_peer_was_ahead_and_nothing_came() {
+    let topic = StoreTopic::Targets;
+    let (_, replica) = replica_that_relies_on_a_peer(&[("t", 2, "ready 81")]);
+    let now = Instant::now();
+    let later = now + Duration::from_millis(250);
+    let ahead = reader_heartbeat(position(9));
+    replica.with_peers(|peers| peers.record_heartbeat(PEER.into(), ahead, now));
+    let pulled = PeerCopy {
+        delta: delta(6, false, &[("t", 5, "draining 81")]),
+        changed_end: position(6),
+        departed: Vec::new(),
+    };
+
+    replica.tick(now);
+    replica.tick(later);
+    let before = replica.behind_since(topic);
+    replica.apply_from_peer(topic, pulled);
+    let pulled = replica.behind_since(topic);
+    replica.tick(later);
+
+    assert_eq!((before, pulled), (Some(now), None));
+    assert_eq!(
+        replica.behind_since(topic),
+        Some(later),
+        "the peer is ahead still"
+    );
+}
--- a/fleet/tests/store_restored.rs
+++ b/fleet/tests/store_restored.rs
@@ -197,6 +197,7 @@
         era: StoreEra(1),
         end: at(1, 4),
         own_read_at: Some(now),
+        behind_since: None,
         jitter: 0.0,
     };
 
