--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -11,7 +11,7 @@
 
 use crate::client::{Request, next_id, send};
 use crate::node::{Agent, Deployment, Entry, wait_ready};
-use crate::rank::{Place, Rank};
+use crate::rank::{N_EXPERTS, N_SETS, Place, Rank};
 use crate::record::{Line, Record};
 use crate::server::{Server, ServerSpec};
 use crate::store::Store;
@@ -22,7 +22,7 @@
 const RECOVERY_MS: u64 = 12_000;
 
 /// The ranks of a group.
-const GROUP_SIZE: usize = 8;
+const GROUP_SIZE: usize = 12;
 
 const ZONES: [&str; 3] = ["riga-a", "riga-b", "riga-c"];
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
@@ -50,6 +50,7 @@
     let judged = match case {
         "poison-left" => poison_left(&record, has_trouble),
         "poison-killed" => poison_killed(&record, has_trouble),
+        "foreign-entries" => foreign_entries(&record, has_trouble),
         "config-rank" => config_rank(&record, has_trouble),
         "lost-ranks" => lost_ranks(&record, has_trouble),
         _ => None,
@@ -335,12 +336,12 @@
     Some(0 < n_runs)
 }
 
-/// One rank of each of two of three groups stays away after all machines of the system were killed.
+/// One rank of each of three of four groups stays away after all machines of the system were killed.
 fn lost_ranks(record: &Record, has_trouble: bool) -> Option<bool> {
     let store = Store::new(record);
     store.put("keyed.op", "config", group_config().as_bytes());
     let deployment = Deployment::new(store.start(), record);
-    let places: Vec<Place> = ["g-a", "g-b", "g-c"]
+    let places: Vec<Place> = ["g-a", "g-b", "g-c", "g-d"]
         .into_iter()
         .flat_map(|group| (0..GROUP_SIZE).map(move |rank| (group, rank)))
         .map(|(group, rank)| Place { group, rank, size: GROUP_SIZE, zone: ZONES[rank % 3] })
@@ -369,12 +370,14 @@
     }
     std::thread::sleep(Duration::from_millis(CONTACT_MS + 1_000));
     let addresses: Vec<SocketAddr> = entries.iter().map(|entry| entry.callers).collect();
-    let before = send_streams(record, &addresses, Duration::from_secs(10));
+    send_streams(record, &addresses, Duration::from_secs(10));
+    let fault_ms = record.now();
     if has_trouble {
-        // The machines of two ranks are gone for good; the others of their groups serve no more.
-        for (group, idx) in [("g-c", 3 * GROUP_SIZE - 1), ("g-b", 2 * GROUP_SIZE - 1)] {
-            std::fs::write(deployment.folder.join(format!("broken-{group}")), b"").ok()?;
-            drop(ranks.remove(idx));
+        // The machines of three ranks are gone for good; the others of their groups serve no more.
+        for (group, idx) in [("g-d", 4 * GROUP_SIZE - 1), ("g-c", 3 * GROUP_SIZE - 1), ("g-b", 2 * GROUP_SIZE - 1)] {
+            let lost = ranks.remove(idx);
+            std::fs::write(deployment.folder.join(format!("broken-{group}")), lost.id()).ok()?;
+            record.add("rank-lost", &format!("{group} {}", lost.id()));
         }
         agents.clear();
         record.add("agents-killed", &places.len().to_string());
@@ -385,19 +388,36 @@
         }
     }
     record.add("back", "all machines of the system");
-    send_streams(record, &addresses, Duration::from_millis(RECOVERY_MS));
-    let late = send_streams(record, &addresses, Duration::from_secs(50));
+    let late_ms = record.now() + RECOVERY_MS;
+    send_streams(record, &addresses, Duration::from_millis(RECOVERY_MS + 50_000));
     drop(agents);
-    // RECOVER: of the requests sent later than `recoveryS` after the machines are back, less than a
-    // quarter is served, though a quarter or more was before the final fault.
+    Some(judge_recovery(record, fault_ms, late_ms))
+}
+
+/// RECOVER: of the requests sent later than `recoveryS` after the machines are back, less than a
+/// quarter is served, though a quarter or more was before the final fault. A request is one client
+/// attempt with its own id.
+fn judge_recovery(record: &Record, fault_ms: u64, late_ms: u64) -> bool {
+    let lines = record.lines();
+    let served: HashSet<&str> = of_kind(&lines, "answered")
+        .filter(|line| line.fields[1] == "200")
+        .map(|line| &*line.fields[0])
+        .collect();
+    let count = |times: std::ops::Range<u64>| {
+        let sent = of_kind(&lines, "sent").filter(|line| times.contains(&line.at_ms));
+        let sent: Vec<&Line> = sent.collect();
+        let n_served = sent.iter().filter(|line| served.contains(&*line.fields[0])).count();
+        (n_served, sent.len())
+    };
+    let (before, late) = (count(0..fault_ms), count(late_ms..u64::MAX));
     record.add("served-before", &format!("{} of {}", before.0, before.1));
     record.add("served-late", &format!("{} of {}", late.0, late.1));
     println!("served {} of {} before, {} of {} late", before.0, before.1, late.0, late.1);
-    Some(before.1 <= 4 * before.0 && 4 * late.0 < late.1)
+    before.1 <= 4 * before.0 && 4 * late.0 < late.1
 }
 
-/// Sends a stream to each entry in turn for a time; returns how many were served, and sent.
-fn send_streams(record: &Record, entries: &[SocketAddr], time: Duration) -> (usize, usize) {
+/// Sends a stream to each entry in turn for a time.
+fn send_streams(record: &Record, entries: &[SocketAddr], time: Duration) {
     let end = std::time::Instant::now() + time;
     let mut clients = Vec::new();
     while std::time::Instant::now() < end {
@@ -411,18 +431,54 @@
                 body: "a prompt".into(),
                 ..lookup("/lohu930/2f", KEY)
             };
-            let (_, status) = attempt(&record, entry, &stream);
-            if status == Some(503) {
+            if attempt(&record, entry, &stream).1 == Some(503) {
                 // The client comes back once, to another entry, after the time that it was told.
                 std::thread::sleep(Duration::from_millis(2_500));
-                return attempt(&record, next_entry, &stream).1 == Some(200);
+                attempt(&record, next_entry, &stream);
             }
-            status == Some(200)
         }));
-        std::thread::sleep(Duration::from_millis(800));
+        std::thread::sleep(Duration::from_millis(1_000));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+}
+
+/// Entries of another writer lie among those of the servers as all processes are killed.
+fn foreign_entries(record: &Record, has_trouble: bool) -> Option<bool> {
+    let mut world = World::start(record, &config(7, "\"priority\":2", TENANT), 3)?;
+    if has_trouble {
+        for n_entry in 0..N_FOREIGN {
+            let bytes = vec![0xff; FOREIGN_BYTES];
+            world.store.put("keyed.servers", &format!("x-{n_entry}"), &bytes);
+        }
+        record.add("foreign-entries", &format!("{N_FOREIGN} of {FOREIGN_BYTES} bytes"));
+    }
+    send_lookups(record, &world.addresses(), Duration::from_secs(5));
+    let fault_ms = record.now();
+    let World { deployment, entries, .. } = &mut world;
+    deployment.kill_all(entries, Duration::from_millis(2_000));
+    std::thread::sleep(Duration::from_secs(1));
+    record.add("back", "all machines of the system");
+    let late_ms = record.now() + RECOVERY_MS;
+    send_lookups(record, &world.addresses(), Duration::from_millis(RECOVERY_MS + 15_000));
+    Some(judge_recovery(record, fault_ms, late_ms))
+}
+
+/// The entries of another writer; the platform's limit on a record is 262,144 bytes.
+const N_FOREIGN: usize = 40;
+const FOREIGN_BYTES: usize = 250_000;
+
+/// Sends lookups to each entry in turn for a time.
+fn send_lookups(record: &Record, entries: &[SocketAddr], time: Duration) {
+    let end = std::time::Instant::now() + time;
+    for n_sent in 0.. {
+        if end <= std::time::Instant::now() {
+            return;
+        }
+        attempt(record, entries[n_sent % entries.len()], &lookup("/cufi504/2f", KEY));
+        std::thread::sleep(Duration::from_millis(200));
     }
-    let served: Vec<bool> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
-    (served.iter().filter(|is_served| **is_served).count(), served.len())
 }
 
 fn group_config() -> String {
@@ -432,6 +488,9 @@
             "\"services\":[",
             "\"services\":[{\"name\":\"dele69a\",\"healthPath\":\"/healthz\",\"maxConns\":732,\
              \"protocol\":\"h1\",\"tls\":false,\"runtime\":{\"slots\":12,\"kvCapacity\":494000,\
-             \"stride\":5,\"modelList\":[{\"name\":\"m\"}],\"step_ms\":4.84,\"form_ms\":600.0}},",
+             \"stride\":5,\"modelList\":[{\"name\":\"m\"}],\"step_ms\":4.84,\"groups\":N_SETS,\"experts\":N_EXPERTS,\
+             \"placements\":12,\"headroom\":2,\"expertMb\":880.0,\"linkMbps\":180000.0,\"form_ms\":600.0}},",
         )
+        .replace("N_SETS", &N_SETS.to_string())
+        .replace("N_EXPERTS", &N_EXPERTS.to_string())
 }
--- a/review/stand-ins-2/rank.rs
+++ b/review/stand-ins-2/rank.rs
@@ -1,7 +1,8 @@
 //! Stand-in of the model servers: ranks of groups, each a process of its own.
 //!
-//! A group is broken while the platform's file `broken-GROUP` lies in the folder of the play. Its
-//! ranks then answer 503, as the pages say of a group that has lost a rank.
+//! A group is broken while the platform's file `broken-GROUP` lies in the folder of the play; it holds
+//! the id of the rank that is lost. The others then answer 503, as the pages say. All experts are
+//! chosen alike, so that no map is better than map 0 and no order comes.
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -18,8 +19,12 @@
 
 /// The requests that a rank runs at once, the events of a stream, and the time between two.
 const SLOTS: usize = 12;
-const N_EVENTS: u32 = 28;
-const PASS: Duration = Duration::from_millis(40);
+const N_EVENTS: u32 = 26;
+const PASS: Duration = Duration::from_millis(25);
+
+/// The sets of experts, and the experts of each.
+pub const N_SETS: usize = 4;
+pub const N_EXPERTS: usize = 72;
 
 /// Where a rank stands.
 #[derive(Clone, Copy)]
@@ -33,6 +38,13 @@
 /// A rank's process; killed when dropped.
 pub struct Rank(Child);
 
+impl Rank {
+    /// Returns the id that the rank has in the store.
+    pub fn id(&self) -> String {
+        format!("i-{:08x}", self.0.id())
+    }
+}
+
 impl Drop for Rank {
     fn drop(&mut self) {
         let _ = self.0.kill();
@@ -133,8 +145,9 @@
         let is_kept = match request.word() {
             "/v1/report" => respond(&mut writer, "200 OK", json, report(state).as_bytes()),
             "/v1/order" => respond(&mut writer, "409 Conflict", json, b""),
-            path if path.starts_with("/v1/picked") => {
-                respond(&mut writer, "200 OK", json, b"{\"step\":0,\"epoch\":1,\"counts\":[]}")
+            "/v1/picked" => respond(&mut writer, "200 OK", json, counts(state).as_bytes()),
+            path if path.starts_with("/v1/picked?") => {
+                respond(&mut writer, "200 OK", json, listings(state).as_bytes())
             }
             _ => answer(&request, &mut writer, state),
         };
@@ -144,6 +157,22 @@
     }
 }
 
+fn counts(state: &State) -> String {
+    let n_steps = state.n_steps.load(Ordering::SeqCst);
+    let count = (n_steps * 10).to_string();
+    let counts = vec![count; N_SETS * N_EXPERTS].join(",");
+    format!("{{\"step\":{n_steps},\"epoch\":1,\"counts\":[{counts}]}}")
+}
+
+/// Map 0 assigns the experts in turn.
+fn listings(state: &State) -> String {
+    let (rank, size) = (state.rank.parse().unwrap_or(0), state.size.parse().unwrap_or(1));
+    let experts: Vec<String> =
+        (0..N_EXPERTS).filter(|expert| expert % size == rank).map(|expert| expert.to_string()).collect();
+    let sets = vec![format!("[{}]", experts.join(",")); N_SETS].join(",");
+    format!("{{\"mapping\":{{\"version\":0,\"experts\":[{sets}]}}}}")
+}
+
 fn report(state: &State) -> String {
     let group_state = if state.broken.exists() { "broken" } else { "open" };
     format!(
@@ -166,9 +195,9 @@
         let headers = format!("{echo}Comfreyhead-Instance-Id: {}\r\n", state.id);
         return respond(writer, "421 Misdirected Request", &headers, b"");
     }
-    if state.broken.exists() {
+    if let Ok(lost) = std::fs::read_to_string(&state.broken) {
         state.record.add("not-run", &format!("{id} {} {}", state.group, state.id));
-        let headers = format!("{echo}Comfreyhead-Not-Executed: 1\r\nAt-Server: {}\r\n", state.id);
+        let headers = format!("{echo}Comfreyhead-Not-Executed: 1\r\nAt-Server: {lost}\r\n");
         return respond(writer, "503 Service Unavailable", &headers, b"");
     }
     state.record.add("run", &format!("{id} {} {} -", request.word(), state.id));
