--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -119,7 +119,10 @@
 /// Sends one attempt and records it and its end.
 fn attempt(record: &Record, entry: SocketAddr, request: &Request) -> (String, Option<u16>) {
     let id = next_id();
-    record.add("sent", &format!("{id} {entry} {} {}", request.method, request.path));
+    record.add(
+        "sent",
+        &format!("{id} {entry} {} {}", request.method, request.path),
+    );
     let answer = send(entry, &id, request);
     let (status, text) = match &answer {
         Ok(message) => (message.word().parse().ok(), message.word().to_owned()),
@@ -199,15 +202,18 @@
     )
 }
 
-const TENANT: &str =
-    "{\"name\":\"hule930\",\"apiKeys\":[\"n2ctnfzs989anu6wsjnb\",\"anfqasnmgkcuyj8pjbvk\"],\"priority\":1}";
+const TENANT: &str = "{\"name\":\"hule930\",\"apiKeys\":[\"n2ctnfzs989anu6wsjnb\",\"anfqasnmgkcuyj8pjbvk\"],\"priority\":1}";
 
 /// A request hangs its servers and then crashes them; its caller has left by then, as callers do.
 fn poison_left(record: &Record, has_trouble: bool) -> Option<bool> {
     let world = World::start(record, &config(7, "\"priority\":2", TENANT), 6)?;
     let addresses = world.addresses();
     let bystanders = Bystanders::start(record, addresses.clone());
-    let path = if has_trouble { "/lohu930/end-3000/2f" } else { "/lohu930/hang-3000/2f" };
+    let path = if has_trouble {
+        "/lohu930/end-3000/2f"
+    } else {
+        "/lohu930/hang-3000/2f"
+    };
     let stream = Request {
         method: "POST",
         deadline: Duration::from_millis(8_000),
@@ -236,7 +242,11 @@
         if n_visit == 1 {
             std::thread::sleep(Duration::from_secs(3));
             if has_trouble {
-                let World { deployment, entries, .. } = &mut world;
+                let World {
+                    deployment,
+                    entries,
+                    ..
+                } = &mut world;
                 deployment.kill_all(entries, Duration::from_millis(2_000));
             }
             if !wait_ready(&world.entries) {
@@ -275,7 +285,10 @@
     // Entries are in touch once they have run for the contact time.
     let in_touch = |at: u64| {
         let starts = of_kind(&lines, "entry-started").map(|line| line.at_ms);
-        starts.filter(|start| *start <= at).max().is_some_and(|start| start + CONTACT_MS <= at)
+        starts
+            .filter(|start| *start <= at)
+            .max()
+            .is_some_and(|start| start + CONTACT_MS <= at)
     };
     let n_late = crashes.get(2).map_or(0, |third| {
         of_kind(&lines, "run")
@@ -287,7 +300,10 @@
     record.add("crashes", &crashes.len().to_string());
     record.add("late-retries", &n_late.to_string());
     record.add("orders-run-and-not-answered", &lost.to_string());
-    println!("{} crashes, {n_late} late retries, {lost} orders run and not answered", crashes.len());
+    println!(
+        "{} crashes, {n_late} late retries, {lost} orders run and not answered",
+        crashes.len()
+    );
     3 < n_late
 }
 
@@ -317,7 +333,11 @@
         }
     }
     let tenant = "{\"name\":\"hule930\",\"apiKeys\":[\"n2ctnfzs989anu6wsjnb\"],\"priority\":1}";
-    let rank = if has_trouble { "\"priority\":300" } else { "\"priority\":30" };
+    let rank = if has_trouble {
+        "\"priority\":300"
+    } else {
+        "\"priority\":30"
+    };
     let acknowledged = world.configure(12, &config(12, rank, tenant));
     std::thread::sleep(Duration::from_millis(CONFIG_APPLY_MS + 500));
     let mut late = HashSet::new();
@@ -330,9 +350,14 @@
     // dropped key.
     let lines = record.lines();
     let runs = of_kind(&lines, "run").filter(|line| late.contains(&line.fields[0]));
-    let n_runs = runs.filter(|line| acknowledged + CONFIG_APPLY_MS < line.at_ms).count();
+    let n_runs = runs
+        .filter(|line| acknowledged + CONFIG_APPLY_MS < line.at_ms)
+        .count();
     record.add("late-runs-with-dropped-key", &n_runs.to_string());
-    println!("{n_runs} of {} late requests ran with a dropped key", late.len());
+    println!(
+        "{n_runs} of {} late requests ran with a dropped key",
+        late.len()
+    );
     Some(0 < n_runs)
 }
 
@@ -344,14 +369,25 @@
     let places: Vec<Place> = ["g-a", "g-b", "g-c", "g-d"]
         .into_iter()
         .flat_map(|group| (0..GROUP_SIZE).map(move |rank| (group, rank)))
-        .map(|(group, rank)| Place { group, rank, size: GROUP_SIZE, zone: ZONES[rank % 3] })
+        .map(|(group, rank)| Place {
+            group,
+            rank,
+            size: GROUP_SIZE,
+            zone: ZONES[rank % 3],
+        })
         .collect();
     let target = |n: usize| deployment.address(101 + n as u8, 8122);
     let mut ranks: Vec<Rank> = places
         .iter()
         .enumerate()
         .map(|(n, place)| {
-            Rank::start(*place, target(n), deployment.store, record, &deployment.folder)
+            Rank::start(
+                *place,
+                target(n),
+                deployment.store,
+                record,
+                &deployment.folder,
+            )
         })
         .collect();
     std::thread::sleep(Duration::from_millis(300));
@@ -374,7 +410,11 @@
     let fault_ms = record.now();
     if has_trouble {
         // The machines of three ranks are gone for good; the others of their groups serve no more.
-        for (group, idx) in [("g-d", 4 * GROUP_SIZE - 1), ("g-c", 3 * GROUP_SIZE - 1), ("g-b", 2 * GROUP_SIZE - 1)] {
+        for (group, idx) in [
+            ("g-d", 4 * GROUP_SIZE - 1),
+            ("g-c", 3 * GROUP_SIZE - 1),
+            ("g-b", 2 * GROUP_SIZE - 1),
+        ] {
             let lost = ranks.remove(idx);
             std::fs::write(deployment.folder.join(format!("broken-{group}")), lost.id()).ok()?;
             record.add("rank-lost", &format!("{group} {}", lost.id()));
@@ -389,7 +429,11 @@
     }
     record.add("back", "all machines of the system");
     let late_ms = record.now() + RECOVERY_MS;
-    send_streams(record, &addresses, Duration::from_millis(RECOVERY_MS + 50_000));
+    send_streams(
+        record,
+        &addresses,
+        Duration::from_millis(RECOVERY_MS + 50_000),
+    );
     drop(agents);
     Some(judge_recovery(record, fault_ms, late_ms))
 }
@@ -406,13 +450,19 @@
     let count = |times: std::ops::Range<u64>| {
         let sent = of_kind(&lines, "sent").filter(|line| times.contains(&line.at_ms));
         let sent: Vec<&Line> = sent.collect();
-        let n_served = sent.iter().filter(|line| served.contains(&*line.fields[0])).count();
+        let n_served = sent
+            .iter()
+            .filter(|line| served.contains(&*line.fields[0]))
+            .count();
         (n_served, sent.len())
     };
     let (before, late) = (count(0..fault_ms), count(late_ms..u64::MAX));
     record.add("served-before", &format!("{} of {}", before.0, before.1));
     record.add("served-late", &format!("{} of {}", late.0, late.1));
-    println!("served {} of {} before, {} of {} late", before.0, before.1, late.0, late.1);
+    println!(
+        "served {} of {} before, {} of {} late",
+        before.0, before.1, late.0, late.1
+    );
     before.1 <= 4 * before.0 && 4 * late.0 < late.1
 }
 
@@ -450,18 +500,31 @@
     if has_trouble {
         for n_entry in 0..N_FOREIGN {
             let bytes = vec![0xff; FOREIGN_BYTES];
-            world.store.put("keyed.servers", &format!("x-{n_entry}"), &bytes);
+            world
+                .store
+                .put("keyed.servers", &format!("x-{n_entry}"), &bytes);
         }
-        record.add("foreign-entries", &format!("{N_FOREIGN} of {FOREIGN_BYTES} bytes"));
+        record.add(
+            "foreign-entries",
+            &format!("{N_FOREIGN} of {FOREIGN_BYTES} bytes"),
+        );
     }
     send_lookups(record, &world.addresses(), Duration::from_secs(5));
     let fault_ms = record.now();
-    let World { deployment, entries, .. } = &mut world;
+    let World {
+        deployment,
+        entries,
+        ..
+    } = &mut world;
     deployment.kill_all(entries, Duration::from_millis(2_000));
     std::thread::sleep(Duration::from_secs(1));
     record.add("back", "all machines of the system");
     let late_ms = record.now() + RECOVERY_MS;
-    send_lookups(record, &world.addresses(), Duration::from_millis(RECOVERY_MS + 15_000));
+    send_lookups(
+        record,
+        &world.addresses(),
+        Duration::from_millis(RECOVERY_MS + 15_000),
+    );
     Some(judge_recovery(record, fault_ms, late_ms))
 }
 
@@ -476,7 +539,11 @@
         if end <= std::time::Instant::now() {
             return;
         }
-        attempt(record, entries[n_sent % entries.len()], &lookup("/cufi504/2f", KEY));
+        attempt(
+            record,
+            entries[n_sent % entries.len()],
+            &lookup("/cufi504/2f", KEY),
+        );
         std::thread::sleep(Duration::from_millis(200));
     }
 }
--- a/review/stand-ins-2/client.rs
+++ b/review/stand-ins-2/client.rs
@@ -29,11 +29,13 @@
 
 /// Sends one attempt on a new connection; the error says how it ended without a whole answer.
 pub fn send(entry: SocketAddr, id: &str, request: &Request) -> Result<Message, &'static str> {
-    let mut stream = TcpStream::connect_timeout(&entry, Duration::from_secs(1))
-        .map_err(|_| "not-connected")?;
+    let mut stream =
+        TcpStream::connect_timeout(&entry, Duration::from_secs(1)).map_err(|_| "not-connected")?;
     let _ = stream.set_nodelay(true);
     let end = Instant::now() + request.deadline;
-    let key = request.key.map_or(String::new(), |key| format!("Authorization: Token {key}\r\n"));
+    let key = request.key.map_or(String::new(), |key| {
+        format!("Authorization: Token {key}\r\n")
+    });
     let text = format!(
         "{} {} HTTP/1.1\r\nHost: ficu95.example\r\nComfreyhead-Attempt-Id: {id}\r\n\
          Comfreyhead-Deadline-Ms: {}\r\n{key}Content-Length: {}\r\nConnection: close\r\n\r\n{}",
@@ -45,7 +47,9 @@
     );
     stream.write_all(text.as_bytes()).map_err(|_| "not-sent")?;
     let mut first = [0];
-    let wait = request.patience.min(end.saturating_duration_since(Instant::now()));
+    let wait = request
+        .patience
+        .min(end.saturating_duration_since(Instant::now()));
     let _ = stream.set_read_timeout(Some(wait.max(Duration::from_millis(1))));
     if stream.peek(&mut first).is_err() {
         // The client closes its connection.
--- a/review/stand-ins-2/node.rs
+++ b/review/stand-ins-2/node.rs
@@ -53,9 +53,8 @@
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         // Ports of entries are the same on all machines, so that each needs an address of its own.
-        let is_free = |net: &u8| {
-            std::net::TcpListener::bind(format!("127.77.{net}.1:9464")).is_ok()
-        };
+        let is_free =
+            |net: &u8| std::net::TcpListener::bind(format!("127.77.{net}.1:9464")).is_ok();
         let first = (std::process::id() % 200) as u8;
         let net = (0..50).map(|n| first + n).find(is_free).unwrap();
         Self {
@@ -85,14 +84,18 @@
     pub fn start_agent(&self, number: u8, target: SocketAddr, service: &str, zone: &str) -> Agent {
         let ip = target.ip().to_string();
         let settings = self.settings(&ip, zone);
-        let settings = settings.replace("role=entry", "role=agent").replace("edge", "side");
+        let settings = settings
+            .replace("role=entry", "role=agent")
+            .replace("edge", "side");
         let settings = format!("{settings}app={target}\nservice={service}\n");
         Agent(self.spawn("agent", number, &settings))
     }
 
     /// Returns an address on a machine of this deployment.
     pub fn address(&self, number: u8, port: u16) -> SocketAddr {
-        format!("127.77.{}.{number}:{port}", self.net).parse().unwrap()
+        format!("127.77.{}.{number}:{port}", self.net)
+            .parse()
+            .unwrap()
     }
 
     /// Starts a process with the command of the deploy file.
@@ -101,15 +104,23 @@
         std::fs::write(&path, settings).unwrap();
         let mut log = std::fs::OpenOptions::new();
         log.create(true).append(true);
-        let log = log.open(self.folder.join(format!("{role}-{number}.log"))).unwrap();
+        let log = log
+            .open(self.folder.join(format!("{role}-{number}.log")))
+            .unwrap();
         let mut command = Command::new("target/release/comfrey-node");
-        command.arg(role).env_clear().env("COMFREYHEAD_CONFIG", &path);
+        command
+            .arg(role)
+            .env_clear()
+            .env("COMFREYHEAD_CONFIG", &path);
         for name in ["PATH", "HOME", "LANG"] {
             if let Some(value) = std::env::var_os(name) {
                 command.env(name, value);
             }
         }
-        command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
+        command
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null());
         end_with_parent(&mut command);
         command.spawn().unwrap()
     }
@@ -146,7 +157,8 @@
         for entry in entries.iter_mut() {
             let _ = entry.child.kill();
         }
-        self.record.add("entries-killed", &numbers.len().to_string());
+        self.record
+            .add("entries-killed", &numbers.len().to_string());
         entries.clear();
         std::thread::sleep(pause);
         entries.extend(numbers.into_iter().map(|number| self.start(number)));
--- a/review/stand-ins-2/rank.rs
+++ b/review/stand-ins-2/rank.rs
@@ -15,7 +15,7 @@
 use crate::http::{Message, read_message, respond};
 use crate::node::{end_with_parent, own_program};
 use crate::record::{Record, now_ms};
-use crate::server::{beat, HEARTBEAT};
+use crate::server::{HEARTBEAT, beat};
 
 /// The requests that a rank runs at once, the events of a stream, and the time between two.
 const SLOTS: usize = 12;
@@ -61,10 +61,21 @@
         folder: &Path,
     ) -> Self {
         let mut command = Command::new(own_program());
-        command.args(["rank", place.group, &place.rank.to_string(), &place.size.to_string()]);
+        command.args([
+            "rank",
+            place.group,
+            &place.rank.to_string(),
+            &place.size.to_string(),
+        ]);
         command.args([place.zone, &address.to_string(), &store.to_string()]);
-        command.arg(record.path()).arg(record.start_ms.to_string()).arg(folder);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        command
+            .arg(record.path())
+            .arg(record.start_ms.to_string())
+            .arg(folder);
+        command
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null());
         end_with_parent(&mut command);
         Self(command.spawn().unwrap())
     }
@@ -83,7 +94,18 @@
 
 /// Runs a rank's process.
 pub fn run(args: &[&str]) -> ExitCode {
-    let [group, rank, size, zone, address, store, record, start_ms, folder] = args else {
+    let [
+        group,
+        rank,
+        size,
+        zone,
+        address,
+        store,
+        record,
+        start_ms,
+        folder,
+    ] = args
+    else {
         return ExitCode::from(2);
     };
     let record = Record::open(Path::new(record), start_ms.parse().unwrap_or(0));
@@ -101,9 +123,15 @@
         n_running: AtomicUsize::new(0),
         n_steps: AtomicUsize::new(0),
     });
-    state.record.add("rank-started", &format!("{group} {rank} {id}"));
+    state
+        .record
+        .add("rank-started", &format!("{group} {rank} {id}"));
     let born = now_ms();
-    let (zone, address, store) = ((*zone).to_owned(), (*address).to_owned(), (*store).to_owned());
+    let (zone, address, store) = (
+        (*zone).to_owned(),
+        (*address).to_owned(),
+        (*store).to_owned(),
+    );
     std::thread::spawn(move || {
         for seq in 1.. {
             let entry = format!(
@@ -124,7 +152,9 @@
             std::thread::sleep(PASS);
             // An idle group makes no passes.
             let is_busy = 0 < passes.n_running.load(Ordering::SeqCst);
-            passes.n_steps.fetch_add(usize::from(is_busy), Ordering::SeqCst);
+            passes
+                .n_steps
+                .fetch_add(usize::from(is_busy), Ordering::SeqCst);
         }
     });
     for stream in listener.incoming().flatten() {
@@ -166,15 +196,24 @@
 
 /// Map 0 assigns the experts in turn.
 fn listings(state: &State) -> String {
-    let (rank, size) = (state.rank.parse().unwrap_or(0), state.size.parse().unwrap_or(1));
-    let experts: Vec<String> =
-        (0..N_EXPERTS).filter(|expert| expert % size == rank).map(|expert| expert.to_string()).collect();
+    let (rank, size) = (
+        state.rank.parse().unwrap_or(0),
+        state.size.parse().unwrap_or(1),
+    );
+    let experts: Vec<String> = (0..N_EXPERTS)
+        .filter(|expert| expert % size == rank)
+        .map(|expert| expert.to_string())
+        .collect();
     let sets = vec![format!("[{}]", experts.join(",")); N_SETS].join(",");
     format!("{{\"mapping\":{{\"version\":0,\"experts\":[{sets}]}}}}")
 }
 
 fn report(state: &State) -> String {
-    let group_state = if state.broken.exists() { "broken" } else { "open" };
+    let group_state = if state.broken.exists() {
+        "broken"
+    } else {
+        "open"
+    };
     format!(
         "{{\"phase\":\"mixed\",\"modelList\":[{{\"name\":\"m\",\"version\":1,\"loras\":[]}}],\
          \"busy\":false,\"seq\":0,\"queued\":0,\"active\":{},\"kvInUse\":0,\"kvSize\":90000,\
@@ -191,16 +230,23 @@
 fn answer(request: &Message, writer: &mut TcpStream, state: &State) -> bool {
     let id = request.header("comfreyhead-attempt-id").unwrap_or_default();
     let echo = format!("Comfreyhead-Attempt-Id: {id}\r\nKeep-Alive: timeout=5\r\n");
-    if request.header("comfreyhead-expect-instance").is_some_and(|expected| expected != state.id) {
+    if request
+        .header("comfreyhead-expect-instance")
+        .is_some_and(|expected| expected != state.id)
+    {
         let headers = format!("{echo}Comfreyhead-Instance-Id: {}\r\n", state.id);
         return respond(writer, "421 Misdirected Request", &headers, b"");
     }
     if let Ok(lost) = std::fs::read_to_string(&state.broken) {
-        state.record.add("not-run", &format!("{id} {} {}", state.group, state.id));
+        state
+            .record
+            .add("not-run", &format!("{id} {} {}", state.group, state.id));
         let headers = format!("{echo}Comfreyhead-Not-Executed: 1\r\nAt-Server: {lost}\r\n");
         return respond(writer, "503 Service Unavailable", &headers, b"");
     }
-    state.record.add("run", &format!("{id} {} {} -", request.word(), state.id));
+    state
+        .record
+        .add("run", &format!("{id} {} {} -", request.word(), state.id));
     state.n_running.fetch_add(1, Ordering::SeqCst);
     let head = format!(
         "HTTP/1.1 200 OK\r\n{echo}Comfreyhead-Server-Seal: seal.{id}\r\n\
--- a/review/stand-ins-2/server.rs
+++ b/review/stand-ins-2/server.rs
@@ -81,9 +81,20 @@
 
 fn spawn(spec: &ServerSpec, address: SocketAddr) -> Child {
     let mut command = Command::new(own_program());
-    command.args(["server", spec.service, spec.zone, &address.to_string(), &spec.store.to_string()]);
-    command.arg(spec.record.path()).arg(spec.record.start_ms.to_string());
-    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+    command.args([
+        "server",
+        spec.service,
+        spec.zone,
+        &address.to_string(),
+        &spec.store.to_string(),
+    ]);
+    command
+        .arg(spec.record.path())
+        .arg(spec.record.start_ms.to_string());
+    command
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null());
     end_with_parent(&mut command);
     command.spawn().unwrap()
 }
@@ -169,7 +180,10 @@
     let id = request.header("comfreyhead-attempt-id").unwrap_or_default();
     let path = request.word();
     let echo = format!("Comfreyhead-Attempt-Id: {id}\r\nKeep-Alive: timeout=5\r\n");
-    if request.header("comfreyhead-expect-instance").is_some_and(|expected| expected != state.id) {
+    if request
+        .header("comfreyhead-expect-instance")
+        .is_some_and(|expected| expected != state.id)
+    {
         let headers = format!("{echo}Comfreyhead-Instance-Id: {}\r\n", state.id);
         return respond(writer, "421 Misdirected Request", &headers, b"");
     }
@@ -177,17 +191,29 @@
         let headers = format!("{echo}Comfreyhead-Not-Executed: 1\r\n");
         return respond(writer, "503 Service Unavailable", &headers, b"");
     }
-    let deadline = request.header("comfreyhead-deadline-ms").and_then(|text| text.parse().ok());
+    let deadline = request
+        .header("comfreyhead-deadline-ms")
+        .and_then(|text| text.parse().ok());
     let deadline = Instant::now() + Duration::from_millis(deadline.unwrap_or(8_000));
-    let tenant = request.headers.iter().find(|(name, _)| name == "comfreyhead-tenant");
+    let tenant = request
+        .headers
+        .iter()
+        .find(|(name, _)| name == "comfreyhead-tenant");
     let tenant = tenant.map_or("-".into(), |(_, value)| String::from_utf8_lossy(value));
     let tenant = tenant.replace(' ', "_");
-    state.record.add("run", &format!("{id} {path} {} {tenant}", state.id));
+    state
+        .record
+        .add("run", &format!("{id} {path} {} {tenant}", state.id));
     // A path tells how long a run takes and whether it then ends the server: `hang-MS` and `end-MS`.
     let step = path.split('/').find_map(|part| part.split_once('-'));
-    let time = step.and_then(|(_, ms)| ms.parse().ok()).map(Duration::from_millis);
+    let time = step
+        .and_then(|(_, ms)| ms.parse().ok())
+        .map(Duration::from_millis);
     let is_deadly = step.is_some_and(|(word, _)| word == "end");
-    std::thread::sleep(time.unwrap_or(WORK).min(deadline.saturating_duration_since(Instant::now())));
+    std::thread::sleep(
+        time.unwrap_or(WORK)
+            .min(deadline.saturating_duration_since(Instant::now())),
+    );
     let headers = format!(
         "{echo}Comfreyhead-Server-Seal: seal.{id}\r\nComfreyhead-Server-Load: {n_taken},0,{SLOTS}\r\n"
     );
@@ -196,13 +222,20 @@
         return respond(writer, "504 Gateway Timeout", &headers, b"");
     }
     if is_deadly {
-        state.record.add("server-crashed", &format!("{} {id}", state.id));
+        state
+            .record
+            .add("server-crashed", &format!("{} {id}", state.id));
         // No core file is wanted; the operating system closes the connections all the same.
         std::process::exit(137);
     }
     if path.starts_with("/lohu930/") {
         let headers = format!("{headers}Content-Type: text/event-stream\r\n");
-        return respond(writer, "200 OK", &headers, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        return respond(
+            writer,
+            "200 OK",
+            &headers,
+            b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        );
     }
     respond(writer, "200 OK", &headers, id.as_bytes())
 }
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -103,9 +103,14 @@
     }
 
     fn answer(&self, request: &Message) -> (&'static str, Vec<u8>) {
-        let (path, query) = request.word().split_once('?').unwrap_or((request.word(), ""));
-        let query: HashMap<&str, &str> =
-            query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let (path, query) = request
+            .word()
+            .split_once('?')
+            .unwrap_or((request.word(), ""));
+        let query: HashMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
         let topic = query.get("topic").copied().unwrap_or_default();
         let number = |name: &str| query.get(name).and_then(|text| text.parse().ok());
         match path {
@@ -143,16 +148,21 @@
             rest = &rest[4 + len..];
             n_records += 1;
         }
-        let end = self.tables.0.lock().unwrap().topics.get(topic).map_or(0, Vec::len);
+        let end = self
+            .tables
+            .0
+            .lock()
+            .unwrap()
+            .topics
+            .get(topic)
+            .map_or(0, Vec::len);
         let body = format!("{{\"position\":{},\"endOffset\":{end}}}", end - n_records);
         ("200 OK", body.into_bytes())
     }
 
     fn read(&self, topic: &str, from: usize, wait: Duration) -> (&'static str, Vec<u8>) {
         let (tables, changed) = &*self.tables;
-        let has_none = |tables: &mut Tables| {
-            tables.topics.get(topic).map_or(0, Vec::len) <= from
-        };
+        let has_none = |tables: &mut Tables| tables.topics.get(topic).map_or(0, Vec::len) <= from;
         let guard = tables.lock().unwrap();
         let (guard, _) = changed.wait_timeout_while(guard, wait, has_none).unwrap();
         let empty = Topic::new();
@@ -175,8 +185,11 @@
         let tables = self.tables.0.lock().unwrap();
         let empty = Topic::new();
         let records = tables.topics.get(topic).unwrap_or(&empty);
-        let newest: BTreeMap<&[u8], usize> =
-            records.iter().enumerate().map(|(idx, (key, _))| (&key[..], idx)).collect();
+        let newest: BTreeMap<&[u8], usize> = records
+            .iter()
+            .enumerate()
+            .map(|(idx, (key, _))| (&key[..], idx))
+            .collect();
         let after = after.map(percent_decoded);
         let mut entries = Vec::new();
         let mut n_bytes = 0;
@@ -193,7 +206,9 @@
             }
             let key = String::from_utf8_lossy(key);
             let data = base64(value);
-            entries.push(format!("{{\"key\":\"{key}\",\"data\":\"{data}\",\"position\":{idx}}}"));
+            entries.push(format!(
+                "{{\"key\":\"{key}\",\"data\":\"{data}\",\"position\":{idx}}}"
+            ));
         }
         let body = format!(
             "{{\"entries\":[{}],\"truncated\":{is_truncated},\"endOffset\":{}}}",
@@ -228,7 +243,11 @@
         let bits = u32::from_be_bytes([0, group[0], group[1], group[2]]);
         for digit in 0..4 {
             let value = (bits >> (18 - 6 * digit)) & 63;
-            text.push(if digit <= chunk.len() { DIGITS[value as usize] as char } else { '=' });
+            text.push(if digit <= chunk.len() {
+                DIGITS[value as usize] as char
+            } else {
+                '='
+            });
         }
     }
     text
