Read each number of a document by itself

What callers saw: a version that took a key away and ranked a route at 300 was never in force, so that requests with the dropped key were served on.

Cause: configurations were decoded into the types in which an entry keeps their fields. One number over its type, or written as 300.0 or 3e2, made the whole document undecodable; so did an unknown type of route. The same held for targets' records and ranks' reports.

Evidence: the entries log "unreadable record" with the reason 0.1 s after the acknowledgement.

Change: numbers, truth values and types of routes are read one by one. Unusable values are replaced by the nearest safe ones, logged and counted. What identifies something (rank, expert, start) is still rejected. Weights are floats, as their sum wrapped around; paces are limited, as their product with a time overflowed.

--- a/fleet/src/catalog/route_catalog.rs
+++ b/fleet/src/catalog/route_catalog.rs
@@ -17,6 +17,8 @@
     pub limits: CallerLimits,
     /// The client accounts by key; `None` where calls need no key.
     pub accounts: Option<HashMap<Arc<str>, Account>>,
+    /// The fields whose values could not be used, and what is used in their place.
+    pub replaced_fields: Vec<String>,
 }
 
 /// A client account that a key resolves to.
--- a/fleet/src/catalog/route_spec.rs
+++ b/fleet/src/catalog/route_spec.rs
@@ -33,7 +33,7 @@
     /// The name of the service.
     pub service: Arc<str>,
     /// The share, relative to those of the route's other services.
-    pub weight: u32,
+    pub weight: f64,
 }
 
 /// The shortest time without an event after which callers give up a stream.
@@ -54,13 +54,13 @@
 
     /// Returns the service for a random number from `0.0..1.0`; `None` where all weights are zero.
     pub fn pick_service(&self, random: f64) -> Option<&Arc<str>> {
-        let total: u32 = self.backends.iter().map(|backend| backend.weight).sum();
-        let mut left = random * f64::from(total);
-        let weighted = self.backends.iter().filter(|backend| 0 < backend.weight);
+        let total: f64 = self.backends.iter().map(|backend| backend.weight).sum();
+        let mut left = random * total;
+        let weighted = self.backends.iter().filter(|backend| 0.0 < backend.weight);
         let mut last = None;
         for backend in weighted {
             last = Some(&backend.service);
-            left -= f64::from(backend.weight);
+            left -= backend.weight;
             if left < 0.0 {
                 break;
             }
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -1,7 +1,7 @@
 //! The tables that the tasks of an entry share.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
@@ -48,6 +48,8 @@
     pub drain: DrainState,
     /// The last time at which this process or a peer read the configuration from the store.
     pub confirmed_at: Mutex<Option<Instant>>,
+    /// Whether most entries have a newer configuration in force, which this one cannot read.
+    pub is_outdated: AtomicBool,
     /// The bytes of bodies and events that are buffered.
     pub buffers: Arc<ByteBudget>,
     /// Counters and histograms.
@@ -102,6 +104,7 @@
             n_entries: AtomicUsize::new(1),
             drain: DrainState::default(),
             confirmed_at: Mutex::new(None),
+            is_outdated: AtomicBool::new(false),
             buffers: Arc::new(ByteBudget::new(MAX_BUFFERED_BYTES, buffered_bytes)),
             metrics,
             log,
@@ -171,10 +174,11 @@
         self.bounds.borrow().grace
     }
 
-    /// Returns whether the entry accepts new connections: it has a configuration and a usable
-    /// target, and is not stopping.
+    /// Returns whether the entry accepts new connections: it has a usable target and a configuration
+    /// that is not older than that of most entries, and is not stopping.
     pub fn is_ready(&self) -> bool {
         !self.drain.is_draining()
+            && !self.is_outdated.load(Ordering::Relaxed)
             && self.catalog.load().is_some()
             && 0 < self.table.lock().n_usable()
     }
@@ -208,6 +212,12 @@
         }
         info!(log, "configuration in force"; "version" => catalog.version, "source" => %source,
             "offset" => record.offset, "before" => current);
+        let replaced = &catalog.replaced_fields;
+        if !replaced.is_empty() {
+            warn!(log, "configuration fields replaced"; "version" => catalog.version,
+                "fields" => replaced.join("; "));
+        }
+        self.metrics.replaced_fields.set(replaced.len() as i64);
         self.metrics.version.set(catalog.version as i64);
         self.catalog.store(Some(Arc::new(catalog)));
         true
--- a/fleet/src/process/metrics.rs
+++ b/fleet/src/process/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms of an entry.
 
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -36,6 +37,10 @@
     pub store_calls: IntCounterVec,
     /// The configuration version in force.
     pub version: IntGauge,
+    /// Whether the newest configuration in the store cannot be read: 1 or 0.
+    pub unread_config: IntGauge,
+    /// The named fields of the configuration in force whose values are not used as they are.
+    pub replaced_fields: IntGauge,
     /// The newest era of the store that is known.
     pub store_era: IntGauge,
     /// Copies of topics that were replaced as the store came back from an older copy.
@@ -67,33 +72,15 @@
     pub fn new() -> Self {
         let registry = Registry::new();
         let counters = |name: &str, help: &str, labels: &[&str]| {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels);
-            let counters = counters.expect("metric_names_are_valid");
-            registry
-                .register(Box::new(counters.clone()))
-                .expect("metrics_differ");
-            counters
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("metric_names_are_valid");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("metrics_differ");
-            gauge
+            register(&registry, IntCounterVec::new(Opts::new(name, help), labels))
         };
+        let gauge = |name: &str, help: &str| register(&registry, IntGauge::new(name, help));
         let histograms = |name: &str, help: &str, label: &str, buckets: &[f64]| {
             let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
-            let histograms = HistogramVec::new(options, &[label]).expect("metric_names_are_valid");
-            registry
-                .register(Box::new(histograms.clone()))
-                .expect("metrics_differ");
-            histograms
+            register(&registry, HistogramVec::new(options, &[label]))
         };
         let target_ends = IntCounter::new("comfrey_target_ends", "Runs during which targets ended");
-        let target_ends = target_ends.expect("metric_names_are_valid");
-        registry
-            .register(Box::new(target_ends.clone()))
-            .expect("metrics_differ");
+        let target_ends = register(&registry, target_ends);
         Self {
             requests: counters("comfrey_requests", "Requests", &["kind", "outcome"]),
             dispatches: counters("comfrey_dispatches", "Dispatches to targets", &["outcome"]),
@@ -104,6 +91,14 @@
             ),
             store_calls: counters("comfrey_store_calls", "Store calls", &["topic", "result"]),
             version: gauge("comfrey_config_version", "Configuration version in force"),
+            unread_config: gauge(
+                "comfrey_config_unread",
+                "Whether the newest configuration cannot be read",
+            ),
+            replaced_fields: gauge(
+                "comfrey_config_replaced_fields",
+                "Fields of the configuration with other values in force",
+            ),
             store_era: gauge("comfrey_store_era", "Era of the store"),
             replaced_copies: counters(
                 "comfrey_replaced_copies",
@@ -170,3 +165,15 @@
         text
     }
 }
+
+/// Adds a metric to a registry; returns it.
+fn register<T: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: prometheus::Result<T>,
+) -> T {
+    let metric = metric.expect("metric_names_are_valid");
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("metrics_differ");
+    metric
+}
--- a/fleet/src/routing/routing_table.rs
+++ b/fleet/src/routing/routing_table.rs
@@ -24,6 +24,9 @@
 /// carry its load.
 const MAX_EJECTED_FRACTION: usize = 3;
 
+/// The highest pace: products of higher ones with a time may overflow.
+const MAX_PACE: f64 = 1_000.0;
+
 /// The recent failures, weighted by age, from which a target's results are reported to peers.
 const MIN_REPORTED_FAILURES: f32 = 0.2;
 
@@ -239,7 +242,7 @@
             .values_mut()
             .filter(|row| row.entry.address == address)
         {
-            row.pace = Some((f64::from(pace).max(1.0), now));
+            row.pace = Some((MAX_PACE.min(f64::from(pace).max(1.0)), now));
         }
     }
 
--- a/fleet/tests/entry_state.rs
+++ b/fleet/tests/entry_state.rs
@@ -28,7 +28,7 @@
         backends: SmallVec::from_elem(
             Backend {
                 service: "ledger".into(),
-                weight: 1,
+                weight: 1.0,
             },
             1,
         ),
@@ -131,15 +131,15 @@
     split.backends = SmallVec::from_vec(vec![
         Backend {
             service: "old".into(),
-            weight: 3,
+            weight: 3.0,
         },
         Backend {
             service: "none".into(),
-            weight: 0,
+            weight: 0.0,
         },
         Backend {
             service: "new".into(),
-            weight: 1,
+            weight: 1.0,
         },
     ]);
     let picks = (0..100).map(|draw| split.pick_service(f64::from(draw) / 100.0).unwrap());
--- a/fleet/tests/wire/mod.rs
+++ b/fleet/tests/wire/mod.rs
@@ -318,7 +318,7 @@
 pub fn route(kind: CallKind) -> RouteSpec {
     let backend = Backend {
         service: "svc".into(),
-        weight: 1,
+        weight: 1.0,
     };
     RouteSpec {
         name: "r".into(),
