Deny nothing by a version that an unread one has replaced

What callers saw: beside a version that it could not read, an entry answered 401 and 404 by the one before as if nothing newer were there.

Cause: the entry confirmed its configuration with each read of the store, whether it could read the record or not. Beside a peer with a newer version in force it also asked for that one twelve times a second.

Change: an entry with an unread version confirms nothing of its own, so that denials become 503 after 3 s. It is not ready while more than half of the entries that it hears have a newer version in force; alone it serves on, as all entries may be in this state at once. A peer's unreadable bytes are asked for once a second. docs/design/platform.md weighs this.

--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -37,6 +37,7 @@
 mod stream_run;
 mod stream_source;
 mod topic_copy;
+mod unread_config;
 
 pub use agent_run::{AgentConfig, run_agent};
 pub use caller_body::{CallerBody, StreamPart};
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -316,7 +316,11 @@
             }
         } else if let Some(address) = newer.filter(|_| topic == StoreTopic::Operator) {
             match pull(address, CATALOG_PATH, &budget).await {
-                Ok(bytes) => replica.apply_peer_catalog(bytes.to_vec()),
+                // The same peer would send it again at once.
+                Ok(bytes) if !replica.apply_peer_catalog(bytes.to_vec()) => {
+                    tokio::time::sleep(BAD_PULL_PAUSE).await;
+                }
+                Ok(_) => {}
                 Err(err) => record_failure(&state, "catalog", address, &err).await,
             }
         }
--- a/fleet/src/process/replica_tables.rs
+++ b/fleet/src/process/replica_tables.rs
@@ -7,6 +7,7 @@
 
 use super::store_status::StoreStatus;
 use super::topic_copy::TopicCopy;
+use super::unread_config::UnreadConfig;
 
 /// The tables of a store replica, behind its lock.
 #[derive(Debug, Default)]
@@ -20,6 +21,8 @@
     pub(super) era_seen_at: Option<Instant>,
     /// The configuration in force, while the copy of the store holds an older one.
     pub(super) retained_catalog: Option<Vec<u8>>,
+    /// Whether the newest configuration in the store cannot be read.
+    pub(super) unread_config: UnreadConfig,
 }
 
 impl ReplicaTables {
--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -232,8 +232,8 @@
     }
 
     /// Puts a configuration in force that was pulled from a peer while the store holds an older
-    /// one.
-    pub fn apply_peer_catalog(&self, bytes: Vec<u8>) {
+    /// one; returns whether it could be read.
+    pub fn apply_peer_catalog(&self, bytes: Vec<u8>) -> bool {
         let mut inner = self.inner.lock();
         let before = self.state.version();
         let record = MirrorRecord {
@@ -241,20 +241,23 @@
             offset: inner.operator.mirror.end().offset,
             value: Some(bytes),
         };
-        self.state
+        let is_read = self
+            .state
             .apply_catalog(&record, RecordSource::Peer, &self.decoders);
         if before < self.state.version() {
             inner.retained_catalog = record.value;
         }
+        is_read
     }
 
-    /// Records that the configuration matched the store at a time. Shortly after a restore, a version
-    /// in the store confirms nothing, as it may be an older one.
+    /// Records that the configuration matched the store at a time, unless the store holds one that
+    /// cannot be read. Shortly after a restore, a version in the store confirms nothing, as it may be
+    /// an older one.
     fn confirm_catalog(&self, inner: &ReplicaTables, at: Instant) {
         let is_restoring = inner
             .era_seen_at
             .is_some_and(|seen_at| at < seen_at + DENIAL_GRACE_PERIOD);
-        if !is_restoring {
+        if !is_restoring && !inner.unread_config.is_some() {
             self.state.confirm(at);
         }
     }
@@ -279,6 +282,7 @@
         {
             self.confirm_catalog(&inner, at);
         }
+        inner.unread_config.compare(&inner.peers, &self.state, now);
         for id in inner.roster.expire(now) {
             info!(self.state.log, "target lapsed"; "target" => &*id);
             self.state.table.lock().apply(&RosterChange::Removed(id));
@@ -411,6 +415,10 @@
         match topic {
             StoreTopic::Operator => {
                 let is_valid = self.state.apply_catalog(record, source, &self.decoders);
+                if record.key == self.decoders.catalog_key && record.value.is_some() {
+                    let config = &mut inner.unread_config;
+                    config.observe(record.offset, is_valid, &self.state);
+                }
                 if inner.retained_catalog.is_some() && self.is_in_force(record) {
                     inner.retained_catalog = None;
                 }
