Keep what ends targets in the store

What callers saw: after a kill of all entries, a request that was known to end its targets ended six more, and orders that ran there were lost.

Cause: what ends targets was known in the memory of running entries only.

Change: an entry that saw a target end under a request keeps the request in the store from the second end on, in one record under its own name. Entries that start read all records.

--- a/fleet/src/peers/copy_span.rs
+++ b/fleet/src/peers/copy_span.rs
@@ -43,7 +43,7 @@
         match topic {
             StoreTopic::Operator => Some(self.operator),
             StoreTopic::Targets => Some(self.targets),
-            StoreTopic::Peers => None,
+            StoreTopic::Peers | StoreTopic::Suspects => None,
         }
     }
 }
--- a/fleet/src/peers/message.rs
+++ b/fleet/src/peers/message.rs
@@ -37,6 +37,8 @@
     AskPermit(PermitQuery),
     /// The reply to it.
     Permit(PermitReply),
+    /// An entry's reports of what it knows from the store only of such requests, to the other entries.
+    Restored(Vec<SuspectReport>),
 }
 
 /// An entry's query for a permit to send one request to a target with a limit.
@@ -161,6 +163,8 @@
     Targets,
     /// The records by which the processes of this system register themselves.
     Peers,
+    /// The records of the requests that may have ended targets.
+    Suspects,
 }
 
 impl StoreTopic {
@@ -170,6 +174,7 @@
             Self::Operator => "operator",
             Self::Targets => "targets",
             Self::Peers => "peers",
+            Self::Suspects => "suspects",
         }
     }
 }
--- a/fleet/src/peers/peer_table.rs
+++ b/fleet/src/peers/peer_table.rs
@@ -223,7 +223,7 @@
         match topic {
             StoreTopic::Operator => Some(self.operator),
             StoreTopic::Targets => Some(self.targets),
-            StoreTopic::Peers => None,
+            StoreTopic::Peers | StoreTopic::Suspects => None,
         }
     }
 
--- a/fleet/src/process/end_check.rs
+++ b/fleet/src/process/end_check.rs
@@ -34,6 +34,7 @@
             "target" => &*run.pick.id, "digest" => %run.keys.request,
             "parts" => %run.prompt_parts, "ends" => n_ends);
         state.metrics.target_ends.inc();
+        state.target_ended.notify_one();
     }
     check
 }
--- a/fleet/src/process/entry_run.rs
+++ b/fleet/src/process/entry_run.rs
@@ -19,6 +19,7 @@
 use super::record_decoders::Decoders;
 use super::store_access::{StoreAnswer, StoreRequest};
 use super::store_replica::StoreReplica;
+use super::suspect_keeper::keep_suspects;
 use super::{peer_tasks, store_tasks};
 
 /// The configuration of an entry process.
@@ -100,6 +101,12 @@
             state.clone(),
         ));
     }
+    tokio::spawn(keep_suspects(
+        config.clone(),
+        replica.clone(),
+        state.clone(),
+        call.clone(),
+    ));
     tokio::spawn(store_tasks::join_peers(
         config.clone(),
         replica.clone(),
--- a/fleet/src/process/entry_state.rs
+++ b/fleet/src/process/entry_state.rs
@@ -42,6 +42,8 @@
     pub pool: TargetPool,
     /// Notified whenever a request ends and a slot may be free.
     pub slot_freed: Notify,
+    /// Notified whenever a target ended while it ran a request of this entry.
+    pub target_ended: Notify,
     /// The number of entries that share the retry budget.
     pub n_entries: AtomicUsize,
     /// Whether the process is stopping.
@@ -101,6 +103,7 @@
             permits: PermitTable::default(),
             pool: TargetPool::default(),
             slot_freed: Notify::new(),
+            target_ended: Notify::new(),
             n_entries: AtomicUsize::new(1),
             drain: DrainState::default(),
             confirmed_at: Mutex::new(None),
--- a/fleet/src/process/metrics.rs
+++ b/fleet/src/process/metrics.rs
@@ -59,6 +59,8 @@
     pub permits: IntCounterVec,
     /// The requests that may have ended targets, as known to this entry.
     pub crash_suspects: IntGauge,
+    /// Those that this entry keeps in the store.
+    pub kept_suspects: IntGauge,
 }
 
 impl Default for EntryMetrics {
@@ -115,6 +117,7 @@
                 "Permits for targets with a limit",
                 &["result", "source"],
             ),
+            kept_suspects: gauge("comfrey_kept_suspects", "Such requests kept in the store"),
             crash_suspects: gauge("comfrey_crash_suspects", "Requests that may end targets"),
             latency: histograms(
                 "comfrey_answer_seconds",
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -36,6 +36,7 @@
 mod store_tasks;
 mod stream_run;
 mod stream_source;
+mod suspect_keeper;
 mod topic_copy;
 mod unread_config;
 
--- a/fleet/src/process/peer_tasks.rs
+++ b/fleet/src/process/peer_tasks.rs
@@ -16,7 +16,7 @@
     HeartbeatReceivers, PeerCopy, PeerHeartbeat, PeerMessage, PermitQuery, RankQuery, StoreTopic,
 };
 use crate::prelude::*;
-use crate::routing::{PeerLoad, ROUND_PERIOD, RankStatus};
+use crate::routing::{PeerLoad, ROUND_PERIOD, RankStatus, SuspectReport};
 
 use super::caller_body::CallerBody;
 use super::entry_run::EntryConfig;
@@ -117,9 +117,16 @@
     if reports.is_empty() {
         return;
     }
-    let message = PeerMessage::Suspects(reports);
-    send_to_all(socket, &message, &receivers.own_heartbeat).await;
-    send_to_all(socket, &message, &receivers.zone_heartbeat).await;
+    let (restored, seen): (Vec<_>, Vec<_>) =
+        reports.into_iter().partition(|report| report.is_restored);
+    let messages = [
+        (seen.is_empty(), PeerMessage::Suspects(seen)),
+        (restored.is_empty(), PeerMessage::Restored(restored)),
+    ];
+    for (_, message) in messages.iter().filter(|(is_empty, _)| !is_empty) {
+        send_to_all(socket, message, &receivers.own_heartbeat).await;
+        send_to_all(socket, message, &receivers.zone_heartbeat).await;
+    }
 }
 
 /// Sends what is due of the limits that targets name.
@@ -221,14 +228,12 @@
                 }
                 replica.with_peers(|peers| peers.record_heartbeat(address, heartbeat, now));
             }
-            Some(PeerMessage::Suspects(reports)) => {
-                let mut suspects = state.suspects.lock();
-                for report in &reports {
-                    if suspects.observe_report(report, now) {
-                        warn!(state.log, "suspect reported"; "from" => %address,
-                            "suspect" => %report.key, "ends" => report.ends.len());
-                    }
-                }
+            Some(PeerMessage::Suspects(reports)) => observe_reports(&state, &reports, address),
+            Some(PeerMessage::Restored(mut reports)) => {
+                reports
+                    .iter_mut()
+                    .for_each(|report| report.is_restored = true);
+                observe_reports(&state, &reports, address);
             }
             Some(PeerMessage::Limits(reports)) => {
                 for report in &reports {
@@ -265,6 +270,18 @@
     }
 }
 
+/// Merges reports of another entry.
+fn observe_reports(state: &EntryState, reports: &[SuspectReport], from: SocketAddr) {
+    let now = Instant::now();
+    let mut suspects = state.suspects.lock();
+    for report in reports {
+        if suspects.observe_report(report, now) {
+            warn!(state.log, "suspect reported"; "from" => %from, "suspect" => %report.key,
+                "ends" => report.ends.len(), "restored" => report.is_restored);
+        }
+    }
+}
+
 /// Asks the agents beside ranks of groups that do not serve for the ranks' reports.
 pub(super) async fn watch_groups(
     config: Arc<EntryConfig>,
--- a/fleet/src/process/replica_tables.rs
+++ b/fleet/src/process/replica_tables.rs
@@ -31,7 +31,7 @@
         match topic {
             StoreTopic::Operator => Some(&self.operator),
             StoreTopic::Targets => Some(&self.targets),
-            StoreTopic::Peers => None,
+            StoreTopic::Peers | StoreTopic::Suspects => None,
         }
     }
 
@@ -40,7 +40,7 @@
         match topic {
             StoreTopic::Operator => Some(&mut self.operator),
             StoreTopic::Targets => Some(&mut self.targets),
-            StoreTopic::Peers => None,
+            StoreTopic::Peers | StoreTopic::Suspects => None,
         }
     }
 
--- a/fleet/src/process/store_access.rs
+++ b/fleet/src/process/store_access.rs
@@ -14,8 +14,22 @@
     Read(StoreTopic, u64, Duration),
     /// Reads the newest record of each key of a topic.
     Newest(StoreTopic),
-    /// Writes the record of this process.
-    Announce(String, Vec<u8>),
+    /// Writes the record of a key of a topic; an empty value removes it.
+    Write(StoreTopic, String, Vec<u8>),
+    /// Removes the record of a key, if the topic still ends at an offset.
+    Remove(StoreTopic, String, u64),
+}
+
+impl StoreRequest {
+    /// Returns the topic that the call reads or writes.
+    pub fn topic(&self) -> StoreTopic {
+        match self {
+            Self::Read(topic, ..)
+            | Self::Newest(topic)
+            | Self::Write(topic, ..)
+            | Self::Remove(topic, ..) => *topic,
+        }
+    }
 }
 
 /// What came of a call to the platform's store.
--- a/fleet/src/process/store_replica.rs
+++ b/fleet/src/process/store_replica.rs
@@ -376,7 +376,7 @@
                 StoreTopic::Targets => {
                     bytes.and_then(|bytes| (self.decoders.target)(&record.key, bytes).ok())
                 }
-                StoreTopic::Operator | StoreTopic::Peers => None,
+                StoreTopic::Operator | StoreTopic::Peers | StoreTopic::Suspects => None,
             };
             match restored {
                 Some(entry) => {
@@ -425,7 +425,7 @@
                 is_valid
             }
             StoreTopic::Targets => self.apply_target(inner, record, source),
-            StoreTopic::Peers => false,
+            StoreTopic::Peers | StoreTopic::Suspects => false,
         }
     }
 
--- a/fleet/src/process/store_tasks.rs
+++ b/fleet/src/process/store_tasks.rs
@@ -66,16 +66,12 @@
             false => StoreRequest::Read(topic, position.offset, wait),
         };
         let label = topic.label();
-        let StoreAnswer { era, result } = call(request).await;
+        let answer = call(request).await;
+        count_call(&state, label, &answer);
+        let StoreAnswer { era, result } = answer;
         if let Some(era) = era {
             replica.observe_era(era);
         }
-        let outcome = if result.is_ok() { "ok" } else { "failed" };
-        state
-            .metrics
-            .store_calls
-            .with_label_values(&[label, outcome])
-            .inc();
         match result {
             Ok(StoreReply::Records(delta)) => {
                 let n_records = delta.records.len();
@@ -101,8 +97,18 @@
     }
 }
 
+/// Counts a call to the store.
+pub(super) fn count_call(state: &EntryState, topic: &str, answer: &StoreAnswer) {
+    let outcome = match answer.result {
+        Ok(_) => "ok",
+        Err(_) => "failed",
+    };
+    let calls = &state.metrics.store_calls;
+    calls.with_label_values(&[topic, outcome]).inc();
+}
+
 /// Logs a failed call, and counts a reply over a limit.
-fn record_failure(state: &EntryState, topic: &str, err: CallError) {
+pub(super) fn record_failure(state: &EntryState, topic: &str, err: CallError) {
     warn!(state.log, "store call failed"; "topic" => topic, "fault" => %err);
     if matches!(err, CallError::TooLong(_)) {
         state.metrics.count_cut("store");
@@ -111,7 +117,7 @@
 
 /// The time over which entries spread the calls by which they register again after the store came
 /// back from an older copy.
-const REGISTER_SPREAD: Duration = Duration::from_millis(2_000);
+pub(super) const REGISTER_SPREAD: Duration = Duration::from_millis(2_000);
 
 /// Registers this process in the store and reads the other entries' records, again each time that
 /// the store comes back from an older copy; never returns.
@@ -129,7 +135,7 @@
         zone: config.zone.to_string(),
     };
     let value = postcard::to_allocvec(&record).expect("records_have_a_byte_form");
-    let announce = StoreRequest::Announce(config.name.to_string(), value);
+    let announce = StoreRequest::Write(StoreTopic::Peers, config.name.to_string(), value);
     let read = StoreRequest::Newest(StoreTopic::Peers);
     let mut eras = replica.subscribe_era();
     loop {
@@ -164,7 +170,7 @@
 }
 
 /// Repeats a call until the store has executed it; returns the era of the answer, and the reply.
-async fn call_until_done<Call, Reply>(
+pub(super) async fn call_until_done<Call, Reply>(
     request: &StoreRequest,
     replica: &StoreReplica,
     state: &EntryState,
@@ -175,14 +181,16 @@
     Reply: Future<Output = StoreAnswer>,
 {
     loop {
-        let StoreAnswer { era, result } = call(request.clone()).await;
+        let answer = call(request.clone()).await;
+        count_call(state, request.topic().label(), &answer);
+        let StoreAnswer { era, result } = answer;
         if let Some(era) = era {
             replica.observe_era(era);
         }
         match result {
             Ok(reply) => return (era.unwrap_or_default(), reply),
             Err(err) => {
-                record_failure(state, StoreTopic::Peers.label(), err);
+                record_failure(state, request.topic().label(), err);
                 let pause = FAILURE_BACKOFF.1.mul_f64(0.5 + state.random_fraction());
                 tokio::time::sleep(pause).await;
             }
--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -4,6 +4,7 @@
 
 use super::crash_suspects::SuspectDecision;
 use super::suspect_key::SuspectKey;
+use super::suspect_record::{KeptEnd, KeptSuspect, MAX_KEPT_ENDS};
 use super::suspect_report::{EndReport, SuspectReport};
 
 /// The number of targets that end under a suspect, in runs that follow each other, from which it is
@@ -30,6 +31,17 @@
 /// Two ends of one target within this time are the same end, reported by two entries or runs.
 const SAME_END_MS: i64 = 1_000;
 
+/// How far the clocks of the machines that write ends into the store may be apart.
+const CLOCK_DIFFERENCE_MS: i64 = 10_000;
+
+/// The number of ends since the last answer from which a suspect is kept in the store: after a
+/// restart one more end is enough then.
+const MIN_KEPT_ENDS: usize = 2;
+
+/// How long a suspect is refused after a restart that is harmful by the ends in the store alone, with
+/// `MIN_ENDS` of them; each further end doubles it. What would have cleared a sound one may be lost.
+const RESTORED_REFUSAL_MS: i64 = 10_000;
+
 /// How long a suspect is refused that ran at each end beside another one, until a run of the other
 /// one tells which of them is harmful: the time of a target's return and of a run.
 const TIE_MS: i64 = 6_000;
@@ -68,6 +80,8 @@
 #[derive(Debug)]
 pub(super) struct CrashSuspect {
     key: SuspectKey,
+    /// Whether a target ended under a run of this entry, which then keeps the suspect in the store.
+    is_observed: bool,
     /// The ends of targets that ran the request, the oldest first.
     ends: SmallVec<[TargetEnd; 4]>,
     answered_at: Option<i64>,
@@ -88,11 +102,21 @@
     pub(super) began_at: i64,
     /// The end of the target.
     pub(super) at: i64,
+    /// When this entry learned of the end, where it is known from the store only.
+    pub(super) restored_at: Option<i64>,
 }
 
 impl TargetEnd {
     fn is_same(&self, other: &Self) -> bool {
-        self.target == other.target && (self.at - other.at).abs() < SAME_END_MS
+        let max_difference = match (self.restored_at, other.restored_at) {
+            (None, None) => SAME_END_MS,
+            (Some(_), Some(_)) => CLOCK_DIFFERENCE_MS,
+            // What ends later cannot have been in the store.
+            (Some(restored_at), None) if other.at <= restored_at => CLOCK_DIFFERENCE_MS,
+            (None, Some(restored_at)) if self.at <= restored_at => CLOCK_DIFFERENCE_MS,
+            _ => return false,
+        };
+        self.target == other.target && (self.at - other.at).abs() < max_difference
     }
 }
 
@@ -100,6 +124,7 @@
     pub(super) fn new(key: SuspectKey) -> Self {
         Self {
             key,
+            is_observed: false,
             ends: SmallVec::new(),
             answered_at: None,
             probe_until: None,
@@ -111,7 +136,17 @@
     /// Adds the end of a target, unless it is known. One request is no evidence against the parts of
     /// its prompt more than once.
     pub(super) fn add_end(&mut self, new: TargetEnd) {
-        if let Some(known) = self.ends.iter_mut().find(|end| end.is_same(&new)) {
+        if let Some(known_idx) = self.ends.iter().position(|end| end.is_same(&new)) {
+            let known = &mut self.ends[known_idx];
+            match (known.restored_at, new.restored_at) {
+                (_, Some(_)) => return,
+                // The times of a running entry are more exact.
+                (Some(_), None) => {
+                    self.ends.remove(known_idx);
+                    return self.add_end(new);
+                }
+                (None, None) => {}
+            }
             // Of several runs that one end broke off, all entries keep the last one.
             if known.began_at + CLOCK_ERROR_MS < new.began_at {
                 known.began_at = new.began_at;
@@ -236,7 +271,7 @@
             // Another entry may still tell what else ran at the last end.
             return SuspectDecision::Refused(Duration::from_millis((settled_at - now) as u64));
         }
-        let refused_until = last_end + REFUSAL_MS;
+        let refused_until = self.refused_until(last_end);
         let until = refused_until.max(self.probe_until.unwrap_or(refused_until));
         if now < until {
             return SuspectDecision::Refused(Duration::from_millis((until - now) as u64));
@@ -244,6 +279,67 @@
         SuspectDecision::Probe
     }
 
+    /// Returns until when a harmful suspect is refused.
+    fn refused_until(&self, last_end: i64) -> i64 {
+        let until = last_end + REFUSAL_MS;
+        let restored = self.ends_since_answer().map(|end| end.restored_at);
+        // `None` is the lowest value, so that one end of a running entry counts for all.
+        let Some(Some(restored_at)) = restored.min() else {
+            return until;
+        };
+        let n_further = self.n_counted().saturating_sub(MIN_ENDS);
+        until.min(restored_at + (RESTORED_REFUSAL_MS << n_further))
+    }
+
+    /// Records that this entry saw a target end under the suspect.
+    pub(super) fn observe(&mut self) {
+        self.is_observed = true;
+    }
+
+    /// Returns what this entry keeps of the suspect in the store, if anything.
+    pub(super) fn kept(&self, now: i64) -> Option<KeptSuspect> {
+        let n_ends = self.ends_since_answer().count();
+        if !self.is_observed || n_ends < MIN_KEPT_ENDS || self.has_expired(now) {
+            return None;
+        }
+        let ends = self
+            .ends_since_answer()
+            .skip(n_ends.saturating_sub(MAX_KEPT_ENDS));
+        Some(KeptSuspect {
+            key: self.key,
+            ends: ends
+                .map(|end| KeptEnd {
+                    target: end.target,
+                    request: end.request,
+                    began_at: end.began_at,
+                    at: end.at,
+                })
+                .collect(),
+            answered_at: self.answered_at,
+        })
+    }
+
+    /// Adds what was kept in the store. Times in the future come from a clock that was ahead; an end
+    /// long in the future or past is not used.
+    pub(super) fn restore(&mut self, kept: &KeptSuspect, now: i64) {
+        for end in kept.ends.iter().take(MAX_KEPT_ENDS) {
+            if end.at <= now - SUSPECT_TTL_MS || now + CLOCK_DIFFERENCE_MS < end.at {
+                continue;
+            }
+            let at = end.at.min(now);
+            self.add_end(TargetEnd {
+                target: end.target,
+                request: end.request,
+                began_at: end.began_at.clamp(at - SUSPECT_TTL_MS, at),
+                at,
+                restored_at: Some(now),
+            });
+        }
+        if let Some(at) = kept.answered_at {
+            self.clear(at.clamp(now - SUSPECT_TTL_MS, now));
+        }
+    }
+
     /// Counts a probe that is sent.
     pub(super) fn begin_probe(&mut self, now: i64) {
         self.probe_until = Some(now + PROBE_TIMEOUT_MS);
@@ -271,17 +367,26 @@
         (is_changed, self.n_counted(), waiting)
     }
 
-    /// Returns a report for the other entries.
-    pub(super) fn take_report(&mut self, key: SuspectKey, now: i64) -> SuspectReport {
+    /// Takes the reports for the other entries: of what running entries saw, and of what is known from
+    /// the store only.
+    pub(super) fn take_reports(&mut self, now: i64) -> impl Iterator<Item = SuspectReport> {
         self.n_reports = REPORTS_OF_CHANGE.min(self.n_reports + 1);
         self.reported_at = Some(now);
+        let reports = [self.report(now, false), self.report(now, true)];
+        reports.into_iter().filter(|report| {
+            !report.ends.is_empty() || (report.answered_ms.is_some() && !report.is_restored)
+        })
+    }
+
+    fn report(&self, now: i64, is_restored: bool) -> SuspectReport {
         let age = |at: i64| u32::try_from(now - at).unwrap_or_default();
         let ends = self
             .ends
             .iter()
+            .filter(|end| end.restored_at.is_some() == is_restored)
             .filter(|end| now < end.at + SUSPECT_TTL_MS - REPORT_MARGIN_MS);
         SuspectReport {
-            key,
+            key: self.key,
             ends: ends
                 .map(|end| EndReport {
                     target: end.target,
@@ -291,6 +396,7 @@
                 })
                 .collect(),
             answered_ms: self.answered_at.map(age),
+            is_restored,
         }
     }
 
@@ -303,6 +409,7 @@
                 request: end.request,
                 began_at: at - i64::from(end.run_ms),
                 at,
+                restored_at: report.is_restored.then_some(now),
             });
         }
         if let Some(age) = report.answered_ms {
--- a/fleet/src/routing/crash_suspects.rs
+++ b/fleet/src/routing/crash_suspects.rs
@@ -10,6 +10,7 @@
 
 use super::crash_suspect::{CrashSuspect, TargetEnd};
 use super::suspect_key::{SuspectKey, SuspectKeys};
+use super::suspect_record::{MAX_KEPT_SUSPECTS, SuspectRecord};
 use super::suspect_report::SuspectReport;
 
 /// The most suspects that are kept.
@@ -52,6 +53,15 @@
     Refused(Duration),
 }
 
+/// Which entry wrote a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordWriter {
+    /// This one, before it restarted.
+    This,
+    /// Another one.
+    Other,
+}
+
 /// What the ends under a suspect may be due to instead.
 enum Explanation {
     /// Another suspect, under which more targets ended.
@@ -84,9 +94,13 @@
             request: keys.request.0 as u32,
             began_at: self.millis(began_at),
             at: self.millis(now),
+            restored_at: None,
         };
         let counts = keys.iter().map(|key| {
-            self.change(key, end.at, |suspect| suspect.add_end(end));
+            self.change(key, end.at, |suspect| {
+                suspect.observe();
+                suspect.add_end(end);
+            });
             self.suspects.get(&key).map_or(0, CrashSuspect::n_counted)
         });
         counts.max().unwrap_or_default()
@@ -136,13 +150,14 @@
         due.sort_by_key(|(_, suspect)| Reverse(suspect.urgency(now)));
         let mut reports = Vec::new();
         let mut n_ends = 0;
-        for (key, suspect) in due.into_iter().take(MAX_REPORTS) {
+        for (_, suspect) in due.into_iter().take(MAX_REPORTS) {
             if MAX_REPORTED_ENDS <= n_ends {
                 break;
             }
-            let report = suspect.take_report(*key, now);
-            n_ends += report.ends.len();
-            reports.push(report);
+            for report in suspect.take_reports(now) {
+                n_ends += report.ends.len();
+                reports.push(report);
+            }
         }
         reports
     }
@@ -167,6 +182,54 @@
         !had_enough && has_enough(self)
     }
 
+    /// Returns what this entry keeps in the store: of the suspects under which it saw targets end, those
+    /// with the most ends, the newest first.
+    pub fn record(&self, now: Instant) -> SuspectRecord {
+        let now = self.millis(now);
+        let kept = self
+            .suspects
+            .values()
+            .filter_map(|suspect| suspect.kept(now));
+        let mut suspects: Vec<_> = kept.collect();
+        suspects.sort_by_key(|kept| {
+            let last_end = kept.ends.last().map(|end| end.at);
+            (Reverse(kept.ends.len()), Reverse(last_end), kept.key)
+        });
+        suspects.truncate(MAX_KEPT_SUSPECTS);
+        SuspectRecord { suspects }
+    }
+
+    /// Adds what an entry kept in the store, where `unix_ms` is the time of day now; returns the
+    /// number of suspects that still count. What this entry kept before it restarted is its own to
+    /// keep again.
+    pub fn restore(
+        &mut self,
+        record: SuspectRecord,
+        writer: RecordWriter,
+        unix_ms: i64,
+        now: Instant,
+    ) -> usize {
+        let now = self.millis(now);
+        let record = record.shifted(now - unix_ms);
+        let mut n_restored = 0;
+        for kept in record.suspects.iter().take(MAX_KEPT_SUSPECTS) {
+            self.change(kept.key, now, |suspect| {
+                suspect.restore(kept, now);
+                if writer == RecordWriter::This {
+                    suspect.observe();
+                }
+            });
+            let suspect = self.suspects.get(&kept.key);
+            n_restored += usize::from(suspect.is_some_and(|suspect| !suspect.has_expired(now)));
+        }
+        n_restored
+    }
+
+    /// Returns what the Unix clock is ahead of the table's clock, in milliseconds.
+    pub fn unix_offset(&self, unix_ms: i64, now: Instant) -> i64 {
+        unix_ms - self.millis(now)
+    }
+
     /// Returns the number of suspects.
     pub fn len(&self) -> usize {
         self.suspects.len()
--- a/fleet/src/routing/suspect_report.rs
+++ b/fleet/src/routing/suspect_report.rs
@@ -15,6 +15,10 @@
     pub ends: SmallVec<[EndReport; 4]>,
     /// The time since a target last answered it, in milliseconds, where one did.
     pub answered_ms: Option<u32>,
+    /// Whether the sender knows the ends from the store only. Such reports go out in messages of their
+    /// own, which earlier versions ignore.
+    #[serde(skip)]
+    pub is_restored: bool,
 }
 
 /// The end of a target while it ran a request.
