Take a status from 600 on for no answer

What callers saw: an answer of a target with the status 600, 799 or 999 came as the target had sent it, with its signature, though no such class exists.

Cause: the parser takes any three digits from 100 on, and nothing looked at the class. 000 and other texts that are no status end as 502 already.

Evidence: the four tests of fleet/tests/forwarding/odd_status.rs fail on (three for 600; one as the connection was kept). A call that may run once only was sent again where such a head also stated "not run".

Change: such an answer counts as unknown, whatever else its head says. A call that may be repeated goes to another target, any other gets 502, and the connection is closed.

--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -210,6 +210,10 @@
     names: &HeaderNames,
 ) -> Result<TargetResponse, CallFailure> {
     let (parts, body) = response.into_parts();
+    if !is_protocol_status(parts.status) {
+        // Nothing else in such a head is evidence, not even a statement that the request did not run.
+        return Err(AttemptOutcome::Unknown.into());
+    }
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptOutcome::NotRun.into());
     }
@@ -243,6 +247,11 @@
     })
 }
 
+/// Returns whether a status belongs to a class of HTTP; the parser takes any three digits from 100 on.
+fn is_protocol_status(status: StatusCode) -> bool {
+    status.as_u16() < 600
+}
+
 /// Returns whether a response comes from the target itself.
 ///
 /// A target signs its successful responses, and encodes no bodies, as callers request no encoding.
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -13,6 +13,8 @@
 mod leaving_caller;
 #[path = "forwarding/leaving_waits.rs"]
 mod leaving_waits;
+#[path = "forwarding/odd_status.rs"]
+mod odd_status;
 #[path = "forwarding/repeated_refusal.rs"]
 mod repeated_refusal;
 #[path = "forwarding/resumed_stream.rs"]
