Pass on no late request that the end of a planned stop may cut

What callers saw: with a stop in progress, a request whose head came in time and whose last byte came late was passed on until the end of the grace period; one that may run once only could run and get no answer of its own. A body that was still arriving and a stream that waited for its group got nothing at all.

Cause: an entry that stops compared the arrival of a request's head with its stop, and nothing after that: not its last byte, a retry or a wait.

Change: once new requests are refused, a request is passed on only if its deadline lies before the last answers. The same decides about further sends of a call that may run once only. What is incomplete or unsent is refused before the process ends.

--- a/fleet/src/process/drain.rs
+++ b/fleet/src/process/drain.rs
@@ -41,6 +41,14 @@
             .is_some_and(|at| at + ACCEPT_TIME <= now)
     }
 
+    /// Returns whether a request that ends at its deadline at the latest may be passed on: once new
+    /// ones are refused, only if that lies before the last answers are given.
+    pub fn may_pass_on(&self, now: Instant, deadline: Instant, grace: Duration) -> bool {
+        self.began_at.lock().is_none_or(|began_at| {
+            now < began_at + ACCEPT_TIME || deadline <= Self::last_answers_at(began_at, grace)
+        })
+    }
+
     /// Waits until new requests are refused.
     pub async fn closed(&self) {
         let began_at = self.begun().await;
@@ -50,8 +58,11 @@
     /// Waits until requests without an answer have to get one, as the process will exit.
     pub async fn answers_due(&self, grace: Duration) {
         let began_at = self.begun().await;
-        let due_at = Self::end_of_grace(began_at, grace.saturating_sub(ANSWER_MARGIN));
-        tokio::time::sleep_until(due_at).await;
+        tokio::time::sleep_until(Self::last_answers_at(began_at, grace)).await;
+    }
+
+    fn last_answers_at(began_at: Instant, grace: Duration) -> Instant {
+        Self::end_of_grace(began_at, grace.saturating_sub(ANSWER_MARGIN))
     }
 
     async fn begun(&self) -> Instant {
--- a/fleet/src/process/mod.rs
+++ b/fleet/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! The entry and agent processes: their tasks, and the state that the tasks share.
 
 mod agent_run;
+mod call_stop;
 mod call_suspects;
 mod caller_body;
 mod caller_server;
--- a/fleet/src/process/open_dispatches.rs
+++ b/fleet/src/process/open_dispatches.rs
@@ -15,11 +15,14 @@
 
 impl OpenDispatches {
     /// Begins a dispatch, to a target that the request has not been sent to; `None` if there is no
-    /// other.
+    /// other, or if this process stops too soon.
     pub(super) async fn begin(
         &mut self,
         call: &CallContext,
     ) -> Option<(DispatchNumber, ChosenTarget)> {
+        if !call.may_be_sent() {
+            return None;
+        }
         let target = call.choose(&mut self.excluded).await?;
         let number = self.progress.begin();
         self.open.push((number, target.pick.id.clone()));
--- a/fleet/src/process/request_body.rs
+++ b/fleet/src/process/request_body.rs
@@ -10,7 +10,7 @@
 
 use super::caller_body::CallerBody;
 use super::entry_state::EntryState;
-use super::request_run::local_response;
+use super::request_run::{RETRY_STOPPING, local_response};
 
 /// The longest time for a body to arrive while no route is known.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -26,6 +26,8 @@
     Cut(ReadCut),
     /// It did not arrive in time.
     Late,
+    /// It did not arrive before this process stops.
+    Stopping,
     /// The caller disconnected, or its chunks are malformed.
     Broken,
 }
@@ -48,7 +50,13 @@
         false => body_end(state, head, received_at),
     };
     let mut buffer = BodyBuffer::new(&state.buffers, limit);
-    match tokio::time::timeout_at(body_end, buffer.read(&mut body)).await {
+    let reading = tokio::time::timeout_at(body_end, buffer.read(&mut body));
+    let read = tokio::select! {
+        biased;
+        read = reading => read,
+        () = state.drain.answers_due(state.grace()) => return Err(BodyRefusal::Stopping),
+    };
+    match read {
         Ok(Ok(())) => Ok(buffer.finish()),
         Ok(Err(ReadError::Cut(cut))) => Err(BodyRefusal::Cut(cut)),
         Ok(Err(ReadError::Broken(_))) => Err(BodyRefusal::Broken),
@@ -80,6 +88,10 @@
                 let answer = LocalResponse::Incomplete(NotRunProof::never_sent());
                 (answer, "body too late")
             }
+            Self::Stopping => {
+                let answer = LocalResponse::Refused(NotRunProof::never_sent(), RETRY_STOPPING);
+                (answer, "body incomplete, stopping")
+            }
             Self::Cut(cut) => {
                 warn!(state.log, "read cut"; "request" => attempt_id, "bytes" => cut.n_read,
                     "limit" => cut.limit, "scope" => %cut.scope);
--- a/fleet/src/process/request_run.rs
+++ b/fleet/src/process/request_run.rs
@@ -28,7 +28,7 @@
 const RETRY_REJECTED: Duration = Duration::from_millis(200);
 
 /// The `Retry-After` time while this entry stops: the caller may retry at another one.
-const RETRY_STOPPING: Duration = Duration::from_millis(50);
+pub(super) const RETRY_STOPPING: Duration = Duration::from_millis(50);
 
 /// The targets without room at which a request asks for a permit before it prefers those without a
 /// limit.
@@ -158,6 +158,14 @@
         .caller_timeout
         .unwrap_or(route.timeout)
         .min(route.timeout);
+    let deadline = received_at + timeout;
+    if !state
+        .drain
+        .may_pass_on(Instant::now(), deadline, state.grace())
+    {
+        // Its head came in time, its last byte did not.
+        return Err((refuse(RETRY_STOPPING), "whole too late, stopping"));
+    }
     state.count_request(&service, received_at);
     let keys = suspect_keys(&head, &body, account.as_ref(), &service);
     Ok(CallContext {
@@ -169,7 +177,7 @@
         service,
         keys,
         received_at,
-        deadline: received_at + timeout,
+        deadline,
     })
 }
 
--- a/fleet/src/process/stream_run.rs
+++ b/fleet/src/process/stream_run.rs
@@ -29,7 +29,12 @@
 
 /// Runs a call answered by a stream of events.
 pub(super) async fn run(call: CallContext) -> Response<CallerBody> {
-    if let Err((after, why)) = admit(&call).await {
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit(&call) => admitted,
+        () = call.state.drain.answers_due(call.state.grace()) => return call.stopping_refusal(),
+    };
+    if let Err((after, why)) = admitted {
         let answer = LocalResponse::Refused(NotRunProof::never_sent(), after);
         return call.local_response(answer, why);
     }
--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -9,6 +9,8 @@
 mod endless_target;
 #[path = "forwarding/head_limits.rs"]
 mod head_limits;
+#[path = "forwarding/late_requests.rs"]
+mod late_requests;
 #[path = "forwarding/leaving_caller.rs"]
 mod leaving_caller;
 #[path = "forwarding/leaving_waits.rs"]
