Stop answers at each of their bytes in a test

Another operator saw a 200 with a short body where a server had stopped in the middle of its answer's head.

--- a/fleet/tests/forwarding.rs
+++ b/fleet/tests/forwarding.rs
@@ -3,6 +3,8 @@
 
 #[path = "forwarding/connections.rs"]
 mod connections;
+#[path = "forwarding/cut_answers.rs"]
+mod cut_answers;
 #[path = "forwarding/ended_target.rs"]
 mod ended_target;
 #[path = "forwarding/endless_target.rs"]
