Limit what arrives between the parts of a body

What callers saw: 504 at their deadline, while their entry read zeros without end, the size of a chunk, at full speed (32 MB in 3 s).

Cause: a response's head has a limit, and the data of its body; what stands between the parts of a body was left to the parser, which takes any number of leading zeros. It keeps none of them.

Change: each part of a body begins the limit of a head anew.

--- a/fleet/src/forward/byte_budget.rs
+++ b/fleet/src/forward/byte_budget.rs
@@ -52,6 +52,9 @@
     /// One body.
     #[display("body")]
     Body,
+    /// What comes between the parts of one body.
+    #[display("framing")]
+    Framing,
     /// One event of a stream.
     #[display("event")]
     Event,
@@ -184,6 +187,18 @@
 
     /// Reads a body to its end.
     pub async fn read<B>(&mut self, body: &mut B) -> Result<(), ReadError>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
+        self.read_parts(body, || ()).await
+    }
+
+    /// Reads a body to its end; `begin_part` is called before each part of it.
+    pub async fn read_parts<B>(
+        &mut self,
+        body: &mut B,
+        begin_part: impl Fn(),
+    ) -> Result<(), ReadError>
     where
         B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
     {
@@ -191,7 +206,9 @@
 
         let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
         self.check(announced).map_err(ReadError::Cut)?;
+        begin_part();
         while let Some(frame) = body.frame().await {
+            begin_part();
             let frame = frame.map_err(ReadError::Broken)?;
             if let Ok(data) = frame.into_data() {
                 self.push(&data).map_err(ReadError::Cut)?;
--- a/fleet/src/forward/head_meter.rs
+++ b/fleet/src/forward/head_meter.rs
@@ -22,7 +22,8 @@
 /// the part of the body that is read with it.
 const MAX_BYTES_TO_HEAD: usize = 4 * MAX_HEAD_BYTES;
 
-/// The bytes that may arrive on a connection until a response head is complete.
+/// The bytes that may arrive on a connection until a response head, or the next part of a body, is
+/// complete.
 #[derive(Clone, Debug)]
 pub struct HeadMeter(Arc<AtomicUsize>);
 
@@ -60,7 +61,22 @@
         self.0.store(MAX_BYTES_TO_HEAD, Ordering::Relaxed);
     }
 
-    /// Ends the limit, as the head has arrived.
+    /// Expects the next part of a body: what arrives before it, such as the size of a chunk or trailers,
+    /// has the same limit.
+    pub fn begin_part(&self) {
+        self.begin();
+    }
+
+    /// Returns how a body was cut whose next part did not arrive; `None` if it failed for another reason.
+    pub fn cut_body(&self) -> Option<ReadCut> {
+        (self.0.load(Ordering::Relaxed) == 0).then_some(ReadCut {
+            n_read: MAX_BYTES_TO_HEAD,
+            limit: MAX_BYTES_TO_HEAD,
+            scope: CutScope::Framing,
+        })
+    }
+
+    /// Ends the limit, as the head or the body has arrived.
     pub fn end(&self) {
         self.0.store(usize::MAX, Ordering::Relaxed);
     }
@@ -92,7 +108,7 @@
         match left {
             0 => Err(io::Error::new(
                 io::ErrorKind::InvalidData,
-                "response head too long",
+                "response head or framing too long",
             )),
             _ => Ok(()),
         }
--- a/fleet/src/forward/target_call.rs
+++ b/fleet/src/forward/target_call.rs
@@ -86,8 +86,12 @@
     /// Returns the next chunk of the body.
     pub async fn next_chunk(&mut self) -> BodyChunk {
         loop {
+            self.connection.meter.begin_part();
             match self.body.frame().await {
-                None => return BodyChunk::End,
+                None => {
+                    self.connection.meter.end();
+                    return BodyChunk::End;
+                }
                 Some(Err(_)) => return BodyChunk::Broken,
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
@@ -101,7 +105,13 @@
     /// Reads the rest of the body.
     pub async fn read_body(&mut self, budget: &Arc<ByteBudget>) -> Result<Bytes, ReadError> {
         let mut buffer = BodyBuffer::new(budget, MAX_BODY_BYTES);
-        buffer.read(&mut self.body).await?;
+        let meter = &self.connection.meter;
+        let read = buffer.read_parts(&mut self.body, || meter.begin_part());
+        read.await.map_err(|err| match meter.cut_body() {
+            Some(cut) => ReadError::Cut(cut),
+            None => err,
+        })?;
+        meter.end();
         Ok(buffer.finish())
     }
 
--- a/fleet/src/process/peer_pull.rs
+++ b/fleet/src/process/peer_pull.rs
@@ -82,7 +82,12 @@
         return Err(PullError::Refused(response.status()));
     }
     let mut buffer = BodyBuffer::new(budget, MAX_COPY_BYTES);
-    buffer.read(&mut response.into_body()).await?;
+    let mut body = response.into_body();
+    let read = buffer.read_parts(&mut body, || meter.begin_part());
+    read.await.map_err(|err| match meter.cut_body() {
+        Some(cut) => PullError::Cut(cut),
+        None => err.into(),
+    })?;
     Ok(buffer.finish())
 }
 
--- a/fleet/src/process/request_body.rs
+++ b/fleet/src/process/request_body.rs
@@ -118,7 +118,7 @@
             let refused = LocalResponse::Refused(NotRunProof::never_sent(), RETRY_NO_MEMORY);
             (refused, "bodies of all requests too large")
         }
-        CutScope::Head | CutScope::Body | CutScope::Event => {
+        CutScope::Head | CutScope::Body | CutScope::Framing | CutScope::Event => {
             let answer = LocalResponse::Denied(DeniedReason::BodyTooLarge);
             (answer, "body limit")
         }
--- a/fleet/tests/forwarding/endless_target.rs
+++ b/fleet/tests/forwarding/endless_target.rs
@@ -63,7 +63,7 @@
     let flooding = target(reply).await;
     let entry = Entry::with_route(long_route(kind), 1_000.0, &[&flooding]).await;
     let answer = entry.call("r1").await;
-    assert_eq!(answer.status, 502, "{}", flooding.written());
+    assert_eq!(answer.status, 502, "{kind:?}: {}", flooding.written());
     let written = flooding.written();
     assert!(written <= limit + SOCKET_BYTES, "{written}");
 }
@@ -98,6 +98,39 @@
     assert_cut(CallKind::SingleStream, endless_event(), 1 << 20).await;
 }
 
+// Guards against input without end beside the body: in the size of a chunk, behind it, and in trailers.
+#[tokio::test]
+async fn endless_framing_of_a_body_is_cut_and_answered_502() {
+    let framing = [
+        ("", "0".repeat(1_000)),
+        ("5;", "a=b;".repeat(250)),
+        ("5\r\nhello\r\n0\r\n", "x-a: b\r\n".repeat(100)),
+    ];
+    for (start, piece) in framing {
+        let start = format!("HTTP/1.1 200 OK\r\n{CHUNKED}{start}");
+        let flood = Reply::Flood(start, piece, usize::MAX);
+        assert_cut(CallKind::Unsafe, flood, MAX_ANSWER).await;
+    }
+}
+
+// Guards against bytes without end behind a whole answer, which are kept for a request to come.
+#[tokio::test]
+async fn endless_text_behind_an_answer_is_not_read_on() {
+    let start = "HTTP/1.1 200 OK\r\nx-seal: s1\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok";
+    let flooding = target(Reply::Flood(
+        start.to_owned(),
+        "x".repeat(1_000),
+        usize::MAX,
+    ))
+    .await;
+    let entry = Entry::with_route(long_route(CallKind::Unsafe), 1_000.0, &[&flooding]).await;
+    let answer = entry.call("r1").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let written = flooding.written();
+    assert!(written <= (1 << 17) + SOCKET_BYTES, "{written}");
+}
+
 // Guards against a repeatable call that gets no answer because its first target sends too much.
 #[tokio::test]
 async fn safe_call_is_answered_by_another_target_than_the_endless_one() {
