Count all ends of one target that a record holds

Cause: kept ends of one target within 10 s were taken for one end, as clocks of several writers may differ. That holds between records, not within one.

Evidence: ends_of_one_target_in_a_record_all_count failed before.

Change: ends of one record or report are matched with those known before, each with one at most.

--- a/fleet/src/routing/crash_suspect.rs
+++ b/fleet/src/routing/crash_suspect.rs
@@ -133,19 +133,15 @@
         }
     }
 
-    /// Adds the end of a target, unless it is known. One request is no evidence against the parts of
+    /// Adds the end of a target that an entry saw, unless it is known. One request is no evidence against the parts of
     /// its prompt more than once.
     pub(super) fn add_end(&mut self, new: TargetEnd) {
         if let Some(known_idx) = self.ends.iter().position(|end| end.is_same(&new)) {
             let known = &mut self.ends[known_idx];
-            match (known.restored_at, new.restored_at) {
-                (_, Some(_)) => return,
+            if known.restored_at.is_some() {
                 // The times of a running entry are more exact.
-                (Some(_), None) => {
-                    self.ends.remove(known_idx);
-                    return self.add_end(new);
-                }
-                (None, None) => {}
+                self.ends.remove(known_idx);
+                return self.add_end(new);
             }
             // Of several runs that one end broke off, all entries keep the last one.
             if known.began_at + CLOCK_ERROR_MS < new.began_at {
@@ -154,6 +150,29 @@
             }
             return;
         }
+        self.insert_end(new);
+    }
+
+    /// Adds ends that one entry knows from the store. They are different ones, also where a target that
+    /// was back under its id ended again; each may be known already.
+    fn add_restored(&mut self, restored: impl Iterator<Item = TargetEnd>) {
+        let mut known: SmallVec<[TargetEnd; MAX_ENDS]> = self.ends.iter().copied().collect();
+        for new in restored {
+            let same = known
+                .iter()
+                .enumerate()
+                .filter(|(_, end)| end.is_same(&new));
+            let nearest = same.min_by_key(|(_, end)| (end.at - new.at).abs());
+            match nearest.map(|(idx, _)| idx) {
+                Some(idx) => {
+                    known.remove(idx);
+                }
+                None => self.insert_end(new),
+            }
+        }
+    }
+
+    fn insert_end(&mut self, new: TargetEnd) {
         let is_part = self.key.is_part();
         if is_part && self.ends.iter().any(|end| end.request == new.request) {
             return;
@@ -322,19 +341,19 @@
     /// Adds what was kept in the store. Times in the future come from a clock that was ahead; an end
     /// long in the future or past is not used.
     pub(super) fn restore(&mut self, kept: &KeptSuspect, now: i64) {
-        for end in kept.ends.iter().take(MAX_KEPT_ENDS) {
-            if end.at <= now - SUSPECT_TTL_MS || now + CLOCK_DIFFERENCE_MS < end.at {
-                continue;
-            }
+        let ends = kept.ends.iter().take(MAX_KEPT_ENDS);
+        let usable =
+            ends.filter(|end| now - SUSPECT_TTL_MS < end.at && end.at <= now + CLOCK_DIFFERENCE_MS);
+        self.add_restored(usable.map(|end| {
             let at = end.at.min(now);
-            self.add_end(TargetEnd {
+            TargetEnd {
                 target: end.target,
                 request: end.request,
                 began_at: end.began_at.clamp(at - SUSPECT_TTL_MS, at),
                 at,
                 restored_at: Some(now),
-            });
-        }
+            }
+        }));
         if let Some(at) = kept.answered_at {
             self.clear(at.clamp(now - SUSPECT_TTL_MS, now));
         }
@@ -402,15 +421,19 @@
 
     /// Merges the report of another entry.
     pub(super) fn merge(&mut self, report: &SuspectReport, now: i64) {
-        for end in report.ends.iter().take(MAX_ENDS) {
+        let ends = report.ends.iter().take(MAX_ENDS).map(|end| {
             let at = now - i64::from(end.age_ms);
-            self.add_end(TargetEnd {
+            TargetEnd {
                 target: end.target,
                 request: end.request,
                 began_at: at - i64::from(end.run_ms),
                 at,
                 restored_at: report.is_restored.then_some(now),
-            });
+            }
+        });
+        match report.is_restored {
+            true => self.add_restored(ends),
+            false => ends.for_each(|end| self.add_end(end)),
         }
         if let Some(age) = report.answered_ms {
             self.clear(now - i64::from(age));
--- a/fleet/tests/kept_suspects.rs
+++ b/fleet/tests/kept_suspects.rs
@@ -177,6 +177,46 @@
     assert!(!is_refused(&reader, now + 3 * SECOND));
 }
 
+// Guards against ends of one target that is back under its id each time being taken for one end.
+#[test]
+fn ends_of_one_target_in_a_record_all_count() {
+    let start = Instant::now();
+    let mut before = CrashSuspects::new(start);
+    for n_end in 0..3 {
+        let at = start + n_end * 2 * SECOND;
+        before.record_end(&request(1), 7, at - Duration::from_millis(50), at);
+    }
+    let now = start + 6 * SECOND;
+    let mut after = CrashSuspects::new(now);
+    read(&mut after, &written(&before, start, now, 3_000), start, now);
+    assert!(is_refused(&after, now + SECOND));
+    let ends = after
+        .take_reports(now)
+        .iter()
+        .map(|r| r.ends.len())
+        .sum::<usize>();
+    assert_eq!(ends, 3);
+
+    // Once more, by way of a second record and a report of another entry.
+    read(
+        &mut after,
+        &written(&before, start, now, -3_000),
+        start,
+        now,
+    );
+    let reports = before.take_reports(now);
+    reports.iter().for_each(|report| {
+        after.observe_report(report, now);
+    });
+    let later = now + SECOND;
+    let ends = after
+        .take_reports(later)
+        .iter()
+        .map(|r| r.ends.len())
+        .sum::<usize>();
+    assert_eq!(ends, 3);
+}
+
 // Guards against what is known from the store only staying with the entries that read it.
 #[test]
 fn restored_ends_are_told_to_entries_that_could_not_read_the_store() {
